--- /dev/null
+++ b/bench/src/faults.rs
@@ -0,0 +1,360 @@
+//! Seeded faults and whom they hit.
+
+use crate::system::{ENTRY_VMS, Place, System, entry_name};
+use quetzaltiller::objects::Object;
+use rand::seq::IndexedRandom as _;
+use rand::{Rng as _, SeedableRng as _};
+use rand_chacha::ChaCha12Rng;
+use serde::Serialize;
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// Time until a killed party is back.
+const REPLACEMENT: Duration = Duration::from_secs(8);
+const PAUSE: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(6));
+const OUTAGE: Duration = Duration::from_secs(5);
+const PARTITION: Duration = Duration::from_secs(4);
+const ANSWER_LOSS: f64 = 0.5;
+
+/// Kind of a fault.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// An engine ends; it is back empty later.
+    EngineKilled,
+    /// An engine ends and is back at once, empty.
+    EngineRestarted,
+    /// An engine stops for a random time.
+    EnginePaused,
+    /// The open connections of an engine go silent.
+    SilentConnection,
+    /// An entry VM ends; it is replaced later.
+    RouterKilled,
+    /// An entry VM stops for a random time.
+    RouterPaused,
+    /// All VMs of a zone end; they are replaced later.
+    ZoneLost,
+    /// An entry VM loses an engine and another entry VM for a while.
+    Partition,
+    /// The platform is down.
+    StoreDown,
+    /// The platform loses answers of writes.
+    StoreAnswerLost,
+    /// An entry VM leaves gracefully and is replaced.
+    RouterLeaves,
+    /// An engine is marked as leaving in the configuration.
+    EngineLeaves,
+}
+
+impl Kind {
+    /// All kinds.
+    pub const ALL: [Self; 12] = [
+        Self::EngineKilled,
+        Self::EngineRestarted,
+        Self::EnginePaused,
+        Self::SilentConnection,
+        Self::RouterKilled,
+        Self::RouterPaused,
+        Self::ZoneLost,
+        Self::Partition,
+        Self::StoreDown,
+        Self::StoreAnswerLost,
+        Self::RouterLeaves,
+        Self::EngineLeaves,
+    ];
+
+    fn name(self) -> String {
+        serde_json::to_value(self)
+            .ok()
+            .and_then(|v| v.as_str().map(str::to_owned))
+            .unwrap_or_default()
+    }
+}
+
+impl FromStr for Kind {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let names: Vec<_> = Self::ALL.iter().map(|kind| kind.name()).collect();
+        let found = Self::ALL.into_iter().find(|kind| kind.name() == text);
+        found.ok_or_else(|| format!("allowed: {}", names.join(", ")))
+    }
+}
+
+/// A fault and its time after the start of the load.
+#[derive(Clone, Copy, Debug)]
+pub struct Planned {
+    /// Time.
+    pub at: Duration,
+    /// Kind.
+    pub kind: Kind,
+}
+
+/// A stream that a fault hit.
+#[derive(Clone, Debug)]
+pub struct Hit {
+    /// Generation.
+    pub generation: String,
+    /// Shortest possible wait.
+    pub floor: Duration,
+}
+
+/// What a fault did.
+#[derive(Clone, Debug)]
+pub struct Injected {
+    /// Kind.
+    pub kind: Kind,
+    /// When.
+    pub at: Instant,
+    /// Streams that lost their engine, their connection or their entry VM.
+    pub hits: Vec<Hit>,
+    /// Prefill that no living engine could spare, in tokens.
+    pub lost_prefill: u64,
+    /// Party that left gracefully, if one did.
+    pub left: Option<String>,
+}
+
+/// Faults for a run: one of each given kind, or a random pair.
+pub fn plan(kinds: &[Kind], load: Duration, seed: u64) -> Vec<Planned> {
+    let mut rng = ChaCha12Rng::seed_from_u64(seed + 2);
+    let (first, last) = (load.mul_f64(0.2), load.mul_f64(0.9));
+    let mut at = || rng.random_range(first..last);
+    kinds.iter().map(|kind| Planned { at: at(), kind: *kind }).collect()
+}
+
+/// Two kinds chosen by seed.
+pub fn pair(seed: u64) -> Vec<Kind> {
+    let mut rng = ChaCha12Rng::seed_from_u64(seed + 3);
+    Kind::ALL.choose_multiple(&mut rng, 2).copied().collect()
+}
+
+/// Injects faults at their times; the result tells what they did.
+pub async fn inject(system: Arc<System>, planned: Vec<Planned>, seed: u64) -> Vec<Injected> {
+    let start = Instant::now();
+    let mut rng = ChaCha12Rng::seed_from_u64(seed + 4);
+    let mut planned = planned;
+    planned.sort_by_key(|fault| fault.at);
+    let mut injected = Vec::new();
+    for fault in planned {
+        sleep_until(start + fault.at).await;
+        let hurt = Injector { system: &system, rng: &mut rng };
+        injected.push(hurt.inject(fault.kind).await);
+    }
+    injected
+}
+
+struct Injector<'a> {
+    system: &'a Arc<System>,
+    rng: &'a mut ChaCha12Rng,
+}
+
+impl Injector<'_> {
+    async fn inject(mut self, kind: Kind) -> Injected {
+        let at = Instant::now();
+        let mut injected = Injected { kind, at, hits: Vec::new(), lost_prefill: 0, left: None };
+        match kind {
+            Kind::EngineKilled => {
+                let place = self.busy_engine();
+                self.kill_engines(&[place.address], &mut injected);
+            }
+            Kind::EngineRestarted => {
+                let place = self.busy_engine();
+                self.note_loss(std::slice::from_ref(&place.address), &mut injected);
+                self.system.engines[&place.address].restart();
+            }
+            Kind::EnginePaused => {
+                let place = self.busy_engine();
+                self.note_hits(&place.address, Duration::ZERO, &mut injected);
+                self.freeze(place.address);
+            }
+            Kind::SilentConnection => {
+                let place = self.busy_engine();
+                self.note_hits(&place.address, Duration::ZERO, &mut injected);
+                self.system.engines[&place.address].silence_connections();
+            }
+            Kind::RouterKilled => {
+                let name = self.entry();
+                self.kill_router(&name, &mut injected).await;
+            }
+            Kind::RouterPaused => {
+                let name = self.entry();
+                self.note_served(&name, &mut injected).await;
+                self.freeze(name);
+            }
+            Kind::ZoneLost => self.lose_zone(&mut injected).await,
+            Kind::Partition => self.part(),
+            Kind::StoreDown => self.store_outage(),
+            Kind::StoreAnswerLost => self.lose_answers(),
+            Kind::RouterLeaves => injected.left = Some(self.leave()),
+            Kind::EngineLeaves => injected.left = Some(self.mark_leaving().await),
+        }
+        injected
+    }
+
+    /// The engine with the most streams, so that the fault hits something.
+    fn busy_engine(&mut self) -> Place {
+        let alive = |place: &&Place| !self.system.gate.is_dead(&place.address);
+        let places = self.system.places.iter().filter(alive);
+        let busiest = places.max_by_key(|place| self.system.engines[&place.address].running());
+        busiest.cloned().unwrap_or_else(|| self.system.places[0].clone())
+    }
+
+    fn entry(&mut self) -> String {
+        entry_name(self.rng.random_range(0..ENTRY_VMS))
+    }
+
+    fn kill_engines(&mut self, addresses: &[String], injected: &mut Injected) {
+        self.note_loss(addresses, injected);
+        for address in addresses {
+            if let Some(engine) = self.system.engines.get(address) {
+                engine.kill();
+            } else {
+                self.system.gate.set_dead(address, true);
+            }
+        }
+        let (system, addresses) = (self.system.clone(), addresses.to_vec());
+        tokio::spawn(async move {
+            sleep(REPLACEMENT).await;
+            addresses.iter().for_each(|address| system.gate.set_dead(address, false));
+        });
+    }
+
+    async fn kill_router(&mut self, name: &str, injected: &mut Injected) {
+        self.note_served(name, injected).await;
+        self.system.kill_router(name);
+        let (system, name) = (self.system.clone(), name.to_owned());
+        tokio::spawn(async move {
+            sleep(REPLACEMENT).await;
+            system.start_router(&name);
+        });
+    }
+
+    async fn lose_zone(&mut self, injected: &mut Injected) {
+        let zone = ["zone-a", "zone-b", "zone-c"][self.rng.random_range(0..3)];
+        let addresses = self.system.in_zone(zone);
+        self.kill_engines(&addresses, injected);
+        for name in self.system.entries_in_zone(zone) {
+            self.kill_router(&name, injected).await;
+        }
+    }
+
+    fn freeze(&mut self, party: String) {
+        let pause = self.rng.random_range(PAUSE.0..PAUSE.1);
+        let gate = self.system.gate.clone();
+        gate.set_frozen(&party, true);
+        tokio::spawn(async move {
+            sleep(pause).await;
+            gate.set_frozen(&party, false);
+        });
+    }
+
+    fn part(&mut self) {
+        let name = self.entry();
+        let other = entry_name((self.rng.random_range(1..ENTRY_VMS) + 1) % ENTRY_VMS);
+        let engine = self.busy_engine().address;
+        let gate = self.system.gate.clone();
+        gate.set_parted(&name, &other, true);
+        gate.set_parted(&name, &engine, true);
+        tokio::spawn(async move {
+            sleep(PARTITION).await;
+            gate.set_parted(&name, &other, false);
+            gate.set_parted(&name, &engine, false);
+        });
+    }
+
+    fn store_outage(&self) {
+        let platform = self.system.platform.clone();
+        platform.set_faults(|faults| faults.outage = true);
+        tokio::spawn(async move {
+            sleep(OUTAGE).await;
+            platform.set_faults(|faults| faults.outage = false);
+        });
+    }
+
+    fn lose_answers(&self) {
+        let platform = self.system.platform.clone();
+        platform.set_faults(|faults| faults.answer_lost = ANSWER_LOSS);
+        tokio::spawn(async move {
+            sleep(OUTAGE).await;
+            platform.set_faults(|faults| faults.answer_lost = 0.0);
+        });
+    }
+
+    fn leave(&mut self) -> String {
+        let name = self.entry();
+        let system = self.system.clone();
+        let leaving = name.clone();
+        tokio::spawn(async move {
+            let Some(router) = system.hub.get(&leaving) else {
+                return;
+            };
+            router.drain().await;
+            system.retire(&leaving);
+            sleep(REPLACEMENT).await;
+            system.start_router(&leaving);
+        });
+        name
+    }
+
+    async fn mark_leaving(&mut self) -> String {
+        let place = self.busy_engine();
+        let mut objects = self.system.objects.clone();
+        for object in &mut objects {
+            if let Object::Upstream(upstream) = object {
+                upstream.leaving = upstream.name == place.name;
+            }
+        }
+        self.system.apply(&objects).await;
+        place.address
+    }
+
+    /// Streams of engines that lose everything: the floor is the prefill that nobody cached.
+    fn note_loss(&self, addresses: &[String], injected: &mut Injected) {
+        for address in addresses {
+            let Some(engine) = self.system.engines.get(address) else {
+                continue;
+            };
+            for stream in engine.running_streams() {
+                let living = self.system.engines.iter().filter(|(other, _)| {
+                    !addresses.contains(other) && !self.system.gate.is_dead(other)
+                });
+                let cached = living.map(|(_, other)| other.peek_cached(&stream.blocks)).max();
+                let prefill = stream.tokens.saturating_sub(cached.unwrap_or_default());
+                injected.lost_prefill += prefill as u64;
+                let floor = resume_floor(prefill);
+                injected.hits.push(Hit { generation: stream.generation, floor });
+            }
+        }
+    }
+
+    fn note_hits(&self, address: &str, prefill: Duration, injected: &mut Injected) {
+        let streams = self.system.engines[address].running_streams();
+        let floor = prefill + SILENCE_FLOOR;
+        let hits = streams.into_iter().map(|stream| Hit { generation: stream.generation, floor });
+        injected.hits.extend(hits);
+    }
+
+    async fn note_served(&self, name: &str, injected: &mut Injected) {
+        let Some(router) = self.system.hub.get(name) else {
+            return;
+        };
+        let generations = router.dump().await.generations;
+        let hit = |generation| Hit { generation, floor: ROUND_TRIP * 2 + STEP };
+        injected.hits.extend(generations.into_keys().map(hit));
+    }
+}
+
+const STEP: Duration = Duration::from_millis(23);
+const ROUND_TRIP: Duration = Duration::from_millis(2);
+const PREFILL_TOKENS_PER_S: f64 = 8_000.0;
+/// A gap of two steps is the first sign of silence; a reattach and a step follow.
+const SILENCE_FLOOR: Duration = Duration::from_millis(2 * 23 + 2 * 2 + 23);
+
+/// Shortest wait after an engine died: the broken connection is seen, the rest is submitted,
+/// prefilled, and one step brings the next token.
+fn resume_floor(prefill: usize) -> Duration {
+    let prefill = Duration::from_secs_f64(prefill as f64 / PREFILL_TOKENS_PER_S);
+    ROUND_TRIP * 2 + prefill + STEP
+}
--- /dev/null
+++ b/bench/src/lib.rs
@@ -0,0 +1,14 @@
+//! The bench: the product's own code over stand-ins, on virtual time, with seeded loads and faults.
+//!
+//! A run builds a [`system`] for a [`deployment`], offers it a [`load`], injects [`faults`], and
+//! lets the [`checker`] count violations from what callers, engines and services saw. [`run`] puts
+//! a run, the same run without faults and the baselines together into a [`report`].
+
+pub mod baseline;
+pub mod checker;
+pub mod deployment;
+pub mod faults;
+pub mod load;
+pub mod report;
+pub mod run;
+pub mod system;
--- /dev/null
+++ b/bench/src/load.rs
@@ -0,0 +1,234 @@
+//! Seeded callers: drafts, orders and lookups, and what became of each.
+
+use crate::deployment::Deployment;
+use crate::system::System;
+use quetzaltiller::caller::{Reply, Unfinished, Whole};
+use quetzaltiller::generation::Request;
+use quetzaltiller::service::Call;
+use rand::{Rng as _, SeedableRng as _};
+use rand_chacha::ChaCha12Rng;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until};
+
+const LONG_SHARE: f64 = 0.05;
+const SHORT_TOKENS: (u32, u32) = (200, 600);
+const LONG_TOKENS: (u32, u32) = (3_000, 5_000);
+const VOCABULARY: u32 = 5_000;
+const DRAFT_PATIENCE: Duration = Duration::from_secs(30);
+const CALL_PATIENCE: Duration = Duration::from_secs(8);
+/// Tries of one action under one key while its outcome is unknown or it was not run.
+const ACTION_TRIES: usize = 3;
+
+/// How much is asked.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Time over which requests begin.
+    pub duration: Duration,
+    /// Drafts a second.
+    pub drafts_per_s: f64,
+    /// Actions a second.
+    pub actions_per_s: f64,
+    /// Lookups a second.
+    pub lookups_per_s: f64,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            duration: Duration::from_secs(30),
+            drafts_per_s: 4.0,
+            actions_per_s: 2.0,
+            lookups_per_s: 8.0,
+        }
+    }
+}
+
+/// A request for a draft, known before the run.
+#[derive(Clone, Debug)]
+pub struct Draft {
+    /// When it begins, after the start of the load.
+    pub at: Duration,
+    /// Account.
+    pub account: &'static str,
+    /// Body.
+    pub request: Request,
+}
+
+/// A draft and what became of it.
+#[derive(Debug)]
+pub struct DraftRecord {
+    /// Request.
+    pub draft: Draft,
+    /// When it began.
+    pub began: Instant,
+    /// Result.
+    pub result: Result<Whole, Unfinished>,
+}
+
+/// An action and all replies to its key, in order.
+#[derive(Debug)]
+pub struct ActionRecord {
+    /// Account.
+    pub account: &'static str,
+    /// Key.
+    pub key: String,
+    /// Replies.
+    pub replies: Vec<Reply>,
+}
+
+/// A lookup.
+#[derive(Debug)]
+pub struct LookupRecord {
+    /// Time to the reply.
+    pub took: Duration,
+    /// Reply.
+    pub reply: Reply,
+}
+
+/// What callers saw.
+#[derive(Debug, Default)]
+pub struct Records {
+    /// Drafts.
+    pub drafts: Vec<DraftRecord>,
+    /// Actions.
+    pub actions: Vec<ActionRecord>,
+    /// Lookups.
+    pub lookups: Vec<LookupRecord>,
+}
+
+enum Record {
+    Draft(Box<DraftRecord>),
+    Action(ActionRecord),
+    Lookup(LookupRecord),
+}
+
+/// Drafts of a plan, the same for each run of a seed.
+pub fn drafts(deployment: Deployment, plan: &Plan, seed: u64) -> Vec<Draft> {
+    let mut rng = ChaCha12Rng::seed_from_u64(seed);
+    let generators = deployment.generators();
+    let times = arrivals(&mut rng, plan.drafts_per_s, plan.duration);
+    let draft = |at| {
+        let index = (0..2).map(|_| rng.random_range(0..generators.len())).min().unwrap_or(0);
+        let (account, model) = generators[index];
+        Draft { at, account, request: request(&mut rng, deployment, account, model) }
+    };
+    times.into_iter().map(draft).collect()
+}
+
+/// Offers the plan's load and waits for the end of every request.
+pub async fn offer(system: &Arc<System>, plan: &Plan, seed: u64) -> Records {
+    let start = Instant::now();
+    let mut tasks = JoinSet::new();
+    for (index, draft) in drafts(system.deployment, plan, seed).into_iter().enumerate() {
+        tasks.spawn(run_draft(system.clone(), start, index, draft));
+    }
+    let mut rng = ChaCha12Rng::seed_from_u64(seed + 1);
+    let accounts = system.deployment.callers();
+    let actions = arrivals(&mut rng, plan.actions_per_s, plan.duration);
+    for (index, at) in actions.into_iter().enumerate() {
+        let account = accounts[index % accounts.len()];
+        tasks.spawn(run_action(system.clone(), start + at, index, account));
+    }
+    let lookups = arrivals(&mut rng, plan.lookups_per_s, plan.duration);
+    for (index, at) in lookups.into_iter().enumerate() {
+        let account = accounts[index % accounts.len()];
+        tasks.spawn(run_lookup(system.clone(), start + at, index, account));
+    }
+    let mut records = Records::default();
+    while let Some(record) = tasks.join_next().await {
+        match record.expect("callers do not panic") {
+            Record::Draft(draft) => records.drafts.push(*draft),
+            Record::Action(action) => records.actions.push(action),
+            Record::Lookup(lookup) => records.lookups.push(lookup),
+        }
+    }
+    records
+}
+
+async fn run_draft(system: Arc<System>, start: Instant, index: usize, draft: Draft) -> Record {
+    sleep_until(start + draft.at).await;
+    let caller = system.caller(draft.account, index);
+    let began = Instant::now();
+    let result = caller.generate(&draft.request, DRAFT_PATIENCE, &mut |_| {}).await;
+    Record::Draft(Box::new(DraftRecord { draft, began, result }))
+}
+
+async fn run_action(
+    system: Arc<System>,
+    at: Instant,
+    index: usize,
+    account: &'static str,
+) -> Record {
+    sleep_until(at).await;
+    let caller = system.caller(account, index);
+    let key = format!("{account}-{index}");
+    let call = Call {
+        method: "POST".into(),
+        path: "/orders".into(),
+        key: Some(key.clone()),
+        content_type: None,
+        body: format!("{{\"item\":{index}}}").into(),
+    };
+    let mut replies = Vec::new();
+    for _ in 0..ACTION_TRIES {
+        let reply = caller.call(system.deployment.service(), &call, CALL_PATIENCE).await;
+        let answered = matches!(reply, Reply::Answered(_));
+        replies.push(reply);
+        // Half of the callers repeat an answered call, as one that lost the answer would.
+        if answered && (index.is_multiple_of(2) || replies.len() > 1) {
+            break;
+        }
+    }
+    Record::Action(ActionRecord { account, key, replies })
+}
+
+async fn run_lookup(
+    system: Arc<System>,
+    at: Instant,
+    index: usize,
+    account: &'static str,
+) -> Record {
+    sleep_until(at).await;
+    let caller = system.caller(account, index);
+    let call = Call {
+        method: "GET".into(),
+        path: format!("/halls/{index}"),
+        key: None,
+        content_type: None,
+        body: "".into(),
+    };
+    let began = Instant::now();
+    let reply = caller.call(system.deployment.service(), &call, CALL_PATIENCE).await;
+    Record::Lookup(LookupRecord { took: began.elapsed(), reply })
+}
+
+/// Times of a Poisson process.
+fn arrivals(rng: &mut ChaCha12Rng, per_s: f64, duration: Duration) -> Vec<Duration> {
+    let mut times = Vec::new();
+    let mut at_s = 0.0;
+    while per_s > 0.0 {
+        at_s -= (1.0 - rng.random::<f64>()).ln() / per_s;
+        if at_s >= duration.as_secs_f64() {
+            break;
+        }
+        times.push(Duration::from_secs_f64(at_s));
+    }
+    times
+}
+
+fn request(rng: &mut ChaCha12Rng, deployment: Deployment, account: &str, model: &str) -> Request {
+    let (shared, own) = deployment.prompt_words();
+    let mut house = ChaCha12Rng::seed_from_u64(account.bytes().map(u64::from).sum());
+    let mut prompt = words(&mut house, shared);
+    let length = rng.random_range(own / 4..=own);
+    prompt.push_str(&words(rng, length));
+    let (low, high) = if rng.random_bool(LONG_SHARE) { LONG_TOKENS } else { SHORT_TOKENS };
+    let max_tokens = rng.random_range(low..=high);
+    Request { model: model.into(), prompt, max_tokens, ..Request::default() }
+}
+
+fn words(rng: &mut ChaCha12Rng, count: usize) -> String {
+    (0..count).map(|_| format!("w{} ", rng.random_range(0..VOCABULARY))).collect()
+}
--- /dev/null
+++ b/bench/src/main.rs
@@ -0,0 +1,149 @@
+//! `qt-bench`: runs loads and faults and reports figures as JSON.
+
+use argh::FromArgs;
+use bench::deployment::Deployment;
+use bench::faults::{self, Kind};
+use bench::report::Report;
+use bench::run::{Options, run};
+use quetzaltiller::daemon;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Instant;
+
+/// Measures quetzaltiller.
+#[derive(FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Run(RunArgs),
+    Soak(SoakArgs),
+}
+
+/// One run and its baselines.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "run")]
+struct RunArgs {
+    /// foundation or cooperative
+    #[argh(option)]
+    deployment: Deployment,
+    /// seed of load and faults
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// kind of a fault to inject once; may be given several times (default: engine_killed,
+    /// engine_paused, silent_connection, router_killed)
+    #[argh(option)]
+    fault: Vec<Kind>,
+    /// file to write the figures to
+    #[argh(option)]
+    json: Option<PathBuf>,
+    /// leave the baselines out
+    #[argh(switch)]
+    no_baseline: bool,
+    /// drafts begun in a second
+    #[argh(option, default = "4.0")]
+    drafts_per_s: f64,
+}
+
+/// Many seeds of single faults and of pairs; counts violations.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "soak")]
+struct SoakArgs {
+    /// first seed
+    #[argh(option, default = "1")]
+    from: u64,
+    /// last seed
+    #[argh(option, default = "12")]
+    to: u64,
+    /// pairs of faults instead of single ones
+    #[argh(switch)]
+    pairs: bool,
+}
+
+const DEFAULT_FAULTS: [Kind; 4] =
+    [Kind::EngineKilled, Kind::EnginePaused, Kind::SilentConnection, Kind::RouterKilled];
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    daemon::stop_logs();
+    match args.command {
+        Command::Run(args) => run_one(&args),
+        Command::Soak(args) => soak(&args),
+    }
+}
+
+fn run_one(args: &RunArgs) -> ExitCode {
+    let kinds = if args.fault.is_empty() { DEFAULT_FAULTS.to_vec() } else { args.fault.clone() };
+    let mut options = Options::new(args.deployment, args.seed, &kinds);
+    options.baselines = !args.no_baseline;
+    options.plan.drafts_per_s = args.drafts_per_s;
+    let began = Instant::now();
+    let report = run(&options);
+    eprintln!(
+        "ran {:.0} virtual seconds in {:.1} s",
+        report.duration_s,
+        began.elapsed().as_secs_f64()
+    );
+    let json = serde_json::to_string_pretty(&report).unwrap_or_default();
+    if let Some(path) = &args.json {
+        return write(path, &json);
+    }
+    println!("{json}");
+    verdict(report.violations.total())
+}
+
+fn soak(args: &SoakArgs) -> ExitCode {
+    let mut violations = 0;
+    for seed in args.from..=args.to {
+        for deployment in Deployment::ALL {
+            let kinds = if args.pairs {
+                faults::pair(seed)
+            } else {
+                vec![Kind::ALL[seed as usize % Kind::ALL.len()]]
+            };
+            let report = run(&Options::new(deployment, seed, &kinds));
+            violations += report.violations.total();
+            print_row(&report, &kinds);
+        }
+    }
+    println!("violations: {violations}");
+    verdict(violations)
+}
+
+fn print_row(report: &Report, kinds: &[Kind]) {
+    println!(
+        "{:?} seed {} {:?}: violations {} unfinished {} resume max {:.0} ms p99 {:.0} floor {:.0} \
+         extra {:.4} floor {:.4}",
+        report.deployment,
+        report.seed,
+        kinds,
+        report.violations.total(),
+        report.unfinished,
+        report.resume_latency_ms.max,
+        report.resume_latency_ms.p99,
+        report.resume_floor_ms,
+        report.extra_work_ratio,
+        report.extra_work_floor_ratio,
+    );
+    if report.violations.total() > 0 {
+        println!("  {:?}", report.violations);
+    }
+}
+
+fn write(path: &Path, json: &str) -> ExitCode {
+    match std::fs::write(path, json) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("qt-bench: {}: {error}", path.display());
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn verdict(violations: u64) -> ExitCode {
+    if violations == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
--- /dev/null
+++ b/bench/src/system/hub.rs
@@ -0,0 +1,204 @@
+//! Connections between callers and entry VMs, and between entry VMs, in process.
+
+use async_trait::async_trait;
+use prost::Message as _;
+use quetzaltiller::caller::{Failure, Frame, Frames, Transport};
+use quetzaltiller::generation::{EventId, Place, Request};
+use quetzaltiller::objects::Labels;
+use quetzaltiller::peer::{Error, Handler as _, Link};
+use quetzaltiller::refusal::Refusal;
+use quetzaltiller::router::{Caller as Client, Entries, Router};
+use quetzaltiller::service::{Answer, Call};
+use quetzaltiller::session::Subscription;
+use quetzaltiller::wire::{Ask, Reply, Request as Question, Response};
+use standin::gate::Gate;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout};
+
+const CALLER: &str = "caller";
+const KEEP_ALIVE: Duration = Duration::from_secs(1);
+const PEER_TIMEOUT: Duration = Duration::from_secs(1);
+const QUEUE: usize = 64;
+
+/// A stream that an entry VM ended without its last event.
+#[derive(Clone, Debug)]
+pub struct Cut {
+    /// Entry VM.
+    pub entry: String,
+    /// When.
+    pub at: Instant,
+}
+
+#[derive(Default)]
+struct State {
+    routers: BTreeMap<String, Arc<Router>>,
+    cuts: Vec<Cut>,
+    peer_bytes: u64,
+}
+
+/// Entry VMs by address.
+#[derive(Clone)]
+pub struct Hub {
+    state: Arc<Mutex<State>>,
+    gate: Gate,
+}
+
+impl Hub {
+    /// Without entry VMs.
+    pub fn new(gate: Gate) -> Self {
+        Self { state: Arc::default(), gate }
+    }
+
+    /// Adds or replaces an entry VM.
+    pub fn insert(&self, name: &str, router: Arc<Router>) {
+        self.lock().routers.insert(name.to_owned(), router);
+    }
+
+    /// Removes an entry VM.
+    pub fn remove(&self, name: &str) -> Option<Arc<Router>> {
+        self.lock().routers.remove(name)
+    }
+
+    /// Entry VM by name.
+    pub fn get(&self, name: &str) -> Option<Arc<Router>> {
+        self.lock().routers.get(name).cloned()
+    }
+
+    /// All entry VMs.
+    pub fn routers(&self) -> Vec<Arc<Router>> {
+        self.lock().routers.values().cloned().collect()
+    }
+
+    /// Streams that were cut.
+    pub fn cuts(&self) -> Vec<Cut> {
+        self.lock().cuts.clone()
+    }
+
+    /// Bytes that entry VMs sent to each other.
+    pub fn peer_bytes(&self) -> u64 {
+        self.lock().peer_bytes
+    }
+
+    async fn reach(&self, entry: &str) -> Result<Arc<Router>, Failure> {
+        self.gate.pass(CALLER, entry).await.map_err(|_| Failure::Unreachable)?;
+        self.get(entry).ok_or(Failure::Unreachable)
+    }
+
+    async fn answer<T>(&self, entry: &str, result: Result<T, Refusal>) -> Result<T, Failure> {
+        self.gate.pass(entry, CALLER).await.map_err(|_| Failure::Broken)?;
+        result.map_err(Failure::Refused)
+    }
+
+    /// Carries events to a caller until either side is gone.
+    async fn carry(self, entry: String, mut subscription: Subscription, to: mpsc::Sender<Frame>) {
+        let mut place = Place::new(subscription.generation);
+        loop {
+            let frame = match timeout(KEEP_ALIVE, subscription.events.recv()).await {
+                Err(_) => Frame::Alive,
+                Ok(Some(event)) => Frame::Event(place.after(&event), event),
+                Ok(None) => break,
+            };
+            let last = matches!(&frame, Frame::Event(_, event) if event.is_last());
+            if self.gate.pass(&entry, CALLER).await.is_err() || to.send(frame).await.is_err() {
+                return;
+            }
+            if last {
+                return;
+            }
+        }
+        self.lock().cuts.push(Cut { entry, at: Instant::now() });
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A caller's connections, with the key of its account.
+pub struct HubTransport {
+    hub: Hub,
+    key: String,
+}
+
+impl HubTransport {
+    /// Uses the account whose key this is.
+    pub fn new(hub: Hub, key: &str) -> Self {
+        Self { hub, key: key.to_owned() }
+    }
+
+    fn client(&self, router: &Router) -> Result<Client, Refusal> {
+        let account = router.authenticate(&self.key)?;
+        Ok(Client { account, labels: Labels::new(), patience: None })
+    }
+}
+
+#[async_trait]
+impl Transport for HubTransport {
+    async fn entries(&self, entry: &str) -> Result<Entries, Failure> {
+        let entries = self.hub.reach(entry).await?.entries(None);
+        self.hub.answer(entry, Ok(entries)).await
+    }
+
+    async fn generate(
+        &self,
+        entry: &str,
+        request: &Request,
+        last: Option<&EventId>,
+    ) -> Result<Frames, Failure> {
+        let router = self.hub.reach(entry).await?;
+        let started = match self.client(&router) {
+            Ok(client) => router.generate(&client, request.clone(), last.cloned()).await,
+            Err(refusal) => Err(refusal),
+        };
+        let subscription = self.hub.answer(entry, started).await?;
+        let (sender, frames) = mpsc::channel(QUEUE);
+        tokio::spawn(self.hub.clone().carry(entry.to_owned(), subscription, sender));
+        Ok(frames)
+    }
+
+    async fn call(&self, entry: &str, service: &str, call: &Call) -> Result<Answer, Failure> {
+        let router = self.hub.reach(entry).await?;
+        let result = match self.client(&router) {
+            Ok(client) => router.call(&client, service, call.clone()).await,
+            Err(refusal) => Err(refusal),
+        };
+        self.hub.answer(entry, result).await
+    }
+}
+
+/// One entry VM's link to the others.
+pub struct HubLink {
+    hub: Hub,
+    name: String,
+}
+
+impl HubLink {
+    /// The link of the entry VM `name`.
+    pub fn new(hub: Hub, name: &str) -> Self {
+        Self { hub, name: name.to_owned() }
+    }
+
+    async fn exchange(&self, address: &str, ask: Ask) -> Result<Reply, Error> {
+        let question = Question { sequence: 0, ask: Some(ask.clone()) };
+        self.hub.lock().peer_bytes += question.encoded_len() as u64;
+        let gate = &self.hub.gate;
+        gate.pass(&self.name, address).await.map_err(|_| Error::Unreachable)?;
+        let router = self.hub.get(address).ok_or(Error::Unreachable)?;
+        let reply = router.answer(ask).await;
+        let response = Response { sequence: 0, reply: Some(reply.clone()) };
+        self.hub.lock().peer_bytes += response.encoded_len() as u64;
+        gate.pass(address, &self.name).await.map_err(|_| Error::Unreachable)?;
+        Ok(reply)
+    }
+}
+
+#[async_trait]
+impl Link for HubLink {
+    async fn call(&self, address: &str, ask: Ask) -> Result<Reply, Error> {
+        let exchange = self.exchange(address, ask);
+        timeout(PEER_TIMEOUT, exchange).await.map_err(|_| Error::Timeout)?
+    }
+}
--- a/quetzaltiller/src/adapters/tcp_peer.rs
+++ b/quetzaltiller/src/adapters/tcp_peer.rs
@@ -83,6 +83,7 @@
     let mut sequence = 0;
     loop {
         tokio::select! {
+            biased;
             request = requests.recv() => {
                 let Some(Pending { ask, reply }) = request else {
                     return;
@@ -136,6 +137,7 @@
     let (answers_sender, mut answers) = mpsc::channel::<Response>(QUEUE);
     loop {
         tokio::select! {
+            biased;
             frame = socket.next() => {
                 let Some(Ok(frame)) = frame else {
                     return;
--- a/quetzaltiller/src/bin/qt-router.rs
+++ b/quetzaltiller/src/bin/qt-router.rs
@@ -98,6 +98,7 @@
     daemon::serve_http(&scope, operators, operators::routes(&desk), MAX_OPERATORS)?;
     let server = daemon::serve_http(&scope, callers, front::routes(&router), max_connections)?;
     tokio::select! {
+        biased;
         () = daemon::terminated() => {}
         () = process.leave.notified() => {}
     }
--- a/quetzaltiller/src/bin/qt-steward.rs
+++ b/quetzaltiller/src/bin/qt-steward.rs
@@ -83,6 +83,7 @@
     let desk: Arc<dyn Process> = process.clone();
     daemon::serve_http(&scope, operators, operators::routes(&desk), MAX_OPERATORS)?;
     tokio::select! {
+        biased;
         () = daemon::terminated() => {}
         () = process.leave.notified() => {}
     }
--- a/quetzaltiller/src/caller.rs
+++ b/quetzaltiller/src/caller.rs
@@ -14,17 +14,26 @@
 use crate::generation::Request;
 use crate::prelude::*;
 use crate::service::{Answer, Call};
+use tokio::sync::Mutex;
 use tokio::time::{Instant, timeout};
 
 /// Silence after which the caller goes to another entry VM; entry VMs show life each second.
 const SILENCE: Duration = Duration::from_millis(2_500);
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
 const PAUSE: Duration = Duration::from_millis(50);
 const MAX_PAUSE: Duration = Duration::from_millis(1_000);
 
 /// Uses the system for one account.
 pub struct Caller {
     transport: Arc<dyn Transport>,
+    seeds: Vec<String>,
+    known: Mutex<Known>,
+}
+
+/// Entry VMs to use, and until when.
+struct Known {
     entries: Vec<String>,
+    until: Option<Instant>,
 }
 
 /// A whole answer, and how it came.
@@ -38,6 +47,8 @@
     pub arrivals: Vec<(Duration, usize)>,
     /// Connections after the first.
     pub reconnects: u32,
+    /// Identities under which the system served it.
+    pub generations: Vec<String>,
 }
 
 impl Whole {
@@ -58,19 +69,64 @@
 pub enum Unfinished {
     /// The system refused or ended it.
     Refused(Refusal),
-    /// The system broke its promise: what was seen.
-    Violation(String),
+    /// The system broke its promise.
+    Violation(Violation),
     /// No entry VM answered within the patience.
     Unreachable,
 }
 
+/// What shows that an answer is not whole.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Violation {
+    /// Tokens came at another index than the next.
+    Index {
+        /// Index of the next token.
+        expected: u32,
+        /// Index that came.
+        found: u32,
+    },
+    /// Another version went on.
+    Version,
+    /// The total is not the number of tokens.
+    Total {
+        /// Tokens held.
+        held: u32,
+        /// Total that came.
+        total: u32,
+    },
+    /// The checksum is not that of the tokens.
+    Checksum,
+}
+
 /// How a caller is served while its answer comes.
 pub type Watcher<'a> = &'a mut (dyn FnMut(&[String]) + Send);
 
 impl Caller {
-    /// A caller that uses `entries`, best first.
-    pub fn new(transport: Arc<dyn Transport>, entries: Vec<String>) -> Self {
-        Self { transport, entries }
+    /// A caller that knows some addresses of entry VMs and asks them which to use.
+    pub fn new(transport: Arc<dyn Transport>, seeds: Vec<String>) -> Self {
+        let known = Mutex::new(Known { entries: seeds.clone(), until: None });
+        Self { transport, seeds, known }
+    }
+
+    /// Entry VMs to use now, best first: the kept list while it lasts, else a fresh one.
+    pub async fn entries(&self) -> Vec<String> {
+        let mut known = self.known.lock().await;
+        if known.until.is_some_and(|until| Instant::now() < until) {
+            return known.entries.clone();
+        }
+        for address in known.entries.iter().chain(&self.seeds).cloned().collect::<Vec<_>>() {
+            let asked = timeout(ASK_TIMEOUT, self.transport.entries(&address)).await;
+            let Ok(Ok(fresh)) = asked else {
+                continue;
+            };
+            if !fresh.entries.is_empty() {
+                let lifetime = Duration::from_millis(fresh.lifetime_ms);
+                known.until = Some(Instant::now() + lifetime);
+                known.entries = fresh.entries.into_iter().map(|entry| entry.address).collect();
+                break;
+            }
+        }
+        known.entries.clone()
     }
 
     /// Streams a generation to its end; `watch` sees tokens as they come.
@@ -83,7 +139,8 @@
         let mut draft = Draft::new(request.clone());
         let mut pause = PAUSE;
         for turn in 0.. {
-            let entry = &self.entries[turn % self.entries.len()];
+            let entries = self.entries().await;
+            let entry = &entries[turn % entries.len()];
             let held = draft.whole.tokens.len();
             match self.stream(entry, &mut draft, watch).await? {
                 Next::Done => return Ok(draft.whole),
@@ -109,7 +166,8 @@
         let deadline = Instant::now() + patience;
         let mut last = Reply::Unreachable;
         for turn in 0.. {
-            let entry = &self.entries[turn % self.entries.len()];
+            let entries = self.entries().await;
+            let entry = &entries[turn % entries.len()];
             let left = deadline.saturating_duration_since(Instant::now());
             match timeout(left, self.transport.call(entry, service, call)).await {
                 Ok(Ok(answer)) => return Reply::Answered(answer),
@@ -204,7 +262,7 @@
         watch: Watcher<'_>,
     ) -> Result<Option<Next>, Unfinished> {
         match event {
-            Event::Start { version, .. } => self.start(version)?,
+            Event::Start { version, generation, .. } => self.start(version, generation)?,
             Event::Tokens { index, tokens, .. } => {
                 self.append(index, tokens, watch)?;
             }
@@ -216,12 +274,14 @@
         Ok(None)
     }
 
-    fn start(&mut self, version: String) -> Result<(), Unfinished> {
+    fn start(&mut self, version: String, generation: String) -> Result<(), Unfinished> {
         if !self.whole.tokens.is_empty() && self.whole.version != version {
-            let seen = format!("version {} after {}", version, self.whole.version);
-            return Err(Unfinished::Violation(seen));
+            return Err(Unfinished::Violation(Violation::Version));
         }
         self.whole.version = version;
+        if self.whole.generations.last() != Some(&generation) {
+            self.whole.generations.push(generation);
+        }
         Ok(())
     }
 
@@ -231,9 +291,9 @@
         tokens: Vec<String>,
         watch: Watcher<'_>,
     ) -> Result<(), Unfinished> {
-        let held = self.whole.tokens.len();
-        if index as usize != held {
-            return Err(Unfinished::Violation(format!("index {index} after {held} tokens")));
+        let expected = self.whole.tokens.len() as u32;
+        if index != expected {
+            return Err(Unfinished::Violation(Violation::Index { expected, found: index }));
         }
         watch(&tokens);
         tokens.iter().for_each(|token| self.checksum.add(token));
@@ -243,12 +303,12 @@
     }
 
     fn finish(&self, total: u32, checksum: &str) -> Result<Next, Unfinished> {
-        let held = self.whole.tokens.len();
-        if total as usize != held {
-            return Err(Unfinished::Violation(format!("end at {total} with {held} tokens")));
+        let held = self.whole.tokens.len() as u32;
+        if total != held {
+            return Err(Unfinished::Violation(Violation::Total { held, total }));
         }
         if checksum != self.checksum.hex() {
-            return Err(Unfinished::Violation("the checksum differs".into()));
+            return Err(Unfinished::Violation(Violation::Checksum));
         }
         Ok(Next::Done)
     }
--- a/quetzaltiller/src/caller/http.rs
+++ b/quetzaltiller/src/caller/http.rs
@@ -4,6 +4,7 @@
 use crate::adapters::{Error, Method, Outgoing, body_stream, fetch, send};
 use crate::generation::{Event, EventId, Request};
 use crate::refusal::Refusal;
+use crate::router::Entries;
 use crate::service::{Answer, Call};
 use async_trait::async_trait;
 use eventsource_stream::Eventsource as _;
@@ -13,6 +14,7 @@
 use tokio::sync::mpsc;
 
 const QUEUE: usize = 64;
+const ENTRIES_TIMEOUT: Duration = Duration::from_secs(1);
 const CALL_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Connections with an account's key.
@@ -34,6 +36,12 @@
 
 #[async_trait]
 impl Transport for Http {
+    async fn entries(&self, entry: &str) -> Result<Entries, Failure> {
+        let outgoing = Outgoing::new(Method::GET, "/v1/entries");
+        let response = fetch(entry, outgoing, ENTRIES_TIMEOUT).await?;
+        serde_json::from_slice(response.body()).map_err(|_| Failure::Broken)
+    }
+
     async fn generate(
         &self,
         entry: &str,
--- a/quetzaltiller/src/caller/transport.rs
+++ b/quetzaltiller/src/caller/transport.rs
@@ -2,6 +2,7 @@
 
 use crate::generation::{Event, EventId, Request};
 use crate::refusal::Refusal;
+use crate::router::Entries;
 use crate::service::{Answer, Call};
 use async_trait::async_trait;
 use tokio::sync::mpsc;
@@ -32,6 +33,9 @@
 /// Connections to entry VMs, for one account.
 #[async_trait]
 pub trait Transport: Send + Sync {
+    /// Asks an entry VM which ones to use.
+    async fn entries(&self, entry: &str) -> Result<Entries, Failure>;
+
     /// Starts a generation, or goes on after `last`.
     async fn generate(
         &self,
--- a/quetzaltiller/src/daemon.rs
+++ b/quetzaltiller/src/daemon.rs
@@ -54,6 +54,7 @@
         return std::future::pending().await;
     };
     tokio::select! {
+        biased;
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
--- a/quetzaltiller/src/dispatch/task.rs
+++ b/quetzaltiller/src/dispatch/task.rs
@@ -9,6 +9,7 @@
 use crate::scope::Scope;
 use std::collections::{BTreeMap, BTreeSet};
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::MissedTickBehavior;
 
 const RETRY: Duration = Duration::from_millis(50);
 const HOLD_GAIN: f64 = 0.1;
@@ -147,13 +148,16 @@
 
 impl Task {
     async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>) {
+        let mut retry = tokio::time::interval(RETRY);
+        retry.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
+                biased;
+                _ = retry.tick(), if !self.waiters.is_empty() => self.serve(),
                 message = messages.recv() => match message {
                     Some(message) => self.handle(message),
                     None => return,
                 },
-                () = tokio::time::sleep(RETRY), if !self.waiters.is_empty() => self.serve(),
             }
         }
     }
--- a/quetzaltiller/src/front.rs
+++ b/quetzaltiller/src/front.rs
@@ -1,6 +1,6 @@
 //! Callers' HTTP: `/v1/entries`, `/v1/generations` and `/v1/services`.
 
-use crate::generation::Request as Body;
+use crate::generation::{Place, Request as Body};
 use crate::objects::Labels;
 use crate::prelude::*;
 use crate::router::{Caller, Router as Core};
@@ -201,11 +201,10 @@
 }
 
 fn stream_events(response: &mut Response, subscription: Subscription, first: Event) {
-    let generation = subscription.generation;
+    let mut place = Place::new(subscription.generation);
     let rest = stream::unfold(subscription.events, next_event);
-    let mut attempt = 0;
     let events = stream::once(async { first }).chain(rest).map(move |event| {
-        let id = event_id(&generation, &mut attempt, &event);
+        let id = place.after(&event).map(|id| id.to_string()).unwrap_or_default();
         let data = serde_json::to_string(&event).unwrap_or_default();
         Ok::<_, Infallible>(SseEvent::default().id(id).name(event.name()).text(data))
     });
@@ -215,21 +214,3 @@
 async fn next_event(mut events: mpsc::Receiver<Event>) -> Option<(Event, mpsc::Receiver<Event>)> {
     events.recv().await.map(|event| (event, events))
 }
-
-/// Event id after `event`; remembers the attempt for events that do not carry it.
-fn event_id(generation: &str, attempt: &mut u32, event: &Event) -> String {
-    let next = match event {
-        Event::Start { attempt: of, next, .. } => {
-            *attempt = *of;
-            *next
-        }
-        Event::Tokens { attempt: of, index, tokens } => {
-            *attempt = *of;
-            index + tokens.len() as u32
-        }
-        Event::End { total, .. } => *total,
-        Event::Error(Refusal { ticket: Some(ticket), .. }) => return ticket.clone(),
-        Event::Move { .. } | Event::Error(_) => return String::new(),
-    };
-    EventId { generation: generation.to_owned(), attempt: *attempt, next }.to_string()
-}
--- a/quetzaltiller/src/generation/event_id.rs
+++ b/quetzaltiller/src/generation/event_id.rs
@@ -1,5 +1,6 @@
 //! Identity of an event of a stream: `<generation>.<attempt>.<next token index>`.
 
+use super::event::Event;
 use std::fmt;
 use std::str::FromStr;
 
@@ -41,3 +42,36 @@
 /// The text is not an event id.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Malformed;
+
+/// Follows a stream to tell the id of each event.
+#[derive(Clone, Debug)]
+pub struct Place {
+    generation: String,
+    attempt: u32,
+}
+
+impl Place {
+    /// The beginning of a stream of `generation`.
+    pub fn new(generation: String) -> Self {
+        Self { generation, attempt: 0 }
+    }
+
+    /// Id of `event`; `None` where there is nothing to go on from.
+    pub fn after(&mut self, event: &Event) -> Option<EventId> {
+        let next = match event {
+            Event::Start { attempt, next, .. } => {
+                self.attempt = *attempt;
+                *next
+            }
+            Event::Tokens { attempt, index, tokens } => {
+                self.attempt = *attempt;
+                index + tokens.len() as u32
+            }
+            Event::End { total, .. } => *total,
+            Event::Error(refusal) => return refusal.ticket.as_ref()?.parse().ok(),
+            Event::Move { .. } => return None,
+        };
+        let generation = self.generation.clone();
+        Some(EventId { generation, attempt: self.attempt, next })
+    }
+}
--- a/quetzaltiller/src/generation/mod.rs
+++ b/quetzaltiller/src/generation/mod.rs
@@ -11,7 +11,7 @@
 mod splice;
 
 pub use event::Event;
-pub use event_id::EventId;
-pub use machine::{Effect, Input, Machine, Opening, Outcome, Settings, Start};
+pub use event_id::{EventId, Place};
+pub use machine::{Effect, Input, Machine, Opening, Outcome, Settings, Start, Stats};
 pub use request::Request;
 pub use splice::{Splice, Verdict};
--- a/quetzaltiller/src/keeper.rs
+++ b/quetzaltiller/src/keeper.rs
@@ -62,16 +62,17 @@
     let mut expiry = tokio::time::interval(EXPIRY_PERIOD);
     loop {
         tokio::select! {
-            message = messages.recv() => match message {
-                Some(message) => handle(&mut journal, clock.now(), message),
-                None => return,
-            },
+            biased;
             _ = expiry.tick() => {
                 let expired = journal.expire(clock.now()).len();
                 if expired > 0 {
                     debug!("journal_expired", kv: { answers = expired });
                 }
             }
+            message = messages.recv() => match message {
+                Some(message) => handle(&mut journal, clock.now(), message),
+                None => return,
+            },
         }
     }
 }
--- a/quetzaltiller/src/members.rs
+++ b/quetzaltiller/src/members.rs
@@ -227,12 +227,13 @@
         let mut refresh = tokio::time::interval(period);
         loop {
             tokio::select! {
+                biased;
+                _ = refresh.tick() => self.publish(),
                 message = messages.recv() => match message {
                     Some(Message::Hear(beat)) => self.hear(beat),
                     Some(Message::Vms(vms)) => self.list(vms),
                     None => return,
                 },
-                _ = refresh.tick() => self.publish(),
             }
         }
     }
--- a/quetzaltiller/src/metrics.rs
+++ b/quetzaltiller/src/metrics.rs
@@ -41,6 +41,13 @@
     Tokens "generation.tokens" "Tokens emitted to callers.",
 }
 
+impl Counter {
+    /// Name in metrics and dumps.
+    pub fn name(self) -> &'static str {
+        COUNTERS[self as usize].1
+    }
+}
+
 /// Counts and sends them.
 pub struct Metrics {
     client: StatsdClient,
@@ -60,7 +67,7 @@
     /// Adds `amount`.
     pub fn add(&self, counter: Counter, amount: u64) {
         self.values[counter as usize].fetch_add(amount, Ordering::Relaxed);
-        let _ = self.client.count(COUNTERS[counter as usize].1, amount);
+        let _ = self.client.count(counter.name(), amount);
     }
 
     /// Adds one.
@@ -87,6 +94,13 @@
     counters: BTreeMap<&'static str, u64>,
 }
 
+impl Snapshot {
+    /// Values by name.
+    pub fn counters(&self) -> impl Iterator<Item = (&'static str, u64)> {
+        self.counters.iter().map(|(name, value)| (*name, *value))
+    }
+}
+
 fn connect(address: &str) -> Option<StatsdClient> {
     let socket = UdpSocket::bind("0.0.0.0:0").ok()?;
     socket.set_nonblocking(true).ok()?;
--- a/quetzaltiller/src/objects/object.rs
+++ b/quetzaltiller/src/objects/object.rs
@@ -117,6 +117,21 @@
         Id { kind, name: name.clone() }
     }
 
+    /// The account, if it is one.
+    pub fn as_account(&self) -> Option<&Account> {
+        if let Self::Account(account) = self { Some(account) } else { None }
+    }
+
+    /// The pool, if it is one.
+    pub fn as_pool(&self) -> Option<&Pool> {
+        if let Self::Pool(pool) = self { Some(pool) } else { None }
+    }
+
+    /// The upstream, if it is one.
+    pub fn as_upstream(&self) -> Option<&Upstream> {
+        if let Self::Upstream(upstream) = self { Some(upstream) } else { None }
+    }
+
     /// Faults of this object alone.
     pub fn faults(&self) -> Vec<Fault> {
         let mut faults = match self {
--- a/quetzaltiller/src/scope.rs
+++ b/quetzaltiller/src/scope.rs
@@ -17,6 +17,7 @@
         let token = self.token.clone();
         self.tracker.spawn(async move {
             tokio::select! {
+                biased;
                 () = token.cancelled() => {}
                 () = task => {}
             }
--- a/quetzaltiller/src/session/task.rs
+++ b/quetzaltiller/src/session/task.rs
@@ -296,16 +296,16 @@
             tokio::select! {
                 biased;
                 Some(command) = commands.recv() => self.command(command),
+                room = room(sender.as_ref()), if due => match room {
+                    Some(room) => self.send_due(room),
+                    None => self.lose_subscriber(),
+                },
                 Some(notice) = notices.recv() => {
                     self.notice(notice);
                     while let Ok(notice) = notices.try_recv() {
                         self.notice(notice);
                     }
                 }
-                room = room(sender.as_ref()), if due => match room {
-                    Some(room) => self.send_due(room),
-                    None => self.lose_subscriber(),
-                },
                 () = closed(sender.as_ref()) => self.lose_subscriber(),
                 () = self.context.clock.sleep_until(wake) => self.tick(),
             }
@@ -493,6 +493,7 @@
         };
         self.scope.spawn(async move {
             tokio::select! {
+                biased;
                 () = token.cancelled() => {}
                 () = reader.run() => {}
             }
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -6,7 +6,7 @@
 mod client;
 mod order;
 
-pub use batch::{Engine, Settings, Work};
+pub use batch::{Engine, Running, Settings, Submitted, Work};
 pub use cache::{Cache, CacheEvent};
 pub use client::Fleet;
 pub use order::{Order, OrderError, Role};
--- a/standin/src/engine/batch.rs
+++ b/standin/src/engine/batch.rs
@@ -81,6 +81,30 @@
     pub decoded: u64,
 }
 
+/// A stream taken on.
+#[derive(Clone, Debug)]
+pub struct Submitted {
+    /// When.
+    pub at: Instant,
+    /// Generation.
+    pub generation: String,
+    /// Prompt.
+    pub prompt: Arc<str>,
+    /// Continues an earlier attempt.
+    pub resumed: bool,
+}
+
+/// A stream that runs, and what it would cost to lose it.
+#[derive(Clone, Debug)]
+pub struct Running {
+    /// Generation.
+    pub generation: String,
+    /// Tokens of prompt and answer.
+    pub tokens: usize,
+    /// Digests of the blocks of prompt and answer.
+    pub blocks: Vec<u64>,
+}
+
 type Key = (String, u32);
 
 struct Stream {
@@ -89,13 +113,27 @@
     tokens: Vec<String>,
     prefill_left: f64,
     blocks: Vec<u64>,
-    seed: u64,
+    prompt: Arc<str>,
     priority: u8,
     arrival: u64,
     ended_at: Option<Instant>,
     checksum: Checksum,
 }
 
+impl Stream {
+    fn running(&self, generation: &str) -> Running {
+        Running {
+            generation: generation.to_owned(),
+            tokens: text(&self.prompt, &self.tokens).count(),
+            blocks: blocks(text(&self.prompt, &self.tokens)),
+        }
+    }
+}
+
+fn text<'a>(prompt: &'a str, tokens: &'a [String]) -> impl Iterator<Item = &'a str> {
+    prompt.split_whitespace().chain(tokens.iter().map(String::as_str))
+}
+
 struct State {
     settings: Settings,
     role: Role,
@@ -108,6 +146,7 @@
     cache: Cache,
     work: Work,
     samples: VecDeque<(Instant, u32, u32)>,
+    submitted: Vec<Submitted>,
     rng: ChaCha12Rng,
 }
 
@@ -146,6 +185,7 @@
             arrivals: 0,
             work: Work::default(),
             samples: VecDeque::new(),
+            submitted: Vec::new(),
             rng: ChaCha12Rng::seed_from_u64(seed),
         };
         let state = Arc::new(Mutex::new(state));
@@ -186,6 +226,23 @@
         self.lock().streams.values().filter(|stream| stream.ended_at.is_none()).count()
     }
 
+    /// Streams that have not ended.
+    pub fn running_streams(&self) -> Vec<Running> {
+        let state = self.lock();
+        let running = state.streams.iter().filter(|(_, stream)| stream.ended_at.is_none());
+        running.map(|((generation, _), stream)| stream.running(generation)).collect()
+    }
+
+    /// Tokens at the beginning of a text that are cached, without using them.
+    pub fn peek_cached(&self, blocks: &[u64]) -> usize {
+        self.lock().cache.peek(blocks)
+    }
+
+    /// Streams taken on so far.
+    pub fn submitted(&self) -> Vec<Submitted> {
+        self.lock().submitted.clone()
+    }
+
     /// Changes the version in place, as an operator might.
     pub fn set_version(&self, version: &str) {
         self.lock().settings.version = version.to_owned();
@@ -244,6 +301,12 @@
         let key = (submission.generation.clone(), submission.attempt);
         let next = submission.emitted.len() as u32;
         state.streams.insert(key.clone(), stream);
+        state.submitted.push(Submitted {
+            at: Instant::now(),
+            generation: submission.generation.clone(),
+            prompt: submission.prompt.as_str().into(),
+            resumed: submission.attempt > 1,
+        });
         state.sample();
         let cursor = state.cursor(key, next);
         drop(state);
@@ -362,11 +425,8 @@
         for token in &submission.emitted {
             let _ = chain.follow(token);
         }
-        let seed = u64::from_be_bytes(*b"quetzal1");
-        let emitted = submission.emitted.iter().map(String::as_str);
-        let text = submission.prompt.split_whitespace().chain(emitted);
-        let length = text.clone().count();
-        let blocks = blocks(text, seed);
+        let length = text(&submission.prompt, &submission.emitted).count();
+        let blocks = blocks(text(&submission.prompt, &submission.emitted));
         let cached = self.cache.cached_tokens(&blocks).min(length.saturating_sub(1));
         self.work.cached += cached as u64;
         self.arrivals += 1;
@@ -376,7 +436,7 @@
             tokens: submission.emitted.clone(),
             prefill_left: (length - cached) as f64,
             blocks,
-            seed,
+            prompt: submission.prompt.as_str().into(),
             priority: submission.priority,
             arrival: self.arrivals,
             ended_at: None,
@@ -473,7 +533,7 @@
         }
         if stream.tokens.len() as u32 >= stream.total {
             stream.ended_at = Some(now);
-            let grown = blocks(stream.tokens.iter().map(String::as_str), stream.seed);
+            let grown = blocks(text(&stream.prompt, &stream.tokens));
             self.cache.insert(&grown, &mut self.rng);
         }
     }
--- a/standin/src/engine/cache.rs
+++ b/standin/src/engine/cache.rs
@@ -49,8 +49,14 @@
     }
 
     /// Tokens at the beginning of a text that are cached.
-    pub fn cached_tokens(&mut self, blocks: &[u64]) -> usize {
+    pub fn peek(&self, blocks: &[u64]) -> usize {
         let known = blocks.iter().take_while(|block| self.used_at.contains_key(block)).count();
+        known * BLOCK_TOKENS
+    }
+
+    /// The same, noting the use.
+    pub fn cached_tokens(&mut self, blocks: &[u64]) -> usize {
+        let known = self.peek(blocks) / BLOCK_TOKENS;
         blocks[..known].iter().for_each(|block| self.touch(*block));
         known * BLOCK_TOKENS
     }
@@ -99,8 +105,8 @@
 }
 
 /// Digests of the prefixes of a text that end at a block's end.
-pub fn blocks<'a>(tokens: impl Iterator<Item = &'a str>, seed: u64) -> Vec<u64> {
-    let mut state = seed;
+pub fn blocks<'a>(tokens: impl Iterator<Item = &'a str>) -> Vec<u64> {
+    let mut state = 0;
     let mut blocks = Vec::new();
     for (index, token) in tokens.enumerate() {
         state = xxh3_64_with_seed(token.as_bytes(), state);
