--- a/standin/src/engine/batch.rs
+++ b/standin/src/engine/batch.rs
@@ -13,7 +13,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 const KEPT_SAMPLES: usize = 256;
@@ -154,7 +154,7 @@
 #[derive(Clone)]
 pub struct Engine {
     state: Arc<Mutex<State>>,
-    steps: watch::Sender<u64>,
+    steps: Arc<Notify>,
     gate: Gate,
     name: Arc<str>,
 }
@@ -189,7 +189,7 @@
             rng: ChaCha12Rng::seed_from_u64(seed),
         };
         let state = Arc::new(Mutex::new(state));
-        let engine = Self { state, steps: watch::channel(0).0, gate, name };
+        let engine = Self { state, steps: Arc::default(), gate, name };
         tokio::spawn(engine.clone().run());
         engine
     }
@@ -336,9 +336,8 @@
 
     /// Next chunk for `reader`; `None` after the end.
     pub async fn next(&self, cursor: &mut Cursor, reader: &str) -> Option<Result<Chunk, Error>> {
-        let mut steps = self.steps.subscribe();
         loop {
-            steps.borrow_and_update();
+            let stepped = self.steps.notified();
             if self.gate.pass(&self.name, reader).await.is_err() {
                 return Some(Err(Error::Reset));
             }
@@ -348,17 +347,17 @@
                 Advance::Broken => return Some(Err(Error::Reset)),
                 Advance::Finished => return None,
                 Advance::Silent => std::future::pending().await,
-                Advance::Wait => drop(steps.changed().await),
+                Advance::Wait => stepped.await,
             }
         }
     }
 
     async fn run(self) {
-        let mut changes = self.steps.subscribe();
         loop {
+            let changed = self.steps.notified();
             let pause = self.lock().step_time();
             let Some(pause) = pause else {
-                let _ = changes.changed().await;
+                changed.await;
                 continue;
             };
             tokio::time::sleep(pause).await;
@@ -367,12 +366,11 @@
                 self.lock().step(pause);
             }
             self.notify();
-            changes.borrow_and_update();
         }
     }
 
     fn notify(&self) {
-        self.steps.send_modify(|count| *count += 1);
+        self.steps.notify_waiters();
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/standin/src/gate.rs
+++ b/standin/src/gate.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::Notify;
 
 /// The party called is dead.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -21,37 +21,39 @@
 #[derive(Clone, Debug)]
 pub struct Gate {
     state: Arc<Mutex<State>>,
-    changes: watch::Sender<u64>,
+    changes: Arc<Notify>,
 }
 
 impl Gate {
     /// Every call takes `latency` one way.
     pub fn new(latency: Duration) -> Self {
         let state = State { latency, ..State::default() };
-        Self { state: Arc::new(Mutex::new(state)), changes: watch::channel(0).0 }
+        Self { state: Arc::new(Mutex::new(state)), changes: Arc::default() }
     }
 
     /// Waits until a message from `from` reaches `to`.
     pub async fn pass(&self, from: &str, to: &str) -> Result<(), Dead> {
-        let mut changes = self.changes.subscribe();
         let latency = self.lock().latency;
         if !latency.is_zero() {
             tokio::time::sleep(latency).await;
         }
         loop {
-            changes.borrow_and_update();
+            let changed = self.changes.notified();
             match self.verdict(from, to) {
                 Some(verdict) => return verdict,
-                None => drop(changes.changed().await),
+                None => changed.await,
             }
         }
     }
 
     /// Waits until `party` is not frozen.
     pub async fn awake(&self, party: &str) {
-        let mut changes = self.changes.subscribe();
-        while self.lock().frozen.contains(party) {
-            let _ = changes.changed().await;
+        loop {
+            let changed = self.changes.notified();
+            if !self.lock().frozen.contains(party) {
+                return;
+            }
+            changed.await;
         }
     }
 
@@ -78,11 +80,6 @@
         });
     }
 
-    /// Notices of changes, for those that wait on more than the gate.
-    pub fn changes(&self) -> watch::Receiver<u64> {
-        self.changes.subscribe()
-    }
-
     /// Whether a message could pass now.
     pub fn is_open(&self, from: &str, to: &str) -> bool {
         self.verdict(from, to) == Some(Ok(()))
@@ -100,7 +97,7 @@
 
     fn change(&self, change: impl FnOnce(&mut State)) {
         change(&mut self.lock());
-        self.changes.send_modify(|count| *count += 1);
+        self.changes.notify_waiters();
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::Notify;
 use tokio::time::{Instant, timeout};
 
 /// Largest value.
@@ -43,7 +43,7 @@
 #[derive(Clone)]
 pub struct Platform {
     state: Arc<Mutex<State>>,
-    changes: watch::Sender<u64>,
+    changes: Arc<Notify>,
 }
 
 impl Platform {
@@ -58,7 +58,7 @@
             calls: 0,
             rng: ChaCha12Rng::seed_from_u64(seed),
         };
-        Self { state: Arc::new(Mutex::new(state)), changes: watch::channel(0).0 }
+        Self { state: Arc::new(Mutex::new(state)), changes: Arc::default() }
     }
 
     /// Changes how the platform misbehaves.
@@ -112,7 +112,7 @@
         let (lost, outage) = (state.faults.answer_lost, state.faults.outage);
         let lost = outage || lost > 0.0 && state.rng.random_bool(lost);
         drop(state);
-        self.changes.send_modify(|count| *count += 1);
+        self.changes.notify_waiters();
         if lost { Err(Error::Lost) } else { Ok(version) }
     }
 
@@ -161,10 +161,13 @@
     async fn watch(&self, prefix: &str, after: u64) -> Result<u64, Error> {
         const LONGEST: Duration = Duration::from_secs(20);
         self.begin().await?;
-        let mut changes = self.changes.subscribe();
         let changed = async {
-            while self.newest(prefix) <= after {
-                let _ = changes.changed().await;
+            loop {
+                let changed = self.changes.notified();
+                if self.newest(prefix) > after {
+                    return;
+                }
+                changed.await;
             }
         };
         let _ = timeout(LONGEST, changed).await;
