--- /dev/null
+++ b/quetzaltiller/src/ctl/error.rs
@@ -0,0 +1,45 @@
+//! What can go wrong for an operator, and what to do.
+
+use crate::objects::Fault;
+use crate::platform;
+use quick_error::quick_error;
+
+quick_error! {
+    /// An error that tells the operator what to do.
+    #[derive(Debug)]
+    pub enum Error {
+        /// A file can't be read.
+        File(name: String, reason: String) {
+            display("{name}: {reason}; give a JSON file with one object or a list of them")
+        }
+        /// An object can't be read.
+        Object(fault: Fault) {
+            display("{fault}")
+        }
+        /// Objects have faults.
+        Faulty(count: usize) {
+            display("{count} objects have faults, listed above; mend them and apply again")
+        }
+        /// Another operator changed an object.
+        Conflict(object: String) {
+            display("{object}: another operator changed it meanwhile; look with `qtctl diff` and apply again")
+        }
+        /// The platform failed.
+        Platform(error: platform::Error) {
+            display("{error}; check --platform and whether the platform is up")
+            from()
+        }
+        /// No process answered at the operators' addresses.
+        Operators(addresses: String) {
+            display("nobody answers at {addresses}; check --operators")
+        }
+        /// The configuration did not come in force in time.
+        Late(waiting: String) {
+            display("not in force in time: {waiting}; see `qtctl status`")
+        }
+        /// There is no such object.
+        Unknown(object: String) {
+            display("{object}: there is no such object; `qtctl get` lists all")
+        }
+    }
+}
--- a/quetzaltiller/src/lib.rs
+++ b/quetzaltiller/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod catalog;
 pub mod clock;
 pub mod config;
+pub mod ctl;
 pub mod daemon;
 pub mod digest;
 pub mod dispatch;
--- a/quetzaltiller/src/router.rs
+++ b/quetzaltiller/src/router.rs
@@ -143,6 +143,8 @@
 pub struct Dump {
     /// This entry VM.
     pub name: String,
+    /// Its availability zone.
+    pub zone: String,
     /// Start of the process.
     pub incarnation: u64,
     /// Number of the configuration in force.
@@ -363,6 +365,7 @@
     pub async fn dump(&self) -> Dump {
         Dump {
             name: self.config.name.clone(),
+            zone: self.config.zone.clone(),
             incarnation: self.own.beat.incarnation,
             number: self.catalog.number(),
             leaving: self.own.is_leaving(),
--- a/quetzaltiller/src/steward.rs
+++ b/quetzaltiller/src/steward.rs
@@ -37,19 +37,31 @@
 
 /// Validates objects as stored under [`CONFIG_PREFIX`].
 pub fn review(stored: &[Stored]) -> Review {
-    let mut review = Review::default();
-    let mut set = Set::default();
+    let mut readable = Vec::new();
+    let mut unreadable = Vec::new();
     for entry in stored {
         let key = entry.key.trim_start_matches(CONFIG_PREFIX);
         match parse(key, &entry.value) {
-            Err(fault) => review.add(key, fault),
-            Ok(object) => {
-                object.faults().into_iter().for_each(|fault| review.add(key, fault));
-                set.insert(object.clone());
-                review.objects.push(object);
-            }
+            Ok(object) => readable.push(object),
+            Err(fault) => unreadable.push((key, fault)),
         }
     }
+    let mut review = review_objects(&readable);
+    for (key, fault) in unreadable {
+        review.add(key, fault);
+    }
+    review
+}
+
+/// Validates objects alone and together.
+pub fn review_objects(objects: &[Object]) -> Review {
+    let mut review = Review { objects: objects.to_vec(), faults: BTreeMap::new() };
+    let mut set = Set::default();
+    for object in objects {
+        let id = object.id().to_string();
+        object.faults().into_iter().for_each(|fault| review.add(&id, fault));
+        set.insert(object.clone());
+    }
     for (id, fault) in set.joint_faults() {
         review.add(&id.to_string(), fault);
     }
--- /dev/null
+++ b/quetzaltiller/tests/daemons.rs
@@ -0,0 +1,439 @@
+//! The real binaries over real sockets, with stand-ins on loopback.
+
+use quetzaltiller::caller::{Caller, Http, Reply, Unfinished};
+use quetzaltiller::generation::Request;
+use quetzaltiller::objects::Object;
+use quetzaltiller::platform::Vm;
+use quetzaltiller::refusal::{Code, Ran};
+use quetzaltiller::scope::Scope;
+use quetzaltiller::service::Call;
+use serde_json::{Value, json};
+use standin::engine::{Engine, Settings};
+use standin::gate::Gate;
+use standin::platform::Platform;
+use standin::serve::{serve_engine, serve_platform, serve_service};
+use standin::service::{self, Service};
+use standin::text;
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+
+const KEY: &str = "oslo-nights-example-key";
+const PATIENCE: Duration = Duration::from_secs(60);
+
+struct Bed {
+    engines: Vec<Engine>,
+    service: Service,
+    platform: Platform,
+    platform_address: String,
+    routers: Vec<Daemon>,
+    _steward: Daemon,
+    folder: PathBuf,
+    _scope: Scope,
+}
+
+struct Daemon {
+    child: Child,
+    settings: Value,
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Daemon {
+    fn start(binary: &str, folder: &std::path::Path, settings: Value) -> Self {
+        let name = settings["name"].as_str().unwrap();
+        let path = folder.join(format!("{}-{name}.json", binary.rsplit('/').next().unwrap()));
+        std::fs::write(&path, settings.to_string()).unwrap();
+        let mut command = Command::new(binary);
+        command.arg("--config").arg(&path).stderr(Stdio::null());
+        Self { child: command.spawn().unwrap(), settings }
+    }
+
+    fn address(&self, key: &str) -> String {
+        self.settings[key].as_str().unwrap().to_owned()
+    }
+
+    fn terminate(&self) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+    }
+}
+
+impl Bed {
+    async fn start(name: &str) -> Self {
+        let folder = std::env::temp_dir().join(format!("qt-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let (scope, gate) = (Scope::default(), Gate::new(Duration::ZERO));
+        let platform = Platform::new(1);
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let platform_address = listener.local_addr().unwrap().to_string();
+        serve_platform(&scope, listener, &platform).unwrap();
+        let service = Service::new(service::Settings::default(), 1);
+        let mut objects = example_objects();
+        let mut engines = Vec::new();
+        for object in &mut objects {
+            let Object::Upstream(upstream) = object else {
+                continue;
+            };
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            upstream.address = listener.local_addr().unwrap().to_string();
+            let name = upstream.name.as_str();
+            if upstream.pool == "drafts" {
+                let settings = Settings::new(name, "drafts", "2026.1");
+                let engine = Engine::start(settings, gate.clone(), engines.len() as u64);
+                serve_engine(&scope, listener, (name, engine.clone()), &gate).unwrap();
+                engines.push(engine);
+            } else {
+                serve_service(&scope, listener, (name, service.clone()), &gate).unwrap();
+            }
+        }
+        let mut routers = Vec::new();
+        for index in 0..2 {
+            let settings = router_settings(index, &platform_address).await;
+            routers.push(Daemon::start(env!("CARGO_BIN_EXE_qt-router"), &folder, settings));
+        }
+        let vm = |daemon: &Daemon| Vm {
+            name: daemon.address("name"),
+            address: daemon.address("peer_address"),
+            entry: true,
+            leaving: false,
+        };
+        platform.set_vms(routers.iter().map(vm).collect());
+        let settings = json!({
+            "name": "entry-0",
+            "operator_address": free_address().await,
+            "platform_address": platform_address,
+        });
+        let steward = Daemon::start(env!("CARGO_BIN_EXE_qt-steward"), &folder, settings);
+        let bed = Self {
+            engines,
+            service,
+            platform,
+            platform_address,
+            routers,
+            _steward: steward,
+            folder,
+            _scope: scope,
+        };
+        bed.wait_for_peers().await;
+        bed.apply(&objects).await;
+        bed
+    }
+
+    async fn apply(&self, objects: &[Object]) {
+        let file = self.folder.join("objects.json");
+        std::fs::write(&file, serde_json::to_string(objects).unwrap()).unwrap();
+        let path = file.display().to_string();
+        let output = self.qtctl(&["apply", "--wait", "--wait-ms", "60000", &path]).await;
+        assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    }
+
+    async fn qtctl(&self, args: &[&str]) -> Output {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_qtctl"));
+        command.args(["--platform", &self.platform_address]);
+        for router in &self.routers {
+            command.args(["--operators", &router.address("operator_address")]);
+        }
+        command.args(args);
+        tokio::task::spawn_blocking(move || command.output().unwrap()).await.unwrap()
+    }
+
+    async fn wait_for_peers(&self) {
+        for router in &self.routers {
+            loop {
+                let output = self.qtctl(&["dump", &router.address("operator_address")]).await;
+                let dump: Value = serde_json::from_slice(&output.stdout).unwrap_or_default();
+                if dump["members"]["alive"].as_array().is_some_and(|alive| alive.len() == 1) {
+                    break;
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+
+    fn caller(&self, key: &str) -> Caller {
+        let seeds = self.routers.iter().map(|router| router.address("caller_address")).collect();
+        Caller::new(Arc::new(Http::new(key)), seeds)
+    }
+
+    /// Index of the router that serves the only generation.
+    async fn serving(&self) -> usize {
+        loop {
+            for (index, router) in self.routers.iter().enumerate() {
+                let output = self.qtctl(&["dump", &router.address("operator_address")]).await;
+                let dump: Value = serde_json::from_slice(&output.stdout).unwrap_or_default();
+                if dump["generations"].as_object().is_some_and(|all| !all.is_empty()) {
+                    return index;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+async fn free_address() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap().to_string()
+}
+
+async fn router_settings(index: usize, platform_address: &str) -> Value {
+    let zone = if index == 0 { "zone-a" } else { "zone-b" };
+    json!({
+        "name": format!("entry-{index}"),
+        "zone": zone,
+        "caller_address": free_address().await,
+        "peer_address": free_address().await,
+        "operator_address": free_address().await,
+        "platform_address": platform_address,
+        "limits": { "max_body_bytes": 4_096 },
+        "timing": { "entry_lifetime_ms": 300, "peer_timeout_ms": 5_000 },
+    })
+}
+
+/// The Foundation's example with three engines.
+fn example_objects() -> Vec<Object> {
+    let text = include_str!("../../examples/foundation/objects.json");
+    let objects: Vec<Object> = serde_json::from_str(text).unwrap();
+    let kept = ["draft-01", "draft-02", "draft-03", "desk-1"];
+    let keeps = |object: &Object| {
+        object.as_upstream().is_none_or(|upstream| kept.contains(&upstream.name.as_str()))
+    };
+    objects.into_iter().filter(keeps).collect()
+}
+
+fn request(max_tokens: u32) -> Request {
+    let prompt = "Wristbands for a harbour festival".into();
+    Request { model: "drafts".into(), prompt, max_tokens, ..Request::default() }
+}
+
+fn order(key: Option<&str>) -> Call {
+    Call {
+        method: "POST".into(),
+        path: "/orders".into(),
+        key: key.map(str::to_owned),
+        content_type: None,
+        body: "{}".into(),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_router_costs_no_token() {
+    let mut bed = Bed::start("kill").await;
+    let request = request(300);
+    let (enough, killable) = oneshot::channel();
+    let mut enough = Some(enough);
+    let mut seen = 0;
+    let mut watch = |tokens: &[String]| {
+        seen += tokens.len();
+        if seen > 20
+            && let Some(enough) = enough.take()
+        {
+            let _ = enough.send(());
+        }
+    };
+    let caller = bed.caller(KEY);
+
+    let generate = caller.generate(&request, PATIENCE, &mut watch);
+    let kill = async {
+        killable.await.unwrap();
+        let serving = bed.serving().await;
+        bed.routers[serving].child.kill().unwrap();
+    };
+    let (whole, ()) = tokio::join!(generate, kill);
+
+    let whole = whole.unwrap();
+    assert!(whole.reconnects > 0);
+    assert_eq!(text::check(&request, &whole.version, &whole.tokens), Ok(()));
+    let decoded: u64 = bed.engines.iter().map(|engine| engine.work().decoded).sum();
+    assert_eq!(decoded, whole.tokens.len() as u64, "the running stream was reattached");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_leaves_cuts_nothing() {
+    let mut bed = Bed::start("leave").await;
+    let request = request(120);
+    let caller = bed.caller(KEY);
+    let (enough, leavable) = oneshot::channel();
+    let mut enough = Some(enough);
+    let mut watch = |_: &[String]| {
+        if let Some(enough) = enough.take() {
+            let _ = enough.send(());
+        }
+    };
+
+    let generate = caller.generate(&request, PATIENCE, &mut watch);
+    let leave = async {
+        leavable.await.unwrap();
+        let serving = bed.serving().await;
+        bed.routers[serving].terminate();
+        serving
+    };
+    let (whole, serving) = tokio::join!(generate, leave);
+
+    let whole = whole.unwrap();
+    assert_eq!(whole.reconnects, 0);
+    assert_eq!(text::check(&request, &whole.version, &whole.tokens), Ok(()));
+    assert!(bed.routers[serving].child.wait().unwrap().success());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_runs_once_and_is_refused_without_the_platform() {
+    let bed = Bed::start("order").await;
+    let caller = bed.caller(KEY);
+
+    let first = caller.call("order-desk", &order(Some("k-1")), PATIENCE).await;
+    let second = caller.call("order-desk", &order(Some("k-1")), PATIENCE).await;
+    let other = Call { body: "{\"other\":1}".into(), ..order(Some("k-1")) };
+    let reused = caller.call("order-desk", &other, PATIENCE).await;
+    let keyless = caller.call("order-desk", &order(None), PATIENCE).await;
+    bed.platform.set_faults(|faults| faults.outage = true);
+    let down = caller.call("order-desk", &order(Some("k-2")), Duration::from_secs(3)).await;
+
+    let (Reply::Answered(first), Reply::Answered(second)) = (first, second) else {
+        panic!("the order was not answered");
+    };
+    assert_eq!(first, second);
+    assert_eq!(bed.service.runs(), [("k-1".to_owned(), 1)].into());
+    assert_refused(reused, Code::KeyReused);
+    assert_refused(keyless, Code::KeyMissing);
+    assert_refused(down, Code::StoreUnavailable);
+}
+
+fn assert_refused(reply: Reply, code: Code) {
+    match reply {
+        Reply::Refused(refusal) => assert_eq!((refusal.code, refusal.ran), (code, Ran::No)),
+        other => panic!("expected {code:?}, got {other:?}"),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_input_gets_a_clear_error() {
+    let bed = Bed::start("bad").await;
+    let entry = bed.routers[0].address("caller_address");
+    let ask = |key: &'static str,
+               path: &'static str,
+               headers: Vec<(&'static str, &'static str)>,
+               body: String| {
+        let entry = entry.clone();
+        async move {
+            use quetzaltiller::adapters::{Method, Outgoing, fetch};
+            let mut outgoing = Outgoing::new(Method::POST, path).json(body);
+            outgoing = outgoing.header("authorization", format!("Bearer {key}"));
+            for (name, value) in headers {
+                outgoing = outgoing.header(name, value);
+            }
+            let response = fetch(&entry, outgoing, PATIENCE).await.unwrap();
+            let body: Value = serde_json::from_slice(response.body()).unwrap();
+            (
+                response.status().as_u16(),
+                body["code"].as_str().unwrap().to_owned(),
+                body["ran"].clone(),
+            )
+        }
+    };
+    let good = serde_json::to_string(&request(10)).unwrap();
+    let generations = "/v1/generations";
+    let forged = ("last-event-id", "00000000000000000000000000000000.1.5");
+    let cases = [
+        (ask(KEY, generations, vec![], "{".into()).await, 400, "bad_request", "no"),
+        (
+            ask(
+                KEY,
+                generations,
+                vec![],
+                "{\"model\":\"drafts\",\"prompt\":\"a\",\"max_tokens\":0}".into(),
+            )
+            .await,
+            400,
+            "bad_request",
+            "no",
+        ),
+        (ask("nobody", generations, vec![], good.clone()).await, 401, "unauthorized", "no"),
+        (
+            ask("gate-crews-example-key", generations, vec![], good.clone()).await,
+            403,
+            "not_allowed",
+            "no",
+        ),
+        (ask(KEY, generations, vec![], "x".repeat(5_000)).await, 413, "body_too_large", "no"),
+        (
+            ask(KEY, generations, vec![("last-event-id", "nonsense")], good.clone()).await,
+            400,
+            "bad_event_id",
+            "no",
+        ),
+        (
+            ask(KEY, generations, vec![forged], good.clone()).await,
+            404,
+            "generation_unknown",
+            "unknown",
+        ),
+        (
+            ask(KEY, generations, vec![("qt-labels", "tier=gold")], good.clone()).await,
+            403,
+            "not_allowed",
+            "no",
+        ),
+        (
+            ask(KEY, "/v1/services/nothing/orders", vec![], "{}".into()).await,
+            403,
+            "not_allowed",
+            "no",
+        ),
+    ];
+
+    for ((status, code, ran), expected_status, expected_code, expected_ran) in cases {
+        assert_eq!((status, code.as_str()), (expected_status, expected_code));
+        assert_eq!(ran, expected_ran);
+    }
+    let unknown_model = Request { model: "none".into(), ..request(10) };
+    let refused = bed.caller(KEY).generate(&unknown_model, PATIENCE, &mut |_| {}).await;
+    assert!(
+        matches!(refused, Err(Unfinished::Refused(refusal)) if refusal.code == Code::NotAllowed)
+    );
+}
+
+#[test]
+fn settings_faults_are_listed_at_once() {
+    let path = std::env::temp_dir().join(format!("qt-faults-{}.json", std::process::id()));
+    std::fs::write(&path, r#"{"name":"a","zone":7,"peers":["x"],"typo":1}"#).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_qt-router"));
+
+    let output = command.arg("--check").arg("--config").arg(&path).output().unwrap();
+
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(2));
+    for part in ["zone", "peers[0]", "caller_address", "typo"] {
+        assert!(text.contains(part), "{part} is not in {text}");
+    }
+}
+
+#[test]
+fn the_examples_are_valid() {
+    for deployment in ["foundation", "cooperative"] {
+        let folder = format!("{}/../examples/{deployment}", env!("CARGO_MANIFEST_DIR"));
+        let objects = format!("{folder}/objects.json");
+        let validated =
+            Command::new(env!("CARGO_BIN_EXE_qtctl")).args(["validate", &objects]).output();
+        assert!(validated.unwrap().status.success());
+        for index in 1..=4 {
+            for kind in ["router", "steward"] {
+                let binary = match kind {
+                    "router" => env!("CARGO_BIN_EXE_qt-router"),
+                    _ => env!("CARGO_BIN_EXE_qt-steward"),
+                };
+                let config = format!("{folder}/{kind}-{index}.json");
+                let output = Command::new(binary).args(["--check", "--config", &config]).output();
+                assert!(output.unwrap().status.success(), "{config}");
+            }
+        }
+    }
+}
