--- a/bench/src/faults.rs
+++ b/bench/src/faults.rs
@@ -6,6 +6,9 @@
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha12Rng;
 use serde::Serialize;
+use standin::engine::{Engine, Running};
+use standin::gate::Gate;
+use std::collections::BTreeMap;
 use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -116,6 +119,13 @@
     pub left: Option<String>,
 }
 
+impl Injected {
+    /// A fault that strikes now and has hit nothing yet.
+    pub fn new(kind: Kind) -> Self {
+        Self { kind, at: Instant::now(), hits: Vec::new(), lost_prefill: 0, left: None }
+    }
+}
+
 /// Faults for a run: one of each given kind, or a random pair.
 pub fn plan(kinds: &[Kind], load: Duration, seed: u64) -> Vec<Planned> {
     let mut rng = ChaCha12Rng::seed_from_u64(seed + 2);
@@ -152,8 +162,7 @@
 
 impl Injector<'_> {
     async fn inject(mut self, kind: Kind) -> Injected {
-        let at = Instant::now();
-        let mut injected = Injected { kind, at, hits: Vec::new(), lost_prefill: 0, left: None };
+        let mut injected = Injected::new(kind);
         match kind {
             Kind::EngineKilled => {
                 let place = self.busy_engine();
@@ -166,12 +175,12 @@
             }
             Kind::EnginePaused => {
                 let place = self.busy_engine();
-                self.note_hits(&place.address, Duration::ZERO, &mut injected);
+                self.note_hits(&place.address, &mut injected);
                 self.freeze(place.address);
             }
             Kind::SilentConnection => {
                 let place = self.busy_engine();
-                self.note_hits(&place.address, Duration::ZERO, &mut injected);
+                self.note_hits(&place.address, &mut injected);
                 self.system.engines[&place.address].silence_connections();
             }
             Kind::RouterKilled => {
@@ -310,30 +319,12 @@
         place.address
     }
 
-    /// Streams of engines that lose everything: the floor is the prefill that nobody cached.
     fn note_loss(&self, addresses: &[String], injected: &mut Injected) {
-        for address in addresses {
-            let Some(engine) = self.system.engines.get(address) else {
-                continue;
-            };
-            for stream in engine.running_streams() {
-                let living = self.system.engines.iter().filter(|(other, _)| {
-                    !addresses.contains(other) && !self.system.gate.is_dead(other)
-                });
-                let cached = living.map(|(_, other)| other.peek_cached(&stream.blocks)).max();
-                let prefill = stream.tokens.saturating_sub(cached.unwrap_or_default());
-                injected.lost_prefill += prefill as u64;
-                let floor = resume_floor(prefill);
-                injected.hits.push(Hit { generation: stream.generation, floor });
-            }
-        }
+        note_loss(&self.system.engines, &self.system.gate, addresses, injected);
     }
 
-    fn note_hits(&self, address: &str, prefill: Duration, injected: &mut Injected) {
-        let streams = self.system.engines[address].running_streams();
-        let floor = prefill + SILENCE_FLOOR;
-        let hits = streams.into_iter().map(|stream| Hit { generation: stream.generation, floor });
-        injected.hits.extend(hits);
+    fn note_hits(&self, address: &str, injected: &mut Injected) {
+        injected.hits.extend(silence_hits(&self.system.engines[address]));
     }
 
     async fn note_served(&self, name: &str, injected: &mut Injected) {
@@ -352,6 +343,33 @@
 /// A gap of two steps is the first sign of silence; a reattach and a step follow.
 const SILENCE_FLOOR: Duration = Duration::from_millis(2 * 23 + 2 * 2 + 23);
 
+/// Notes the streams of engines that lose everything: the floor is the prefill that no living
+/// engine has cached.
+pub fn note_loss(
+    engines: &BTreeMap<String, Engine>,
+    gate: &Gate,
+    lost: &[String],
+    injected: &mut Injected,
+) {
+    for engine in lost.iter().filter_map(|name| engines.get(name)) {
+        for stream in engine.running_streams() {
+            let living =
+                engines.iter().filter(|(name, _)| !lost.contains(name) && !gate.is_dead(name));
+            let cached = living.map(|(_, other)| other.peek_cached(&stream.blocks)).max();
+            let prefill = stream.tokens.saturating_sub(cached.unwrap_or_default());
+            injected.lost_prefill += prefill as u64;
+            let floor = resume_floor(prefill);
+            injected.hits.push(Hit { generation: stream.generation, floor });
+        }
+    }
+}
+
+/// Streams of an engine that falls silent.
+pub fn silence_hits(engine: &Engine) -> Vec<Hit> {
+    let hit = |stream: Running| Hit { generation: stream.generation, floor: SILENCE_FLOOR };
+    engine.running_streams().into_iter().map(hit).collect()
+}
+
 /// Shortest wait after an engine died: the broken connection is seen, the rest is submitted,
 /// prefilled, and one step brings the next token.
 fn resume_floor(prefill: usize) -> Duration {
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -6,9 +6,12 @@
 
 pub mod baseline;
 pub mod checker;
+pub mod cost;
 pub mod deployment;
 pub mod faults;
 pub mod load;
+pub mod realtime;
 pub mod report;
 pub mod run;
+pub mod sockets;
 pub mod system;
--- a/bench/src/load.rs
+++ b/bench/src/load.rs
@@ -1,8 +1,7 @@
 //! Seeded callers: drafts, orders and lookups, and what became of each.
 
 use crate::deployment::Deployment;
-use crate::system::System;
-use quetzaltiller::caller::{Reply, Unfinished, Whole};
+use quetzaltiller::caller::{Caller, Reply, Unfinished, Whole};
 use quetzaltiller::generation::Request;
 use quetzaltiller::service::Call;
 use rand::{Rng as _, SeedableRng as _};
@@ -21,6 +20,15 @@
 /// Tries of one action under one key while its outcome is unknown or it was not run.
 const ACTION_TRIES: usize = 3;
 
+/// A system that callers use.
+pub trait Target: Send + Sync + 'static {
+    /// Deployment.
+    fn deployment(&self) -> Deployment;
+
+    /// The `index`th caller, of an account.
+    fn caller(&self, account: &str, index: usize) -> Caller;
+}
+
 /// How much is asked.
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
@@ -118,14 +126,14 @@
 }
 
 /// Offers the plan's load and waits for the end of every request.
-pub async fn offer(system: &Arc<System>, plan: &Plan, seed: u64) -> Records {
+pub async fn offer<T: Target>(system: &Arc<T>, plan: &Plan, seed: u64) -> Records {
     let start = Instant::now();
     let mut tasks = JoinSet::new();
-    for (index, draft) in drafts(system.deployment, plan, seed).into_iter().enumerate() {
+    for (index, draft) in drafts(system.deployment(), plan, seed).into_iter().enumerate() {
         tasks.spawn(run_draft(system.clone(), start, index, draft));
     }
     let mut rng = ChaCha12Rng::seed_from_u64(seed + 1);
-    let accounts = system.deployment.callers();
+    let accounts = system.deployment().callers();
     let actions = arrivals(&mut rng, plan.actions_per_s, plan.duration);
     for (index, at) in actions.into_iter().enumerate() {
         let account = accounts[index % accounts.len()];
@@ -147,7 +155,12 @@
     records
 }
 
-async fn run_draft(system: Arc<System>, start: Instant, index: usize, draft: Draft) -> Record {
+async fn run_draft<T: Target>(
+    system: Arc<T>,
+    start: Instant,
+    index: usize,
+    draft: Draft,
+) -> Record {
     sleep_until(start + draft.at).await;
     let caller = system.caller(draft.account, index);
     let began = Instant::now();
@@ -155,8 +168,8 @@
     Record::Draft(Box::new(DraftRecord { draft, began, result }))
 }
 
-async fn run_action(
-    system: Arc<System>,
+async fn run_action<T: Target>(
+    system: Arc<T>,
     at: Instant,
     index: usize,
     account: &'static str,
@@ -173,7 +186,7 @@
     };
     let mut replies = Vec::new();
     for _ in 0..ACTION_TRIES {
-        let reply = caller.call(system.deployment.service(), &call, CALL_PATIENCE).await;
+        let reply = caller.call(system.deployment().service(), &call, CALL_PATIENCE).await;
         let answered = matches!(reply, Reply::Answered(_));
         replies.push(reply);
         // Half of the callers repeat an answered call, as one that lost the answer would.
@@ -184,8 +197,8 @@
     Record::Action(ActionRecord { account, key, replies })
 }
 
-async fn run_lookup(
-    system: Arc<System>,
+async fn run_lookup<T: Target>(
+    system: Arc<T>,
     at: Instant,
     index: usize,
     account: &'static str,
@@ -200,7 +213,7 @@
         body: "".into(),
     };
     let began = Instant::now();
-    let reply = caller.call(system.deployment.service(), &call, CALL_PATIENCE).await;
+    let reply = caller.call(system.deployment().service(), &call, CALL_PATIENCE).await;
     Record::Lookup(LookupRecord { took: began.elapsed(), reply })
 }
 
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -5,10 +5,13 @@
 use bench::faults::{self, Kind};
 use bench::report::Report;
 use bench::run::{Options, run};
+use bench::{cost, realtime};
 use quetzaltiller::daemon;
+use std::error::Error;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Instant;
+use tokio::runtime::Runtime;
 
 /// Measures quetzaltiller.
 #[derive(FromArgs)]
@@ -20,10 +23,23 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Cost(CostArgs),
     Run(RunArgs),
     Soak(SoakArgs),
 }
 
+/// Cost of the router itself, over sockets.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "cost")]
+struct CostArgs {
+    /// streams open at once
+    #[argh(option, default = "400")]
+    streams: usize,
+    /// file to write the figures to
+    #[argh(option)]
+    json: Option<PathBuf>,
+}
+
 /// One run and its baselines.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "run")]
@@ -44,6 +60,9 @@
     /// leave the baselines out
     #[argh(switch)]
     no_baseline: bool,
+    /// run over sockets on loopback, in real time, without baselines
+    #[argh(switch)]
+    real_time: bool,
     /// drafts begun in a second
     #[argh(option, default = "4.0")]
     drafts_per_s: f64,
@@ -71,6 +90,7 @@
     let args: Args = argh::from_env();
     daemon::stop_logs();
     match args.command {
+        Command::Cost(args) => cost(&args),
         Command::Run(args) => run_one(&args),
         Command::Soak(args) => soak(&args),
     }
@@ -82,17 +102,22 @@
     options.baselines = !args.no_baseline;
     options.plan.drafts_per_s = args.drafts_per_s;
     let began = Instant::now();
-    let report = run(&options);
+    let report = match args.real_time {
+        false => run(&options),
+        true => match run_in_real_time(&mut options, args.fault.is_empty()) {
+            Ok(report) => report,
+            Err(error) => return fail(error.as_ref()),
+        },
+    };
     eprintln!(
         "ran {:.0} virtual seconds in {:.1} s",
         report.duration_s,
         began.elapsed().as_secs_f64()
     );
     let json = serde_json::to_string_pretty(&report).unwrap_or_default();
-    if let Some(path) = &args.json {
-        return write(path, &json);
+    if let Some(code) = print(args.json.as_deref(), &json) {
+        return code;
     }
-    println!("{json}");
     verdict(report.violations.total())
 }
 
@@ -134,16 +159,41 @@
     }
 }
 
-fn write(path: &Path, json: &str) -> ExitCode {
-    match std::fs::write(path, json) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("qt-bench: {}: {error}", path.display());
-            ExitCode::FAILURE
+fn run_in_real_time(options: &mut Options, default: bool) -> Result<Report, Box<dyn Error>> {
+    if default {
+        options.kinds = vec![Kind::EngineKilled, Kind::EnginePaused, Kind::SilentConnection];
+    }
+    eprintln!("running twice in real time, about {} s each", 2 * options.plan.duration.as_secs());
+    Runtime::new()?.block_on(realtime::run(options))
+}
+
+fn cost(args: &CostArgs) -> ExitCode {
+    let measured = Runtime::new()
+        .map_err(Into::into)
+        .and_then(|runtime| runtime.block_on(cost::measure(args.streams)));
+    match measured {
+        Ok(cost) => {
+            let json = serde_json::to_string_pretty(&cost).unwrap_or_default();
+            print(args.json.as_deref(), &json).unwrap_or(ExitCode::SUCCESS)
         }
+        Err(error) => fail(error.as_ref()),
     }
 }
 
+fn fail(error: &dyn Error) -> ExitCode {
+    eprintln!("qt-bench: {error}");
+    ExitCode::FAILURE
+}
+
+/// Prints or writes figures; a code when that failed.
+fn print(path: Option<&Path>, json: &str) -> Option<ExitCode> {
+    let Some(path) = path else {
+        println!("{json}");
+        return None;
+    };
+    std::fs::write(path, json).err().map(|error| fail(&error))
+}
+
 fn verdict(violations: u64) -> ExitCode {
     if violations == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
--- a/bench/src/run.rs
+++ b/bench/src/run.rs
@@ -91,10 +91,14 @@
     pub injected: Vec<Injected>,
     /// Engine tokens prefilled and decoded.
     pub work_tokens: u64,
-    counters: BTreeMap<&'static str, u64>,
-    peer_bytes: u64,
-    in_force: Vec<Duration>,
-    duration: Duration,
+    /// Counters of the routers.
+    pub counters: BTreeMap<&'static str, u64>,
+    /// Bytes between entry VMs.
+    pub peer_bytes: u64,
+    /// Times from an operator's write to in force everywhere.
+    pub in_force: Vec<Duration>,
+    /// Time that the run took.
+    pub duration: Duration,
 }
 
 /// Builds a system, offers load and faults, and gathers what was seen.
@@ -165,7 +169,8 @@
     }
 }
 
-const COUNTED: [Counter; 6] = [
+/// Counters that a report uses.
+pub const COUNTED: [Counter; 6] = [
     Counter::Reattached,
     Counter::Redispatched,
     Counter::FalseSuspicion,
@@ -211,7 +216,8 @@
     }
 }
 
-fn report(options: &Options, seen: &Seen, quiet: &Seen) -> Report {
+/// Figures of a run beside the same one without faults.
+pub fn report(options: &Options, seen: &Seen, quiet: &Seen) -> Report {
     let records = &seen.evidence.records;
     let measures = measures(seen, quiet);
     let lost: u64 = seen.injected.iter().map(|fault| fault.lost_prefill).sum();
--- a/demo/src/system.rs
+++ b/bench/src/sockets.rs
@@ -1,7 +1,10 @@
-//! Builds the system on loopback.
+//! A system over real sockets on loopback, in one process.
 
+use crate::deployment::{self, Deployment};
+use crate::load::Target;
 use quetzaltiller::adapters::{HttpEngine, HttpService, HttpStore, TcpPeer, serve_peers};
 use quetzaltiller::apply::{self, Progress};
+use quetzaltiller::caller::{Caller, Http};
 use quetzaltiller::config::Config;
 use quetzaltiller::daemon::serve_http;
 use quetzaltiller::front;
@@ -27,18 +30,20 @@
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
 
-/// Key of the account that the demo uses.
-pub const ACCOUNT_KEY: &str = "roskilde-crew-example-key";
-const OBJECTS: &str = include_str!("../../examples/foundation/objects.json");
 const LOOPBACK: &str = "127.0.0.1:0";
-const ZONES: [&str; 2] = ["zone-a", "zone-b"];
-const MAX_CONNECTIONS: usize = 1_000;
+const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+const MAX_CONNECTIONS: usize = 20_000;
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Changes an engine's settings before it starts.
+pub type Adjust<'a> = &'a (dyn Fn(&mut Settings) + Send + Sync);
+
 /// One engine and the server in front of it.
 pub struct EngineProcess {
     /// Engine.
     pub engine: Engine,
+    /// Its address.
+    pub address: String,
     server: ServerHandle,
 }
 
@@ -60,16 +65,24 @@
     pub platform_address: String,
     /// Engines by upstream name.
     pub engines: BTreeMap<String, EngineProcess>,
-    /// The order desk's records.
-    pub desk: Service,
+    /// Records of the plain service.
+    pub service: Service,
+    /// What calls to engines pass.
+    pub gate: Gate,
+    /// Routers.
+    pub routers: Vec<Arc<Router>>,
+    /// Deployment.
+    pub deployment: Deployment,
     scope: Scope,
-    gate: Gate,
-    routers: Vec<Arc<Router>>,
 }
 
 impl System {
     /// Starts all parts and waits until the configuration is in force.
-    pub async fn start() -> Result<Self, Box<dyn Error>> {
+    pub async fn start(
+        deployment: Deployment,
+        entry_vms: usize,
+        adjust: Adjust<'_>,
+    ) -> Result<Self, Box<dyn Error>> {
         let platform = Platform::new(1);
         let listener = TcpListener::bind(LOOPBACK).await?;
         let mut system = Self {
@@ -77,14 +90,15 @@
             operators: Vec::new(),
             platform_address: listener.local_addr()?.to_string(),
             engines: BTreeMap::new(),
-            desk: Service::new(service::Settings::default(), 1),
-            scope: Scope::default(),
+            service: Service::new(service::Settings::default(), 1),
             gate: Gate::new(Duration::ZERO),
             routers: Vec::new(),
+            deployment,
+            scope: Scope::default(),
         };
         serve_platform(&system.scope, listener, &platform)?;
-        let objects = system.start_upstreams().await?;
-        system.start_entry_vms(&platform).await?;
+        let objects = system.start_upstreams(adjust).await?;
+        system.start_entry_vms(&platform, entry_vms).await?;
         let store = Arc::new(HttpStore::new(&system.platform_address));
         let metrics = Arc::new(Metrics::new(None));
         system.scope.spawn(Steward::new(store.clone(), metrics).run());
@@ -96,19 +110,22 @@
         Ok(system)
     }
 
-    async fn start_upstreams(&mut self) -> Result<Vec<Object>, Box<dyn Error>> {
-        let mut objects: Vec<Object> = serde_json::from_str(OBJECTS)?;
-        let pools: BTreeMap<String, Pool> = objects
-            .iter()
-            .filter_map(|object| match object {
-                Object::Pool(pool) => Some((pool.name.clone(), pool.clone())),
-                _ => None,
-            })
-            .collect();
+    /// Stops everything.
+    pub fn stop(&self) {
+        self.routers.iter().for_each(|router| router.stop());
+        self.scope.stop();
+    }
+
+    async fn start_upstreams(&mut self, adjust: Adjust<'_>) -> Result<Vec<Object>, Box<dyn Error>> {
+        let mut objects = self.deployment.objects();
+        let pools: Vec<Pool> = objects.iter().filter_map(Object::as_pool).cloned().collect();
         for object in &mut objects {
-            if let Object::Upstream(upstream) = object {
-                self.start_upstream(upstream, &pools[&upstream.pool]).await?;
-            }
+            let Object::Upstream(upstream) = object else {
+                continue;
+            };
+            let pool = pools.iter().find(|pool| pool.name == upstream.pool);
+            let pool = pool.ok_or("an upstream names no pool")?;
+            self.start_upstream(upstream, pool, adjust).await?;
         }
         Ok(objects)
     }
@@ -117,24 +134,33 @@
         &mut self,
         upstream: &mut Upstream,
         pool: &Pool,
+        adjust: Adjust<'_>,
     ) -> Result<(), Box<dyn Error>> {
         let listener = TcpListener::bind(LOOPBACK).await?;
         upstream.address = listener.local_addr()?.to_string();
         let name = upstream.name.as_str();
         let (Some(model), Some(version)) = (&pool.model, &pool.version) else {
-            serve_service(&self.scope, listener, (name, self.desk.clone()), &self.gate)?;
+            serve_service(&self.scope, listener, (name, self.service.clone()), &self.gate)?;
             return Ok(());
         };
         let seed = self.engines.len() as u64;
-        let engine = Engine::start(Settings::new(name, model, version), self.gate.clone(), seed);
+        let mut settings = Settings::new(name, model, version);
+        adjust(&mut settings);
+        let engine = Engine::start(settings, self.gate.clone(), seed);
         let server = serve_engine(&self.scope, listener, (name, engine.clone()), &self.gate)?;
-        self.engines.insert(name.to_owned(), EngineProcess { engine, server });
+        let address = upstream.address.clone();
+        self.engines.insert(name.to_owned(), EngineProcess { engine, address, server });
         Ok(())
     }
 
-    async fn start_entry_vms(&mut self, platform: &Platform) -> Result<(), Box<dyn Error>> {
+    async fn start_entry_vms(
+        &mut self,
+        platform: &Platform,
+        entry_vms: usize,
+    ) -> Result<(), Box<dyn Error>> {
         let mut vms = Vec::new();
-        for (index, zone) in ZONES.iter().enumerate() {
+        for index in 0..entry_vms {
+            let zone = ZONES[index % ZONES.len()];
             let name = format!("entry-{}", index + 1);
             let callers = TcpListener::bind(LOOPBACK).await?;
             let peers = TcpListener::bind(LOOPBACK).await?;
@@ -189,6 +215,18 @@
     }
 }
 
+impl Target for System {
+    fn deployment(&self) -> Deployment {
+        self.deployment
+    }
+
+    fn caller(&self, account: &str, index: usize) -> Caller {
+        let mut seeds = self.entries.clone();
+        seeds.rotate_left(index % self.entries.len());
+        Caller::new(Arc::new(Http::new(&deployment::key(account))), seeds)
+    }
+}
+
 struct Desk(Arc<Router>);
 
 #[async_trait]
--- a/bench/src/system.rs
+++ b/bench/src/system.rs
@@ -5,6 +5,7 @@
 pub use hub::{Cut, Hub};
 
 use crate::deployment::{self, Deployment};
+use crate::load::Target;
 use hub::{HubLink, HubTransport};
 use quetzaltiller::apply;
 use quetzaltiller::caller::Caller;
@@ -218,13 +219,6 @@
         self.platform.set_vms(vms.collect());
     }
 
-    /// A caller of an account, in a zone's neighbourhood.
-    pub fn caller(&self, account: &str, index: usize) -> Caller {
-        let transport = HubTransport::new(self.hub.clone(), &deployment::key(account));
-        let seeds = (0..ENTRY_VMS).map(|turn| entry_name((index + turn) % ENTRY_VMS)).collect();
-        Caller::new(Arc::new(transport), seeds)
-    }
-
     /// Engine work so far.
     pub fn work(&self) -> Work {
         let mut sum = Work::default();
@@ -262,6 +256,18 @@
     }
 }
 
+impl Target for System {
+    fn deployment(&self) -> Deployment {
+        self.deployment
+    }
+
+    fn caller(&self, account: &str, index: usize) -> Caller {
+        let transport = HubTransport::new(self.hub.clone(), &deployment::key(account));
+        let seeds = (0..ENTRY_VMS).map(|turn| entry_name((index + turn) % ENTRY_VMS)).collect();
+        Caller::new(Arc::new(transport), seeds)
+    }
+}
+
 /// Name and address of an entry VM.
 pub fn entry_name(index: usize) -> String {
     format!("entry-{index}")
--- a/demo/src/main.rs
+++ b/demo/src/main.rs
@@ -1,14 +1,17 @@
 //! `qt-demo`: stand-ins, two routers and a steward in one process on loopback.
 
 mod once;
-mod system;
 
 use argh::FromArgs;
+use bench::deployment::Deployment;
+use bench::sockets::System;
 use quetzaltiller::daemon;
 use spdlog::LevelFilter;
 use std::process::ExitCode;
-use system::System;
 
+/// Key of the account that the demo uses.
+pub const ACCOUNT_KEY: &str = "roskilde-crew-example-key";
+const ENTRY_VMS: usize = 2;
 const DRAFT: &str =
     r#"{"model":"drafts","prompt":"Wristbands for a harbour festival","max_tokens":120}"#;
 const ORDER: &str = r#"{"bands":9000}"#;
@@ -43,7 +46,7 @@
     } else {
         daemon::stop_logs();
     }
-    let system = System::start().await?;
+    let system = System::start(Deployment::Foundation, ENTRY_VMS, &|_| {}).await?;
     if args.once {
         return once::run(&system).await;
     }
@@ -53,7 +56,7 @@
 }
 
 fn print_hints(system: &System) {
-    let key = system::ACCOUNT_KEY;
+    let key = ACCOUNT_KEY;
     let entry = &system.entries[0];
     println!("entry VMs:  {}", system.entries.join("  "));
     println!("operators:  {}", system.operators.join("  "));
--- a/demo/src/once.rs
+++ b/demo/src/once.rs
@@ -1,6 +1,7 @@
 //! `qt-demo --once`: a draft that loses its engine, an order placed twice, a lookup; all checked.
 
-use crate::system::{ACCOUNT_KEY, System};
+use crate::ACCOUNT_KEY;
+use bench::sockets::System;
 use quetzaltiller::caller::{Caller, Http, Reply};
 use quetzaltiller::generation::Request;
 use quetzaltiller::service::Call;
@@ -99,7 +100,7 @@
         println!("the two answers to the order differ");
         return 0;
     }
-    system.desk.runs().values().sum()
+    system.service.runs().values().sum()
 }
 
 async fn look_up(caller: &Caller) -> bool {
--- a/standin/src/text.rs
+++ b/standin/src/text.rs
@@ -72,6 +72,21 @@
     if whole { Ok(()) } else { Err(tokens.len()) }
 }
 
+/// Writes a whole answer that goes on from `held`; `salt` decides the free syllables.
+pub fn write(request: &Request, version: &str, held: &[String], salt: u32) -> Vec<String> {
+    let mut chain = Chain::new(request, version);
+    let mut tokens = held.to_vec();
+    for token in held {
+        let _ = chain.follow(token);
+    }
+    for index in held.len() as u32..chain.length(request.max_tokens) {
+        let token = chain.token(index.wrapping_mul(salt) as u8);
+        let _ = chain.follow(&token);
+        tokens.push(token);
+    }
+    tokens
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -80,24 +95,12 @@
         Request { prompt: prompt.into(), max_tokens: 40, ..Request::default() }
     }
 
-    fn generate(request: &Request, version: &str, from: &[String], salt: u8) -> Vec<String> {
-        let mut chain = Chain::new(request, version);
-        let mut tokens = from.to_vec();
-        assert!(from.iter().all(|token| chain.follow(token)));
-        for index in from.len() as u8..chain.length(request.max_tokens) as u8 {
-            let token = chain.token(index.wrapping_mul(salt));
-            chain.follow(&token);
-            tokens.push(token);
-        }
-        tokens
-    }
-
     #[test]
     fn a_continuation_of_the_same_text_is_whole() {
         let request = request("a b c");
-        let first = generate(&request, "1", &[], 3);
+        let first = write(&request, "1", &[], 3);
 
-        let continued = generate(&request, "1", &first[..7], 5);
+        let continued = write(&request, "1", &first[..7], 5);
 
         assert_ne!(first, continued);
         assert_eq!(check(&request, "1", &continued), Ok(()));
@@ -106,7 +109,7 @@
     #[test]
     fn mixed_missing_repeated_and_foreign_tokens_show() {
         let request = request("a b c");
-        let (first, second) = (generate(&request, "1", &[], 3), generate(&request, "1", &[], 5));
+        let (first, second) = (write(&request, "1", &[], 3), write(&request, "1", &[], 5));
         let mut mixed = first.clone();
         mixed[9..].clone_from_slice(&second[9..]);
         let mut missing = first.clone();
