--- a/bench/src/faults.rs
+++ b/bench/src/faults.rs
@@ -190,7 +190,7 @@
             Kind::RouterPaused => {
                 let name = self.entry();
                 self.note_served(&name, &mut injected).await;
-                self.freeze(name);
+                self.freeze_router(name);
             }
             Kind::ZoneLost => self.lose_zone(&mut injected).await,
             Kind::Partition => self.part(),
@@ -259,6 +259,16 @@
         });
     }
 
+    fn freeze_router(&mut self, name: String) {
+        let pause = self.rng.random_range(PAUSE.0..PAUSE.1);
+        let system = self.system.clone();
+        system.freeze_router(&name, true);
+        tokio::spawn(async move {
+            sleep(pause).await;
+            system.freeze_router(&name, false);
+        });
+    }
+
     fn part(&mut self) {
         let name = self.entry();
         let other = entry_name((self.rng.random_range(1..ENTRY_VMS) + 1) % ENTRY_VMS);
--- a/bench/src/load.rs
+++ b/bench/src/load.rs
@@ -221,14 +221,16 @@
 fn arrivals(rng: &mut ChaCha12Rng, per_s: f64, duration: Duration) -> Vec<Duration> {
     let mut times = Vec::new();
     let mut at_s = 0.0;
-    while per_s > 0.0 {
+    if per_s <= 0.0 {
+        return times;
+    }
+    loop {
         at_s -= (1.0 - rng.random::<f64>()).ln() / per_s;
         if at_s >= duration.as_secs_f64() {
-            break;
+            return times;
         }
         times.push(Duration::from_secs_f64(at_s));
     }
-    times
 }
 
 fn request(rng: &mut ChaCha12Rng, deployment: Deployment, account: &str, model: &str) -> Request {
--- a/bench/src/system.rs
+++ b/bench/src/system.rs
@@ -48,9 +48,12 @@
     /// Weight of a second's wait in all pools, if not the configured one.
     pub resume_weight: Option<f64>,
     /// Changes each entry VM's settings.
-    pub config: Option<Arc<dyn Fn(&mut Config) + Send + Sync>>,
+    pub config: Option<Change>,
 }
 
+/// A change of an entry VM's settings.
+pub type Change = Arc<dyn Fn(&mut Config) + Send + Sync>;
+
 /// The running system.
 pub struct System {
     /// Deployment.
@@ -187,6 +190,14 @@
         self.retire(name);
     }
 
+    /// Stops or continues an entry VM's process; messages to and from it wait meanwhile.
+    pub fn freeze_router(&self, name: &str, frozen: bool) {
+        self.gate.set_frozen(name, frozen);
+        if let Some(router) = self.hub.get(name) {
+            router.scope().set_frozen(frozen);
+        }
+    }
+
     /// Takes a router that has left off the air.
     pub fn retire(&self, name: &str) {
         if let Some(router) = self.hub.remove(name) {
--- a/quetzaltiller/src/router.rs
+++ b/quetzaltiller/src/router.rs
@@ -261,6 +261,11 @@
         &self.config
     }
 
+    /// Tasks of this process.
+    pub fn scope(&self) -> &Scope {
+        &self.scope
+    }
+
     /// Counters.
     pub fn metrics(&self) -> &Metrics {
         &self.metrics
--- a/quetzaltiller/src/scope.rs
+++ b/quetzaltiller/src/scope.rs
@@ -1,6 +1,9 @@
 //! Tasks that end together.
 
 use std::future::Future;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll, Waker};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -9,12 +12,14 @@
 pub struct Scope {
     tracker: TaskTracker,
     token: CancellationToken,
+    valve: Arc<Valve>,
 }
 
 impl Scope {
     /// Runs `task` until it ends or the scope is stopped.
     pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
         let token = self.token.clone();
+        let task = Freezable { task: Box::pin(task), valve: self.valve.clone() };
         self.tracker.spawn(async move {
             tokio::select! {
                 biased;
@@ -26,7 +31,13 @@
 
     /// A scope that ends with this one, or earlier.
     pub fn child(&self) -> Self {
-        Self { tracker: self.tracker.clone(), token: self.token.child_token() }
+        let (tracker, valve) = (self.tracker.clone(), self.valve.clone());
+        Self { tracker, token: self.token.child_token(), valve }
+    }
+
+    /// Stops or continues all tasks, as SIGSTOP and SIGCONT do a process. For tests.
+    pub fn set_frozen(&self, frozen: bool) {
+        self.valve.set_frozen(frozen);
     }
 
     /// Stops all tasks where they stand.
@@ -49,3 +60,49 @@
         self.tracker.is_empty()
     }
 }
+
+#[derive(Debug, Default)]
+struct Valve {
+    state: Mutex<ValveState>,
+}
+
+#[derive(Debug, Default)]
+struct ValveState {
+    frozen: bool,
+    waiting: Vec<Waker>,
+}
+
+impl Valve {
+    fn set_frozen(&self, frozen: bool) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.frozen = frozen;
+        if !frozen {
+            state.waiting.drain(..).for_each(Waker::wake);
+        }
+    }
+
+    /// Whether the task must wait; it is woken when the valve opens.
+    fn blocks(&self, context: &Context<'_>) -> bool {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        if state.frozen {
+            state.waiting.push(context.waker().clone());
+        }
+        state.frozen
+    }
+}
+
+struct Freezable<F> {
+    task: Pin<Box<F>>,
+    valve: Arc<Valve>,
+}
+
+impl<F: Future<Output = ()>> Future for Freezable<F> {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        if self.valve.blocks(context) {
+            return Poll::Pending;
+        }
+        self.task.as_mut().poll(context)
+    }
+}
