--- a/bench/src/cost.rs
+++ b/bench/src/cost.rs
@@ -52,8 +52,8 @@
     pub added_per_token_us: f64,
     /// Tokens that one core carries, router and keeper together.
     pub tokens_per_s_per_core: f64,
-    /// Memory for each open stream, router and keeper together.
-    pub bytes_per_stream: f64,
+    /// Most memory for each open stream: router and keeper, with engine and caller included.
+    pub max_bytes_per_stream: f64,
     /// Streams open at once.
     pub streams: usize,
 }
@@ -66,8 +66,9 @@
         settings.max_batch = usize::MAX;
     });
     let system = Arc::new(system.await?);
-    let direct = measure_way(&system, Path::Direct, streams).await?;
+    // The routed way comes first: freed memory is not given back and would hide its share.
     let routed = measure_way(&system, Path::Routed, streams).await?;
+    let direct = measure_way(&system, Path::Direct, streams).await?;
     system.stop();
     let added_s = (routed.cpu_us_per_token - direct.cpu_us_per_token) / 1e6;
     let added_ms = routed.first_token_ms.p50 - direct.first_token_ms.p50;
@@ -77,7 +78,7 @@
         added_first_token_ms: added_ms,
         added_per_token_us: (routed.token_gap_ms.p50 - direct.token_gap_ms.p50) * 1e3,
         tokens_per_s_per_core: 1.0 / added_s,
-        bytes_per_stream: routed.bytes_per_stream - direct.bytes_per_stream,
+        max_bytes_per_stream: routed.bytes_per_stream,
         streams,
     })
 }
--- a/quetzaltiller/src/adapters/http_engine.rs
+++ b/quetzaltiller/src/adapters/http_engine.rs
@@ -1,12 +1,13 @@
 //! Engines over HTTP and server-sent events.
 
 use super::http::{Method, Outgoing, body_stream, fetch, send};
-use crate::engine::{Attempt, Chunk, Client, Error, Report, Stream, Submission};
+use crate::engine::{Attempt, CacheEvent, Chunk, Client, Error, Report, Stream, Submission};
 use async_trait::async_trait;
 use eventsource_stream::{EventStreamError, Eventsource as _};
 use futures::StreamExt as _;
 use hyper::Response;
 use hyper::body::Incoming;
+use serde::de::DeserializeOwned;
 use std::time::Duration;
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -36,10 +37,17 @@
     }
 
     async fn report(&self, address: &str) -> Result<Report, Error> {
-        let outgoing = Outgoing::new(Method::GET, "/v1/load");
-        let response = fetch(address, outgoing, CALL_TIMEOUT).await?;
-        serde_json::from_slice(response.body()).map_err(protocol)
+        get(address, "/v1/load").await
     }
+
+    async fn cache_events(&self, address: &str, after: u64) -> Result<Vec<CacheEvent>, Error> {
+        get(address, &format!("/v1/cache-events?after={after}")).await
+    }
+}
+
+async fn get<T: DeserializeOwned>(address: &str, path: &str) -> Result<T, Error> {
+    let response = fetch(address, Outgoing::new(Method::GET, path), CALL_TIMEOUT).await?;
+    serde_json::from_slice(response.body()).map_err(protocol)
 }
 
 impl From<super::Error> for Error {
--- a/quetzaltiller/src/caller.rs
+++ b/quetzaltiller/src/caller.rs
@@ -17,8 +17,8 @@
 use tokio::sync::Mutex;
 use tokio::time::{Instant, timeout};
 
-/// Silence after which the caller goes to another entry VM; entry VMs show life each second.
-const SILENCE: Duration = Duration::from_millis(2_500);
+/// Silence after which the caller goes to another entry VM; entry VMs show life twice a second.
+const SILENCE: Duration = Duration::from_millis(1_250);
 const ASK_TIMEOUT: Duration = Duration::from_millis(500);
 const PAUSE: Duration = Duration::from_millis(50);
 const MAX_PAUSE: Duration = Duration::from_millis(1_000);
@@ -138,9 +138,9 @@
     ) -> Result<Whole, Unfinished> {
         let mut draft = Draft::new(request.clone());
         let mut pause = PAUSE;
-        for turn in 0.. {
+        loop {
             let entries = self.entries().await;
-            let entry = &entries[turn % entries.len()];
+            let entry = &entries[0];
             let held = draft.whole.tokens.len();
             match self.stream(entry, &mut draft, watch).await? {
                 Next::Done => return Ok(draft.whole),
@@ -155,9 +155,9 @@
                 return Err(draft.refusal.map_or(Unfinished::Unreachable, Unfinished::Refused));
             }
             draft.whole.reconnects += 1;
+            self.demote(entry).await;
             tokio::time::sleep(pause).await;
         }
-        Err(Unfinished::Unreachable)
     }
 
     /// Calls a plain service; goes to another entry VM as long as the call was not run, or may be
@@ -165,9 +165,9 @@
     pub async fn call(&self, service: &str, call: &Call, patience: Duration) -> Reply {
         let deadline = Instant::now() + patience;
         let mut last = Reply::Unreachable;
-        for turn in 0.. {
+        loop {
             let entries = self.entries().await;
-            let entry = &entries[turn % entries.len()];
+            let entry = &entries[0];
             let left = deadline.saturating_duration_since(Instant::now());
             match timeout(left, self.transport.call(entry, service, call)).await {
                 Ok(Ok(answer)) => return Reply::Answered(answer),
@@ -181,9 +181,17 @@
             if Instant::now() + MAX_PAUSE >= deadline {
                 return last;
             }
+            self.demote(entry).await;
             tokio::time::sleep(MAX_PAUSE).await;
         }
-        last
+    }
+
+    /// Puts an entry VM that failed behind the others.
+    async fn demote(&self, entry: &str) {
+        let mut known = self.known.lock().await;
+        if let Some(place) = known.entries.iter().position(|known| known == entry) {
+            known.entries[place..].rotate_left(1);
+        }
     }
 
     async fn stream(
--- a/quetzaltiller/src/dispatch/demand.rs
+++ b/quetzaltiller/src/dispatch/demand.rs
@@ -23,6 +23,8 @@
     pub resumed: bool,
     /// Requests with equal keys share a cached prefix.
     pub affinity: String,
+    /// Digests of the text to prefill, as [`crate::engine::blocks`] makes them.
+    pub blocks: Vec<u64>,
 }
 
 impl Demand {
--- a/quetzaltiller/src/dispatch/mod.rs
+++ b/quetzaltiller/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 //! the requests that wait for a free upstream; a [`Permit`] holds a place until it is dropped.
 
 mod demand;
+mod prefixes;
 mod table;
 mod task;
 
--- a/quetzaltiller/src/dispatch/table.rs
+++ b/quetzaltiller/src/dispatch/table.rs
@@ -1,11 +1,12 @@
 //! Loads and suspicions of upstreams, and the choice among them.
 //!
 //! Reports lag, so the load is corrected by what this process has started since. Among the
-//! upstreams with room, requests that share a prefix go to the same one while its load is near
-//! the mean. Source: Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing with Bounded Loads",
+//! upstreams whose load is near the mean, the one that has cached most of the text is chosen, and
+//! where none has any, requests with the same beginning go to the same one. Source: Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing with Bounded Loads",
 //! SODA 2018, here on rendezvous ranks.
 
 use super::demand::Demand;
+use super::prefixes::Prefixes;
 use crate::engine::Report;
 use crate::objects::{Pool, Set, Upstream};
 use crate::refusal::Code;
@@ -60,6 +61,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     states: BTreeMap<String, UpstreamState>,
+    prefixes: BTreeMap<String, Prefixes>,
     leaving: BTreeSet<String>,
 }
 
@@ -98,6 +100,13 @@
         state.in_flight = state.in_flight.saturating_sub(1);
     }
 
+    /// Notes blocks that the upstream has cached, or will have soon.
+    pub fn cached(&mut self, upstream: &str, blocks: &[u64]) {
+        if !blocks.is_empty() {
+            self.prefixes.entry(upstream.to_owned()).or_default().insert(blocks);
+        }
+    }
+
     /// Notes a report; `None` when the upstream did not answer.
     pub fn report(&mut self, now: Duration, upstream: &str, report: Option<&Report>) {
         match report {
@@ -114,6 +123,9 @@
 
     /// Notes a failure: the upstream is avoided for a while, longer with each in a row.
     pub fn fail(&mut self, now: Duration, upstream: &str) {
+        if let Some(prefixes) = self.prefixes.get_mut(upstream) {
+            prefixes.clear();
+        }
         let state = self.state(upstream);
         let doublings = state.failures.min(MAX_SUSPICION_DOUBLINGS);
         state.failures += 1;
@@ -130,6 +142,7 @@
     pub fn retain(&mut self, set: &Set) {
         let names: BTreeSet<_> = set.upstreams().map(|upstream| upstream.name.as_str()).collect();
         self.states.retain(|name, state| state.in_flight > 0 || names.contains(name.as_str()));
+        self.prefixes.retain(|name, _| names.contains(name.as_str()));
     }
 
     /// States by upstream.
@@ -146,7 +159,13 @@
         let total: u32 = open.iter().map(|upstream| self.load(&upstream.name)).sum();
         let bound = (f64::from(total + 1) / open.len() as f64 * LOAD_BOUND).ceil() as u32;
         let ranked = rank(open.iter().map(|upstream| upstream.name.as_str()), &demand.affinity);
-        ranked.into_iter().find(|name| self.load(name) < bound).map(str::to_owned)
+        let light = ranked.into_iter().filter(|name| self.load(name) < bound);
+        let best = light.rev().max_by_key(|name| self.cached_blocks(name, demand));
+        best.map(str::to_owned)
+    }
+
+    fn cached_blocks(&self, upstream: &str, demand: &Demand) -> usize {
+        self.prefixes.get(upstream).map_or(0, |prefixes| prefixes.cached(&demand.blocks))
     }
 
     fn is_able(&self, upstream: &Upstream, pool: &Pool, demand: &Demand) -> bool {
--- a/quetzaltiller/src/dispatch/task.rs
+++ b/quetzaltiller/src/dispatch/task.rs
@@ -49,6 +49,7 @@
     Release { upstream: String, account: String, since: Duration },
     Failed { upstream: String },
     Report { upstream: String, report: Option<Report> },
+    Cached { upstream: String, blocks: Vec<u64> },
     Configure(Arc<Set>),
     Members(u32),
     Leaving(BTreeSet<String>),
@@ -108,6 +109,11 @@
         self.mailbox.tell(Message::Report { upstream, report });
     }
 
+    /// Notes blocks of text that an upstream has cached.
+    pub fn cached(&self, upstream: String, blocks: Vec<u64>) {
+        self.mailbox.tell(Message::Cached { upstream, blocks });
+    }
+
     /// Puts a configuration in force.
     pub fn configure(&self, set: Arc<Set>) {
         self.mailbox.tell(Message::Configure(set));
@@ -180,6 +186,7 @@
                 self.table.report(now, &upstream, report.as_ref());
                 self.serve();
             }
+            Message::Cached { upstream, blocks } => self.table.cached(&upstream, &blocks),
             Message::Configure(set) => {
                 self.table.retain(&set);
                 self.set = set;
@@ -245,6 +252,7 @@
         let Some(pool) = self.set.pool(&upstream.pool).cloned() else {
             return refuse(waiter, Code::NoUpstream);
         };
+        self.table.cached(&name, &waiter.demand.blocks);
         let permit = self.permit(name, waiter.demand.account);
         let _ = waiter.reply.send(Ok(Placement { upstream, pool, permit }));
     }
--- a/quetzaltiller/src/engine.rs
+++ b/quetzaltiller/src/engine.rs
@@ -7,6 +7,7 @@
 use futures::stream::BoxStream;
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 quick_error! {
     /// Why an engine did not do what it was asked.
@@ -138,6 +139,33 @@
     pub adapter: Option<String>,
 }
 
+/// Tokens of one cached block of text.
+pub const BLOCK_TOKENS: usize = 16;
+
+/// An engine cached a block.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub struct CacheEvent {
+    /// Rises by one; gaps are events that were lost.
+    pub sequence: u64,
+    /// Digest of the text up to the block's end, as [`blocks`] makes it.
+    pub block: u64,
+}
+
+/// Digests of the prefixes of a text that end where a block ends: XXH3-64 of each token, seeded
+/// with the digest before it.
+pub fn blocks<'a>(tokens: impl Iterator<Item = &'a str>) -> Vec<u64> {
+    let mut state = 0;
+    let mut blocks = Vec::new();
+    for (index, token) in tokens.enumerate() {
+        state = xxh3_64_with_seed(token.as_bytes(), state);
+        if (index + 1) % BLOCK_TOKENS == 0 {
+            blocks.push(state);
+        }
+    }
+    blocks
+}
+
 /// A stream of chunks.
 pub type Stream = BoxStream<'static, Result<Chunk, Error>>;
 
@@ -166,4 +194,7 @@
 
     /// Load of the engine.
     async fn report(&self, address: &str) -> Result<Report, Error>;
+
+    /// Events after the sequence number `after`, late and with gaps.
+    async fn cache_events(&self, address: &str, after: u64) -> Result<Vec<CacheEvent>, Error>;
 }
--- a/quetzaltiller/src/reports.rs
+++ b/quetzaltiller/src/reports.rs
@@ -1,4 +1,4 @@
-//! Asks engines for their load.
+//! Asks engines for their load and for what they cached.
 
 use crate::catalog::Catalog;
 use crate::dispatch::Dispatch;
@@ -56,10 +56,18 @@
     period: Duration,
 ) {
     let mut interval = tokio::time::interval(period);
+    let mut seen = 0;
     loop {
         interval.tick().await;
         let report = timeout(period, engines.report(&address)).await;
         dispatch.report(name.clone(), report.ok().and_then(Result::ok));
+        if let Ok(Ok(events)) = timeout(period, engines.cache_events(&address, seen)).await {
+            seen = events.last().map_or(seen, |event| event.sequence);
+            let blocks: Vec<_> = events.into_iter().map(|event| event.block).collect();
+            if !blocks.is_empty() {
+                dispatch.cached(name.clone(), blocks);
+            }
+        }
     }
 }
 
--- a/quetzaltiller/src/session/task.rs
+++ b/quetzaltiller/src/session/task.rs
@@ -4,7 +4,7 @@
 use crate::clock::Clock;
 use crate::config::Timing;
 use crate::dispatch::{Demand, Dispatch, Permit, Placement};
-use crate::engine::{self, Attempt, Submission};
+use crate::engine::{self, Attempt, Submission, blocks};
 use crate::generation::{
     Effect, Input, Machine, Opening, Outcome, Request, Settings, Splice, Start,
 };
@@ -454,7 +454,9 @@
         }
         self.permit = None;
         let version = self.machine.version().map(str::to_owned);
-        let demand = Demand { avoid, resumed, version, ..self.demand.clone() };
+        let emitted = self.machine.splice().tokens().iter().map(String::as_str);
+        let blocks = blocks(self.request.prompt.split_whitespace().chain(emitted));
+        let demand = Demand { avoid, resumed, version, blocks, ..self.demand.clone() };
         let deadline = self.context.clock.now() + self.patience;
         let (dispatch, notices) = (self.context.dispatch.clone(), self.notices.clone());
         self.scope.spawn(async move {
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -7,6 +7,6 @@
 mod order;
 
 pub use batch::{Engine, Running, Settings, Submitted, Work};
-pub use cache::{Cache, CacheEvent};
+pub use cache::Cache;
 pub use client::Fleet;
 pub use order::{Order, OrderError, Role};
--- a/standin/src/engine/batch.rs
+++ b/standin/src/engine/batch.rs
@@ -1,11 +1,11 @@
 //! The engine's streams and its step loop.
 
-use super::cache::{Cache, CacheEvent, blocks};
+use super::cache::Cache;
 use super::order::{Order, OrderError, Role};
 use crate::gate::Gate;
 use crate::text::Chain;
 use quetzaltiller::digest::Checksum;
-use quetzaltiller::engine::{Body, Chunk, Error, Report, Submission};
+use quetzaltiller::engine::{Body, CacheEvent, Chunk, Error, Report, Submission, blocks};
 use quetzaltiller::generation::Request;
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha12Rng;
--- a/standin/src/engine/cache.rs
+++ b/standin/src/engine/cache.rs
@@ -1,29 +1,16 @@
 //! Prefix cache: blocks of text in limited memory, and the events that tell of it.
 
+use quetzaltiller::engine::{BLOCK_TOKENS, CacheEvent};
 use rand::Rng as _;
 use rand_chacha::ChaCha12Rng;
-use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Tokens of one cached block.
-pub const BLOCK_TOKENS: usize = 16;
 const EVENT_DELAY: Duration = Duration::from_millis(500);
 const EVENT_LOSS: f64 = 0.1;
 const KEPT_EVENTS: usize = 4_096;
 
-/// A block was cached.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub struct CacheEvent {
-    /// Rises by one; gaps are events that were lost.
-    pub sequence: u64,
-    /// Digest of the prefix up to the block's end.
-    pub block: u64,
-}
-
 /// Cached blocks, least recently used dropped first.
 #[derive(Debug)]
 pub struct Cache {
@@ -103,16 +90,3 @@
         self.by_use.insert(self.uses, block);
     }
 }
-
-/// Digests of the prefixes of a text that end at a block's end.
-pub fn blocks<'a>(tokens: impl Iterator<Item = &'a str>) -> Vec<u64> {
-    let mut state = 0;
-    let mut blocks = Vec::new();
-    for (index, token) in tokens.enumerate() {
-        state = xxh3_64_with_seed(token.as_bytes(), state);
-        if (index + 1) % BLOCK_TOKENS == 0 {
-            blocks.push(state);
-        }
-    }
-    blocks
-}
--- a/standin/src/engine/client.rs
+++ b/standin/src/engine/client.rs
@@ -5,7 +5,7 @@
 use async_trait::async_trait;
 use futures::StreamExt as _;
 use futures::stream;
-use quetzaltiller::engine::{Attempt, Client, Error, Report, Stream, Submission};
+use quetzaltiller::engine::{Attempt, CacheEvent, Client, Error, Report, Stream, Submission};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -70,4 +70,10 @@
         self.answer(address).await?;
         Ok(report)
     }
+
+    async fn cache_events(&self, address: &str, after: u64) -> Result<Vec<CacheEvent>, Error> {
+        let events = self.reach(address).await?.cache_events(after);
+        self.answer(address).await?;
+        Ok(events)
+    }
 }
