Choose upstreams by cost, and spread resumed work over near-equal ones

A cost that counts only the router's own queue changed nothing.

Change: cost is prefill of what is not cached plus the wait at the pool's weight; resumed work goes by its own rank to any engine within a factor that grows with the weight; silence is noticed from 80 ms; a pause's floor counts replacement.

--- a/bench/src/faults.rs
+++ b/bench/src/faults.rs
@@ -175,8 +175,9 @@
             }
             Kind::EnginePaused => {
                 let place = self.busy_engine();
-                self.note_hits(&place.address, &mut injected);
-                self.freeze(place.address);
+                let pause = self.rng.random_range(PAUSE.0..PAUSE.1);
+                self.note_pause(&place.address, pause, &mut injected);
+                self.freeze(place.address, pause);
             }
             Kind::SilentConnection => {
                 let place = self.busy_engine();
@@ -249,8 +250,7 @@
         }
     }
 
-    fn freeze(&mut self, party: String) {
-        let pause = self.rng.random_range(PAUSE.0..PAUSE.1);
+    fn freeze(&self, party: String, pause: Duration) {
         let gate = self.system.gate.clone();
         gate.set_frozen(&party, true);
         tokio::spawn(async move {
@@ -333,6 +333,16 @@
         note_loss(&self.system.engines, &self.system.gate, addresses, injected);
     }
 
+    /// An engine that pauses costs the pause, or a replacement once the silence is noticed.
+    fn note_pause(&self, address: &String, pause: Duration, injected: &mut Injected) {
+        let mut lost = Injected::new(injected.kind);
+        self.note_loss(std::slice::from_ref(address), &mut lost);
+        injected.hits.extend(lost.hits.into_iter().map(|hit| {
+            let replaced = SILENCE_FLOOR + hit.floor;
+            Hit { floor: replaced.min(pause + STEP), ..hit }
+        }));
+    }
+
     fn note_hits(&self, address: &str, injected: &mut Injected) {
         injected.hits.extend(silence_hits(&self.system.engines[address]));
     }
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -142,7 +142,7 @@
 fn print_row(report: &Report, kinds: &[Kind]) {
     println!(
         "{:?} seed {} {:?}: violations {} unfinished {} resume max {:.0} ms p99 {:.0} floor {:.0} \
-         extra {:.4} floor {:.4}",
+         extra {:.4} resume {:.4} floor {:.4}",
         report.deployment,
         report.seed,
         kinds,
@@ -152,6 +152,7 @@
         report.resume_latency_ms.p99,
         report.resume_floor_ms,
         report.extra_work_ratio,
+        report.resume_work_ratio,
         report.extra_work_floor_ratio,
     );
     if report.violations.total() > 0 {
--- a/bench/src/realtime.rs
+++ b/bench/src/realtime.rs
@@ -42,7 +42,7 @@
         let taken = engine.submitted().into_iter();
         taken.map(|submitted| Taken { address: name.clone(), submitted })
     });
-    let work = engines.values().map(|engine| engine.work().prefilled + engine.work().decoded).sum();
+    let work = || engines.values().map(Engine::work);
     let sum = |counter| system.routers.iter().map(|r| r.metrics().value(counter)).sum();
     let seen = Seen {
         evidence: Evidence {
@@ -52,7 +52,8 @@
             ..Evidence::default()
         },
         injected,
-        work_tokens: work,
+        work_tokens: work().map(|work| work.prefilled + work.decoded).sum(),
+        resumed_tokens: work().map(|work| work.resumed).sum(),
         counters: COUNTED.iter().map(|counter| (counter.name(), sum(*counter))).collect(),
         peer_bytes: 0,
         in_force: Vec::new(),
--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -87,6 +87,8 @@
     pub resume_floor_ms: f64,
     /// Engine tokens beyond a run without faults, over that run.
     pub extra_work_ratio: f64,
+    /// Prefill of streams that continue an earlier attempt, over the run without faults.
+    pub resume_work_ratio: f64,
     /// Prefill that no living engine had cached, over the run without faults.
     pub extra_work_floor_ratio: f64,
     /// Simpler ways.
--- a/bench/src/run.rs
+++ b/bench/src/run.rs
@@ -91,6 +91,8 @@
     pub injected: Vec<Injected>,
     /// Engine tokens prefilled and decoded.
     pub work_tokens: u64,
+    /// Of these, prefilled to resume.
+    pub resumed_tokens: u64,
     /// Counters of the routers.
     pub counters: BTreeMap<&'static str, u64>,
     /// Bytes between entry VMs.
@@ -162,6 +164,7 @@
         evidence,
         injected,
         work_tokens: work.prefilled + work.decoded,
+        resumed_tokens: work.resumed,
         counters: counters.collect(),
         peer_bytes: system.hub.peer_bytes(),
         in_force: operator.finish(),
@@ -235,6 +238,7 @@
         resume_latency_ms: measures.resume_latency_ms,
         resume_floor_ms: Times::new(seen.floors()).p99,
         extra_work_ratio: measures.extra_work_ratio,
+        resume_work_ratio: seen.resumed_tokens as f64 / quiet.work_tokens as f64,
         extra_work_floor_ratio: lost as f64 / quiet.work_tokens as f64,
         baseline: None,
         lookup_ms: Times::new(records.lookups.iter().map(|lookup| lookup.took)),
--- a/bench/src/system.rs
+++ b/bench/src/system.rs
@@ -237,6 +237,7 @@
             sum.prefilled += work.prefilled;
             sum.cached += work.cached;
             sum.decoded += work.decoded;
+            sum.resumed += work.resumed;
         }
         sum
     }
--- a/quetzaltiller/src/config.rs
+++ b/quetzaltiller/src/config.rs
@@ -104,7 +104,7 @@
             journal_timeout: reader.millis("journal_timeout_ms", 150, 5, 5_000),
             journal_retention: reader.millis("journal_retention_ms", 60_000, 1_000, 3_600_000),
             open_timeout: reader.millis("open_timeout_ms", 1_000, 10, 4_000),
-            min_silence: reader.millis("min_silence_ms", 150, 10, 4_000),
+            min_silence: reader.millis("min_silence_ms", 80, 10, 4_000),
             max_silence: reader.millis("max_silence_ms", 1_000, 10, 4_000),
             report: reader.millis("report_ms", 1_000, 50, 60_000),
         }
--- a/quetzaltiller/src/dispatch/table.rs
+++ b/quetzaltiller/src/dispatch/table.rs
@@ -1,13 +1,14 @@
 //! Loads and suspicions of upstreams, and the choice among them.
 //!
 //! Reports lag, so the load is corrected by what this process has started since. Among the
-//! upstreams whose load is near the mean, the one that has cached most of the text is chosen, and
-//! where none has any, requests with the same beginning go to the same one. Source: Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing with Bounded Loads",
+//! upstreams whose load is near the mean, the one is chosen that costs least: prefill of what it
+//! has not cached, plus the wait for the first token at the pool's weight. Where costs are equal,
+//! requests with the same beginning go to the same one. Source of the bound: Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing with Bounded Loads",
 //! SODA 2018, here on rendezvous ranks.
 
 use super::demand::Demand;
 use super::prefixes::Prefixes;
-use crate::engine::Report;
+use crate::engine::{BLOCK_TOKENS, Report};
 use crate::objects::{Pool, Set, Upstream};
 use crate::refusal::Code;
 use coordination::rendezvous::rank;
@@ -34,6 +35,8 @@
     pub failures: u32,
     /// Chosen only for want of another until then, in milliseconds since the start.
     pub suspect_until_ms: u64,
+    /// End of the prefill that this process gave it, in milliseconds since the start.
+    pub prefill_until_ms: u64,
 }
 
 impl UpstreamState {
@@ -75,18 +78,29 @@
         let able: Vec<_> = allowed
             .into_iter()
             .filter(|(upstream, pool)| self.is_able(upstream, pool, demand))
-            .map(|(upstream, _)| upstream)
             .collect();
         let preferred: Vec<_> = able
             .iter()
             .copied()
-            .filter(|u| !self.is_suspect(now, &u.name) && !demand.avoid.contains(&u.name))
+            .filter(|(u, _)| !self.is_suspect(now, &u.name) && !demand.avoid.contains(&u.name))
             .collect();
         let candidates = if preferred.is_empty() { able } else { preferred };
         if candidates.is_empty() {
             return Choice::Nowhere(Code::NoUpstream);
         }
-        self.choose_among(&candidates, demand).map_or(Choice::Full, Choice::Upstream)
+        let chosen = self.choose_among(now, &candidates, demand);
+        chosen.map_or(Choice::Full, Choice::Upstream)
+    }
+
+    /// Notes that `demand` goes to the upstream: its text will be cached there, and prefilled
+    /// until then.
+    pub fn grant(&mut self, now: Duration, upstream: &str, pool: &Pool, demand: &Demand) {
+        let prefill = self.prefill(upstream, pool, demand);
+        self.cached(upstream, &demand.blocks);
+        let state = self.state(upstream);
+        let begins = state.prefill_until_ms.max(now.as_millis() as u64);
+        state.prefill_until_ms = begins + prefill.as_millis() as u64;
+        state.in_flight += 1;
     }
 
     /// Notes a request begun.
@@ -150,22 +164,46 @@
         &self.states
     }
 
-    fn choose_among(&self, candidates: &[&Upstream], demand: &Demand) -> Option<String> {
+    fn choose_among(
+        &self,
+        now: Duration,
+        candidates: &[(&Upstream, &Pool)],
+        demand: &Demand,
+    ) -> Option<String> {
         let open: Vec<_> =
-            candidates.iter().filter(|u| self.load(&u.name) < u.slots).copied().collect();
+            candidates.iter().filter(|(u, _)| self.load(&u.name) < u.slots).copied().collect();
         if open.is_empty() {
             return None;
         }
-        let total: u32 = open.iter().map(|upstream| self.load(&upstream.name)).sum();
+        let total: u32 = open.iter().map(|(upstream, _)| self.load(&upstream.name)).sum();
         let bound = (f64::from(total + 1) / open.len() as f64 * LOAD_BOUND).ceil() as u32;
-        let ranked = rank(open.iter().map(|upstream| upstream.name.as_str()), &demand.affinity);
+        let ranked =
+            rank(open.iter().map(|(upstream, _)| upstream.name.as_str()), &demand.affinity);
         let light = ranked.into_iter().filter(|name| self.load(name) < bound);
-        let best = light.rev().max_by_key(|name| self.cached_blocks(name, demand));
-        best.map(str::to_owned)
+        let costed = light.filter_map(|name| {
+            let (_, pool) = open.iter().find(|(upstream, _)| upstream.name == name)?;
+            Some((self.cost_s(now, name, pool, demand), name))
+        });
+        let costed: Vec<_> = costed.collect();
+        let least_s = costed.iter().map(|(cost_s, _)| *cost_s).min_by(f64::total_cmp)?;
+        let weight = open.iter().map(|(_, pool)| pool.resume_weight).fold(0.0, f64::max);
+        let limit_s = if demand.resumed { least_s * spread(weight) } else { least_s };
+        costed.into_iter().find(|(cost_s, _)| *cost_s <= limit_s).map(|(_, name)| name.to_owned())
     }
 
-    fn cached_blocks(&self, upstream: &str, demand: &Demand) -> usize {
-        self.prefixes.get(upstream).map_or(0, |prefixes| prefixes.cached(&demand.blocks))
+    /// Engine seconds that a choice costs: prefill of what is not cached, and the wait for the
+    /// first token at the pool's weight.
+    fn cost_s(&self, now: Duration, upstream: &str, pool: &Pool, demand: &Demand) -> f64 {
+        let prefill_s = self.prefill(upstream, pool, demand).as_secs_f64();
+        let busy_until_ms = self.states.get(upstream).map_or(0, |state| state.prefill_until_ms);
+        let queue_s = Duration::from_millis(busy_until_ms).saturating_sub(now).as_secs_f64();
+        prefill_s + pool.resume_weight * (queue_s + prefill_s)
+    }
+
+    fn prefill(&self, upstream: &str, pool: &Pool, demand: &Demand) -> Duration {
+        let cached = self.prefixes.get(upstream).map_or(0, |known| known.cached(&demand.blocks));
+        let tokens = (demand.blocks.len() - cached) * BLOCK_TOKENS;
+        Duration::from_secs_f64(tokens as f64 / pool.prefill_tokens_per_s as f64)
     }
 
     fn is_able(&self, upstream: &Upstream, pool: &Pool, demand: &Demand) -> bool {
@@ -187,3 +225,10 @@
         self.states.entry(upstream.to_owned()).or_default()
     }
 }
+
+/// Factor on the least cost within which resumed work is spread by rank. Entry VMs resume the
+/// streams of a lost engine at the same moment and do not see each other's choices; the more a
+/// pool minds waiting, the more it pays to keep them from queueing at the cheapest engine.
+fn spread(weight: f64) -> f64 {
+    1.0 + weight / (1.0 + weight)
+}
--- a/quetzaltiller/src/dispatch/task.rs
+++ b/quetzaltiller/src/dispatch/task.rs
@@ -175,6 +175,7 @@
                 self.place(Waiter { demand, deadline, reply });
             }
             Message::Adopt { upstream, account, reply } => {
+                self.table.begin(&upstream);
                 let _ = reply.send(self.permit(upstream, account));
             }
             Message::Release { upstream, account, since } => {
@@ -252,13 +253,12 @@
         let Some(pool) = self.set.pool(&upstream.pool).cloned() else {
             return refuse(waiter, Code::NoUpstream);
         };
-        self.table.cached(&name, &waiter.demand.blocks);
+        self.table.grant(self.clock.now(), &name, &pool, &waiter.demand);
         let permit = self.permit(name, waiter.demand.account);
         let _ = waiter.reply.send(Ok(Placement { upstream, pool, permit }));
     }
 
     fn permit(&mut self, upstream: String, account: String) -> Permit {
-        self.table.begin(&upstream);
         *self.accounts.entry(account.clone()).or_default() += 1;
         Permit { upstream, account, since: self.clock.now(), mailbox: self.mailbox.clone() }
     }
--- a/quetzaltiller/src/session/task.rs
+++ b/quetzaltiller/src/session/task.rs
@@ -456,7 +456,10 @@
         let version = self.machine.version().map(str::to_owned);
         let emitted = self.machine.splice().tokens().iter().map(String::as_str);
         let blocks = blocks(self.request.prompt.split_whitespace().chain(emitted));
-        let demand = Demand { avoid, resumed, version, blocks, ..self.demand.clone() };
+        let mut demand = Demand { avoid, resumed, version, blocks, ..self.demand.clone() };
+        if resumed {
+            demand.affinity = self.generation().to_owned();
+        }
         let deadline = self.context.clock.now() + self.patience;
         let (dispatch, notices) = (self.context.dispatch.clone(), self.notices.clone());
         self.scope.spawn(async move {
--- a/standin/src/engine/batch.rs
+++ b/standin/src/engine/batch.rs
@@ -79,6 +79,8 @@
     pub cached: u64,
     /// Decoded.
     pub decoded: u64,
+    /// Prefilled for streams that continue an earlier attempt.
+    pub resumed: u64,
 }
 
 /// A stream taken on.
@@ -114,6 +116,7 @@
     prefill_left: f64,
     blocks: Vec<u64>,
     prompt: Arc<str>,
+    resumed: bool,
     priority: u8,
     arrival: u64,
     ended_at: Option<Instant>,
@@ -435,6 +438,7 @@
             prefill_left: (length - cached) as f64,
             blocks,
             prompt: submission.prompt.as_str().into(),
+            resumed: submission.attempt > 1,
             priority: submission.priority,
             arrival: self.arrivals,
             ended_at: None,
@@ -517,6 +521,7 @@
             stream.prefill_left -= done;
             *prefill -= done;
             self.work.prefilled += done.round() as u64;
+            self.work.resumed += if stream.resumed { done.round() as u64 } else { 0 };
             if stream.prefill_left > 0.0 {
                 return;
             }
