--- a/bench/src/checker.rs
+++ b/bench/src/checker.rs
@@ -113,6 +113,20 @@
     }
 }
 
+impl Violations {
+    /// Adds another run's.
+    pub fn add(&mut self, other: &Self) {
+        self.token_missing_or_repeated += other.token_missing_or_repeated;
+        self.generations_mixed += other.generations_mixed;
+        self.wrong_answer += other.wrong_answer;
+        self.not_run_but_ran += other.not_run_but_ran;
+        self.action_more_than_once += other.action_more_than_once;
+        self.leaving_got_new_work += other.leaving_got_new_work;
+        self.shutdown_cut += other.shutdown_cut;
+        self.configuration_late_or_reverted += other.configuration_late_or_reverted;
+    }
+}
+
 /// Counts the violations in what was seen.
 pub fn check(evidence: &Evidence) -> Violations {
     let mut violations = Violations::default();
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod realtime;
 pub mod report;
 pub mod run;
+pub mod soak;
 pub mod sockets;
 pub mod system;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -2,10 +2,10 @@
 
 use argh::FromArgs;
 use bench::deployment::Deployment;
-use bench::faults::{self, Kind};
+use bench::faults::Kind;
 use bench::report::Report;
 use bench::run::{Options, run};
-use bench::{cost, realtime};
+use bench::{cost, realtime, soak};
 use quetzaltiller::daemon;
 use std::error::Error;
 use std::path::{Path, PathBuf};
@@ -81,6 +81,12 @@
     /// pairs of faults instead of single ones
     #[argh(switch)]
     pairs: bool,
+    /// runs at once
+    #[argh(option, default = "4")]
+    jobs: usize,
+    /// file to write the pooled figures to
+    #[argh(option)]
+    json: Option<PathBuf>,
 }
 
 const DEFAULT_FAULTS: [Kind; 4] =
@@ -122,21 +128,13 @@
 }
 
 fn soak(args: &SoakArgs) -> ExitCode {
-    let mut violations = 0;
-    for seed in args.from..=args.to {
-        for deployment in Deployment::ALL {
-            let kinds = if args.pairs {
-                faults::pair(seed)
-            } else {
-                vec![Kind::ALL[seed as usize % Kind::ALL.len()]]
-            };
-            let report = run(&Options::new(deployment, seed, &kinds));
-            violations += report.violations.total();
-            print_row(&report, &kinds);
-        }
+    let kinds = if args.pairs { soak::Kinds::Pairs } else { soak::Kinds::Single };
+    let summaries = soak::run_all(kinds, args.from..=args.to, args.jobs, &print_row);
+    let json = serde_json::to_string_pretty(&summaries).unwrap_or_default();
+    if let Some(code) = print(args.json.as_deref(), &json) {
+        return code;
     }
-    println!("violations: {violations}");
-    verdict(violations)
+    verdict(summaries.iter().map(|summary| summary.violations.total()).sum())
 }
 
 fn print_row(report: &Report, kinds: &[Kind]) {
--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -119,4 +119,10 @@
     pub control: Control,
     /// Time that the run took on its clock, in seconds.
     pub duration_s: f64,
+    /// Each wait, to pool runs.
+    #[serde(skip)]
+    pub latencies: Vec<Duration>,
+    /// Shortest possible wait of each stream that was hit, to pool runs.
+    #[serde(skip)]
+    pub floors: Vec<Duration>,
 }
--- a/bench/src/run.rs
+++ b/bench/src/run.rs
@@ -257,6 +257,8 @@
             peer_bytes_per_s: seen.peer_bytes as f64 / vm_seconds,
         },
         duration_s: seen.duration.as_secs_f64(),
+        latencies: seen.resume_latencies(),
+        floors: seen.floors(),
     }
 }
 
--- /dev/null
+++ b/bench/src/soak.rs
@@ -0,0 +1,107 @@
+//! Many seeds, pooled.
+
+use crate::checker::Violations;
+use crate::deployment::Deployment;
+use crate::faults::{self, Kind};
+use crate::report::{Report, Times};
+use crate::run::{Options, run};
+use serde::Serialize;
+use std::ops::RangeInclusive;
+use std::sync::{Mutex, PoisonError};
+use std::thread;
+
+/// Which faults a run gets.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kinds {
+    /// One, by seed.
+    Single,
+    /// Two, by seed.
+    Pairs,
+}
+
+impl Kinds {
+    fn of(self, seed: u64) -> Vec<Kind> {
+        match self {
+            Self::Single => vec![Kind::ALL[seed as usize % Kind::ALL.len()]],
+            Self::Pairs => faults::pair(seed),
+        }
+    }
+}
+
+/// Pooled figures of one deployment.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Summary {
+    /// Deployment.
+    pub deployment: Deployment,
+    /// Runs.
+    pub runs: usize,
+    /// Broken promises.
+    pub violations: Violations,
+    /// Drafts asked for.
+    pub drafts: usize,
+    /// Drafts that did not become whole.
+    pub unfinished: usize,
+    /// Waits of all streams that were hit.
+    pub resume_latency_ms: Times,
+    /// Their shortest possible waits.
+    pub resume_floor_ms: Times,
+    /// Mean extra engine work.
+    pub extra_work_ratio: f64,
+    /// Mean prefill of resumed streams.
+    pub resume_work_ratio: f64,
+    /// Mean prefill that no living engine had cached.
+    pub extra_work_floor_ratio: f64,
+}
+
+/// Runs both deployments over `seeds`, `jobs` at once; `each` sees every report.
+pub fn run_all(
+    kinds: Kinds,
+    seeds: RangeInclusive<u64>,
+    jobs: usize,
+    each: &(dyn Fn(&Report, &[Kind]) + Sync),
+) -> Vec<Summary> {
+    let work = seeds.flat_map(|seed| Deployment::ALL.map(|deployment| (seed, deployment)));
+    let (work, reports) = (Mutex::new(work), Mutex::new(Vec::new()));
+    thread::scope(|scope| {
+        for _ in 0..jobs.max(1) {
+            scope.spawn(|| {
+                loop {
+                    let next = work.lock().unwrap_or_else(PoisonError::into_inner).next();
+                    let Some((seed, deployment)) = next else {
+                        return;
+                    };
+                    let chosen = kinds.of(seed);
+                    let report = run(&Options::new(deployment, seed, &chosen));
+                    each(&report, &chosen);
+                    reports.lock().unwrap_or_else(PoisonError::into_inner).push(report);
+                }
+            });
+        }
+    });
+    let reports = reports.into_inner().unwrap_or_else(PoisonError::into_inner);
+    let of = |deployment| reports.iter().filter(move |report| report.deployment == deployment);
+    Deployment::ALL
+        .map(|deployment| summarize(deployment, &of(deployment).collect::<Vec<_>>()))
+        .into()
+}
+
+fn summarize(deployment: Deployment, reports: &[&Report]) -> Summary {
+    let mut violations = Violations::default();
+    reports.iter().for_each(|report| violations.add(&report.violations));
+    let mean = |figure: fn(&Report) -> f64| {
+        reports.iter().map(|report| figure(report)).sum::<f64>() / reports.len().max(1) as f64
+    };
+    Summary {
+        deployment,
+        runs: reports.len(),
+        violations,
+        drafts: reports.iter().map(|report| report.drafts).sum(),
+        unfinished: reports.iter().map(|report| report.unfinished).sum(),
+        resume_latency_ms: Times::new(reports.iter().flat_map(|r| r.latencies.iter().copied())),
+        resume_floor_ms: Times::new(reports.iter().flat_map(|r| r.floors.iter().copied())),
+        extra_work_ratio: mean(|report| report.extra_work_ratio),
+        resume_work_ratio: mean(|report| report.resume_work_ratio),
+        extra_work_floor_ratio: mean(|report| report.extra_work_floor_ratio),
+    }
+}
--- /dev/null
+++ b/quetzaltiller/tests/machine.rs
@@ -0,0 +1,296 @@
+//! Focused cases of engines that fail at a bad moment.
+
+use coordination::detector::Bounds;
+use coordination::patience::Patience;
+use quetzaltiller::digest::Checksum;
+use quetzaltiller::engine::{Body, Chunk, Error};
+use quetzaltiller::generation::{
+    Effect, Input, Machine, Opening, Outcome, Settings, Splice, Start,
+};
+use quetzaltiller::refusal::Code;
+use rstest::rstest;
+use std::time::Duration;
+
+const SILENCE: Bounds =
+    Bounds { min: Duration::from_millis(80), max: Duration::from_millis(1_000) };
+
+fn settings(weight: f64) -> Settings {
+    Settings {
+        patience: Patience { weight, max: Duration::from_millis(3_000) },
+        prefill_tokens_per_s: 1_000.0,
+        prompt_tokens: 1_000,
+        open_timeout: Duration::from_millis(1_000),
+        deadline: Duration::from_secs(30),
+        silence: SILENCE,
+    }
+}
+
+/// A machine and its clock.
+struct Bed {
+    machine: Machine,
+    now: Duration,
+}
+
+impl Bed {
+    /// A generation that runs on connection 1 of `first`, with the first token emitted.
+    fn running(weight: f64) -> Self {
+        let splice = Splice::new("g".into(), 1, 1, Vec::new());
+        let (machine, effects) =
+            Machine::new(Duration::ZERO, splice, settings(weight), Start::Fresh);
+        assert!(matches!(effects[..], [Effect::Place { resumed: false, .. }]));
+        let mut bed = Self { machine, now: Duration::ZERO };
+        bed.place("first", 1);
+        bed.on(Input::Opened(1));
+        bed.tokens(1, 1, 0, &["t0 "]);
+        bed
+    }
+
+    fn on(&mut self, input: Input) -> Vec<Effect> {
+        self.machine.on(self.now, input)
+    }
+
+    fn place(&mut self, upstream: &str, conn: u32) {
+        let effects = self.on(Input::Placed(upstream.into(), "v1".into()));
+        let open = Effect::Open { conn, opening: Opening::Submit, upstream: upstream.into() };
+        assert_eq!(effects, [open]);
+    }
+
+    fn tokens(&mut self, conn: u32, attempt: u32, index: u32, tokens: &[&str]) -> Vec<Effect> {
+        let tokens = tokens.iter().map(ToString::to_string).collect();
+        self.chunk(conn, "g", attempt, Body::Tokens { index, tokens })
+    }
+
+    fn chunk(&mut self, conn: u32, generation: &str, attempt: u32, body: Body) -> Vec<Effect> {
+        self.on(Input::Chunk(conn, Chunk { generation: generation.into(), attempt, body }))
+    }
+
+    fn end(&mut self, conn: u32, attempt: u32, total: u32) -> Vec<Effect> {
+        let checksum = Checksum::of(self.machine.splice().tokens()).hex();
+        self.chunk(conn, "g", attempt, Body::Ended { total, checksum })
+    }
+
+    /// Lets time pass to when the machine asks to be woken.
+    fn wake(&mut self) -> Vec<Effect> {
+        self.now = self.machine.wake_at().expect("the machine waits");
+        self.on(Input::Tick)
+    }
+
+    /// The engine on connection `conn` ends: reattaching is refused, and another is asked for.
+    fn lose(&mut self, conn: u32) -> Vec<Effect> {
+        let effects = self.on(Input::Failed(conn, Error::Reset));
+        assert!(opens(&effects, Opening::Reattach));
+        self.on(Input::Failed(conn + 1, Error::Refused))
+    }
+}
+
+fn opens(effects: &[Effect], wanted: Opening) -> bool {
+    effects.iter().any(|e| matches!(e, Effect::Open { opening, .. } if *opening == wanted))
+}
+
+fn places(effects: &[Effect]) -> bool {
+    effects.iter().any(|e| matches!(e, Effect::Place { resumed: true, .. }))
+}
+
+fn finish(effects: &[Effect]) -> Option<Outcome> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Finish(outcome) => Some(*outcome),
+        _ => None,
+    })
+}
+
+#[test]
+fn an_engine_that_dies_during_the_last_chunk_is_replaced() {
+    let mut bed = Bed::running(1.0);
+    bed.tokens(1, 1, 1, &["t1 "]);
+
+    let effects = bed.lose(1);
+    bed.place("second", 3);
+    let end = bed.end(3, 2, 2);
+
+    assert!(places(&effects));
+    assert_eq!(finish(&end), Some(Outcome::Whole));
+    assert_eq!(bed.machine.splice().tokens(), ["t0 ", "t1 "]);
+}
+
+#[test]
+fn two_engines_that_die_in_a_row_are_both_avoided() {
+    let mut bed = Bed::running(1.0);
+    bed.lose(1);
+    bed.place("second", 3);
+    bed.on(Input::Opened(3));
+
+    let effects = bed.lose(3);
+
+    let avoid = effects.iter().find_map(|effect| match effect {
+        Effect::Place { avoid, .. } => Some(avoid.clone()),
+        _ => None,
+    });
+    assert_eq!(avoid, Some(vec!["first".into(), "second".into()]));
+}
+
+#[test]
+fn a_listed_engine_that_is_dead_costs_one_refusal() {
+    let mut bed = Bed::running(1.0);
+    bed.lose(1);
+    bed.place("second", 3);
+
+    let effects = bed.on(Input::Failed(3, Error::Refused));
+
+    assert!(places(&effects));
+    assert!(!effects.iter().any(|effect| matches!(effect, Effect::Cancel { .. })));
+}
+
+#[test]
+fn an_engine_that_answers_for_another_generation_is_replaced() {
+    let mut bed = Bed::running(1.0);
+    let body = Body::Tokens { index: 1, tokens: vec!["x ".into()] };
+
+    let effects = bed.chunk(1, "other", 1, body);
+
+    assert!(places(&effects));
+    assert_eq!(bed.machine.splice().tokens(), ["t0 "]);
+}
+
+#[test]
+fn a_total_below_the_tokens_sent_ends_honestly() {
+    let mut bed = Bed::running(1.0);
+    bed.tokens(1, 1, 1, &["t1 ", "t2 "]);
+
+    let effects = bed.end(1, 1, 2);
+
+    assert_eq!(finish(&effects), Some(Outcome::Failed(Code::EngineInconsistent)));
+}
+
+#[test]
+fn tokens_beyond_the_total_are_ignored_after_the_end() {
+    let mut bed = Bed::running(1.0);
+    assert_eq!(finish(&bed.end(1, 1, 1)), Some(Outcome::Whole));
+
+    let effects = bed.tokens(1, 1, 1, &["t1 "]);
+
+    assert!(effects.is_empty());
+    assert_eq!(bed.machine.splice().next(), 1);
+}
+
+#[test]
+fn a_chunk_of_an_old_attempt_changes_nothing() {
+    let mut bed = Bed::running(1.0);
+    bed.lose(1);
+    bed.place("second", 3);
+    bed.on(Input::Opened(3));
+    bed.tokens(3, 2, 1, &["new "]);
+
+    bed.tokens(1, 1, 1, &["old ", "old "]);
+
+    assert_eq!(bed.machine.splice().tokens(), ["t0 ", "new "]);
+}
+
+#[test]
+fn silence_is_answered_by_reattaching_and_the_stream_goes_on() {
+    let mut bed = Bed::running(1.0);
+
+    let probe = bed.wake();
+    bed.on(Input::Opened(2));
+    bed.tokens(2, 1, 1, &["t1 "]);
+
+    assert!(opens(&probe, Opening::Reattach));
+    assert_eq!(bed.machine.stats().redispatched, 0);
+    assert_eq!(bed.machine.splice().next(), 2);
+}
+
+#[test]
+fn an_old_connection_that_wakes_up_ends_the_suspicion() {
+    let mut bed = Bed::running(1.0);
+    bed.wake();
+
+    let effects = bed.tokens(1, 1, 1, &["t1 "]);
+
+    assert_eq!(effects, [Effect::Close(2)]);
+    assert_eq!(bed.machine.stats().false_suspicions, 1);
+}
+
+#[rstest]
+#[case::hurried(10.0, Duration::from_millis(1_200))]
+#[case::even(1.0, Duration::from_millis(2_200))]
+#[case::thrifty(0.01, Duration::from_millis(3_200))]
+fn a_silent_engine_is_replaced_when_waiting_has_cost_as_much(
+    #[case] weight: f64,
+    #[case] latest: Duration,
+) {
+    let mut bed = Bed::running(weight);
+
+    while bed.machine.stats().redispatched == 0 {
+        bed.wake();
+    }
+
+    // A prompt of 1,000 tokens costs a second; the first silence is noticed after one more.
+    assert!(bed.now <= latest, "{:?}", bed.now);
+    assert!(bed.now >= latest - Duration::from_millis(1_200), "{:?}", bed.now);
+}
+
+#[test]
+fn an_engine_that_restarted_is_replaced_at_once() {
+    let mut bed = Bed::running(0.01);
+    bed.on(Input::Failed(1, Error::Reset));
+
+    let effects = bed.on(Input::Failed(2, Error::UnknownStream));
+
+    assert!(places(&effects));
+}
+
+#[test]
+fn another_version_is_not_used_for_the_second_attempt() {
+    let mut bed = Bed::running(1.0);
+    bed.lose(1);
+    bed.place("second", 3);
+
+    let effects = bed.on(Input::Failed(3, Error::OtherVersion));
+
+    assert!(places(&effects));
+    assert_eq!(bed.machine.version(), Some("v1"));
+}
+
+#[test]
+fn without_an_engine_the_caller_is_told_and_nothing_is_restarted() {
+    let mut bed = Bed::running(1.0);
+    bed.lose(1);
+
+    let effects = bed.on(Input::Unplaced(Code::NoUpstream));
+
+    assert_eq!(finish(&effects), Some(Outcome::Failed(Code::NoUpstream)));
+}
+
+#[test]
+fn a_fenced_owner_stops_and_leaves_the_engine_alone() {
+    let mut bed = Bed::running(1.0);
+
+    let effects = bed.on(Input::Fenced);
+
+    assert_eq!(finish(&effects), Some(Outcome::Superseded));
+    assert!(!effects.iter().any(|effect| matches!(effect, Effect::Cancel { .. })));
+}
+
+#[test]
+fn a_cancel_stops_the_current_attempt_only() {
+    let mut bed = Bed::running(1.0);
+    bed.lose(1);
+    bed.place("second", 3);
+
+    let effects = bed.on(Input::Cancel);
+
+    assert!(effects.contains(&Effect::Cancel { upstream: "second".into(), attempt: 2 }));
+    assert_eq!(finish(&effects), Some(Outcome::Cancelled));
+}
+
+#[test]
+fn an_answer_taken_over_begins_by_reattaching() {
+    let splice = Splice::new("g".into(), 1, 2 << 16, vec!["t0 ".into()]);
+    let start = Start::TakenOver("first".into(), "v1".into());
+
+    let (mut machine, effects) = Machine::new(Duration::ZERO, splice, settings(1.0), start);
+    let replaced = machine.on(Duration::ZERO, Input::Failed(1, Error::Refused));
+
+    assert!(opens(&effects, Opening::Reattach));
+    assert!(places(&replaced));
+    assert_eq!(machine.splice().attempt(), 2 << 16);
+}
