Search every interleaving of claims; free a key whose action was proved not run

Cause: a depth-first search over two claimants, a store with lost and late writes, crashes and three faults found a stuck key: the service proved it did not run the action, the record of that was lost, and the living owner answered 'running' to whoever repeated the key.

Change: an attempt that was proved not run is noted as abandoned before its record is written.

Breaking the owner's answer or the wait makes the action run twice, and the test says so.

Conclusion: at most once holds to the stated depth.

--- a/coordination/src/claim.rs
+++ b/coordination/src/claim.rs
@@ -19,7 +19,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Process that holds a claim.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
 pub struct Owner {
     /// Name of its VM.
@@ -29,7 +29,7 @@
 }
 
 /// How far an action has come.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum State<A> {
     /// Claimed; may have been sent.
@@ -43,7 +43,7 @@
 }
 
 /// The stored record of one action.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
 pub struct Record<A> {
     /// Claimant.
@@ -57,7 +57,7 @@
 }
 
 /// What an owner says of a claim of its own.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Word {
     /// It was given up before anything was sent, for good.
     Abandoned,
@@ -89,7 +89,7 @@
 }
 
 /// What to do next.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub enum Step<A> {
     /// Create the record if absent.
     Create(Record<A>),
@@ -110,7 +110,7 @@
 }
 
 /// Why the action was not sent by this attempt.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Refusal {
     /// The store can't be reached; this attempt sent nothing and never will. The nonce must be
     /// remembered as abandoned.
@@ -121,7 +121,7 @@
     Unknown,
 }
 
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 enum Phase {
     Creating,
     Reading,
@@ -133,7 +133,7 @@
 }
 
 /// One attempt to run an action.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Machine<A> {
     mine: Record<A>,
     phase: Phase,
--- a/quetzaltiller/src/actions.rs
+++ b/quetzaltiller/src/actions.rs
@@ -269,6 +269,8 @@
                 Err(_) => break,
             }
         }
+        // Until the record says so, whoever repeats the key learns it from this process.
+        self.actions.ledger.abandon(self.machine.nonce()).await;
         self.record(version, State::Aborted).await;
         Err(Refusal::not_run(Code::UpstreamFailed, "no replica took the action; it was not run"))
     }
