--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod run;
 pub mod soak;
 pub mod sockets;
+pub mod sweep;
 pub mod system;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -5,7 +5,7 @@
 use bench::faults::Kind;
 use bench::report::Report;
 use bench::run::{Options, run};
-use bench::{cost, realtime, soak};
+use bench::{cost, realtime, soak, sweep};
 use quetzaltiller::daemon;
 use std::error::Error;
 use std::path::{Path, PathBuf};
@@ -26,6 +26,7 @@
     Cost(CostArgs),
     Run(RunArgs),
     Soak(SoakArgs),
+    Sweep(SweepArgs),
 }
 
 /// Cost of the router itself, over sockets.
@@ -68,6 +69,24 @@
     drafts_per_s: f64,
 }
 
+/// The curve of waiting against engine work over the weight.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "sweep")]
+struct SweepArgs {
+    /// seeds pooled at each weight
+    #[argh(option, default = "8")]
+    seeds: u64,
+    /// runs at once
+    #[argh(option, default = "4")]
+    jobs: usize,
+    /// file to write the figures to
+    #[argh(option)]
+    json: Option<PathBuf>,
+    /// file to draw to
+    #[argh(option)]
+    svg: Option<PathBuf>,
+}
+
 /// Many seeds of single faults and of pairs; counts violations.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "soak")]
@@ -99,6 +118,7 @@
         Command::Cost(args) => cost(&args),
         Command::Run(args) => run_one(&args),
         Command::Soak(args) => soak(&args),
+        Command::Sweep(args) => sweep(&args),
     }
 }
 
@@ -137,6 +157,19 @@
     verdict(summaries.iter().map(|summary| summary.violations.total()).sum())
 }
 
+fn sweep(args: &SweepArgs) -> ExitCode {
+    let curves =
+        Deployment::ALL.map(|deployment| sweep::measure(deployment, args.seeds, args.jobs));
+    let json = serde_json::to_string_pretty(&curves).unwrap_or_default();
+    if let Some(code) = print(args.json.as_deref(), &json) {
+        return code;
+    }
+    match args.svg.as_deref().map(|path| sweep::draw(&curves, path)) {
+        Some(Err(error)) => fail(error.as_ref()),
+        Some(Ok(())) | None => ExitCode::SUCCESS,
+    }
+}
+
 fn print_row(report: &Report, kinds: &[Kind]) {
     println!(
         "{:?} seed {} {:?}: violations {} unfinished {} resume max {:.0} ms p99 {:.0} floor {:.0} \
--- a/quetzaltiller/src/caller.rs
+++ b/quetzaltiller/src/caller.rs
@@ -17,8 +17,9 @@
 use tokio::sync::Mutex;
 use tokio::time::{Instant, timeout};
 
-/// Silence after which the caller goes to another entry VM; entry VMs show life twice a second.
-const SILENCE: Duration = Duration::from_millis(1_250);
+/// Silence after which the caller goes to another entry VM; entry VMs show life four times a second
+/// where nothing else is sent.
+const SILENCE: Duration = Duration::from_millis(600);
 const ASK_TIMEOUT: Duration = Duration::from_millis(500);
 const PAUSE: Duration = Duration::from_millis(50);
 const MAX_PAUSE: Duration = Duration::from_millis(1_000);
--- a/quetzaltiller/src/front.rs
+++ b/quetzaltiller/src/front.rs
@@ -16,7 +16,7 @@
 use std::convert::Infallible;
 use tokio::sync::mpsc;
 
-const KEEP_ALIVE: Duration = Duration::from_millis(500);
+const KEEP_ALIVE: Duration = Duration::from_millis(250);
 const MAX_PATIENCE: Duration = Duration::from_secs(3_600);
 
 /// Routes for callers.
