Hedge lookups within a retry budget, and avoid replicas that a hedge overtook

Cause: a lookup waited for a silent replica until its deadline (p99 8,000 ms with one silent and one slow replica of three; 3.7% unanswered). Hedging alone left p50 at 160 ms, as the silent replica, idle by its load, was chosen again.

Change: adaptive hedge delay from the service's own answers, one budget for each account and pool, and overtaken replicas count as failed until they answer.

Conclusion: a silent connection costs a hedge delay and one fresh try.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cost;
 pub mod deployment;
 pub mod faults;
+pub mod hedge;
 pub mod load;
 pub mod realtime;
 pub mod report;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -5,7 +5,7 @@
 use bench::faults::Kind;
 use bench::report::Report;
 use bench::run::{Options, run};
-use bench::{cost, realtime, soak, sweep};
+use bench::{cost, hedge, realtime, soak, sweep};
 use quetzaltiller::daemon;
 use std::error::Error;
 use std::path::{Path, PathBuf};
@@ -24,6 +24,7 @@
 #[argh(subcommand)]
 enum Command {
     Cost(CostArgs),
+    Hedge(HedgeArgs),
     Run(RunArgs),
     Soak(SoakArgs),
     Sweep(SweepArgs),
@@ -41,6 +42,21 @@
     json: Option<PathBuf>,
 }
 
+/// Lookups with a silent and a slow replica, with and without hedging.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "hedge")]
+struct HedgeArgs {
+    /// foundation or cooperative
+    #[argh(option)]
+    deployment: Deployment,
+    /// seed of the load
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// file to write the figures to
+    #[argh(option)]
+    json: Option<PathBuf>,
+}
+
 /// One run and its baselines.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "run")]
@@ -116,6 +132,11 @@
     daemon::stop_logs();
     match args.command {
         Command::Cost(args) => cost(&args),
+        Command::Hedge(args) => {
+            let figures = hedge::measure(args.deployment, args.seed);
+            let json = serde_json::to_string_pretty(&figures).unwrap_or_default();
+            print(args.json.as_deref(), &json).unwrap_or(ExitCode::SUCCESS)
+        }
         Command::Run(args) => run_one(&args),
         Command::Soak(args) => soak(&args),
         Command::Sweep(args) => sweep(&args),
--- a/bench/src/run.rs
+++ b/bench/src/run.rs
@@ -56,8 +56,9 @@
     }
 }
 
-/// Runs on virtual time and reports.
+/// Runs on virtual time and reports; logs are off.
 pub fn run(options: &Options) -> Report {
+    quetzaltiller::daemon::stop_logs();
     let faults = faults::plan(&options.kinds, options.plan.duration, options.seed);
     let quiet = on_virtual_time(observe(options, Vec::new(), None));
     let seen = on_virtual_time(observe(options, faults.clone(), None));
--- a/coordination/src/budget.rs
+++ b/coordination/src/budget.rs
@@ -44,6 +44,11 @@
         true
     }
 
+    /// Gives one retry back that was taken and not used.
+    pub fn refund(&mut self) {
+        self.balance = (self.balance + 1.0).min(self.capacity);
+    }
+
     /// Retries left.
     pub fn balance(&self) -> f64 {
         self.balance
--- a/quetzaltiller/src/config.rs
+++ b/quetzaltiller/src/config.rs
@@ -65,6 +65,10 @@
     pub max_silence: Duration,
     /// Pause between load reports.
     pub report: Duration,
+    /// Shortest time after which a lookup is hedged.
+    pub min_hedge: Duration,
+    /// Longest time after which a lookup is hedged.
+    pub max_hedge: Duration,
 }
 
 impl Default for Limits {
@@ -107,6 +111,8 @@
             min_silence: reader.millis("min_silence_ms", 80, 10, 4_000),
             max_silence: reader.millis("max_silence_ms", 1_000, 10, 4_000),
             report: reader.millis("report_ms", 1_000, 50, 60_000),
+            min_hedge: reader.millis("min_hedge_ms", 10, 1, 60_000),
+            max_hedge: reader.millis("max_hedge_ms", 250, 1, 3_600_000),
         }
     }
 }
--- a/quetzaltiller/src/dispatch/table.rs
+++ b/quetzaltiller/src/dispatch/table.rs
@@ -129,12 +129,18 @@
                 let state = self.state(upstream);
                 state.reported = Some(report.running + report.queued);
                 state.in_flight_at_report = state.in_flight;
-                state.failures = 0;
-                state.suspect_until_ms = 0;
+                self.succeed(upstream);
             }
         }
     }
 
+    /// Notes an answer: a suspicion ends.
+    pub fn succeed(&mut self, upstream: &str) {
+        let state = self.state(upstream);
+        state.failures = 0;
+        state.suspect_until_ms = 0;
+    }
+
     /// Notes a failure: the upstream is avoided for a while, longer with each in a row.
     pub fn fail(&mut self, now: Duration, upstream: &str) {
         if let Some(prefixes) = self.prefixes.get_mut(upstream) {
--- a/quetzaltiller/src/dispatch/task.rs
+++ b/quetzaltiller/src/dispatch/task.rs
@@ -48,6 +48,7 @@
     Adopt { upstream: String, account: String, reply: oneshot::Sender<Permit> },
     Release { upstream: String, account: String, since: Duration },
     Failed { upstream: String },
+    Succeeded { upstream: String },
     Report { upstream: String, report: Option<Report> },
     Cached { upstream: String, blocks: Vec<u64> },
     Configure(Arc<Set>),
@@ -104,6 +105,11 @@
         self.mailbox.tell(Message::Failed { upstream: upstream.to_owned() });
     }
 
+    /// Notes that an upstream answered.
+    pub fn succeeded(&self, upstream: &str) {
+        self.mailbox.tell(Message::Succeeded { upstream: upstream.to_owned() });
+    }
+
     /// Notes an upstream's load, or that it did not tell.
     pub fn report(&self, upstream: String, report: Option<Report>) {
         self.mailbox.tell(Message::Report { upstream, report });
@@ -183,6 +189,7 @@
                 self.serve();
             }
             Message::Failed { upstream } => self.table.fail(now, &upstream),
+            Message::Succeeded { upstream } => self.table.succeed(&upstream),
             Message::Report { upstream, report } => {
                 self.table.report(now, &upstream, report.as_ref());
                 self.serve();
--- a/quetzaltiller/src/lib.rs
+++ b/quetzaltiller/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod metrics;
 pub mod objects;
 pub mod operators;
+pub mod pacer;
 pub mod peer;
 pub mod platform;
 pub mod prelude;
--- a/quetzaltiller/src/router.rs
+++ b/quetzaltiller/src/router.rs
@@ -16,6 +16,7 @@
 use crate::metrics::{Counter, Metrics, Snapshot};
 use crate::objects::Labels;
 use crate::operators::Health;
+use crate::pacer::Pacer;
 use crate::peer::{self, Link};
 use crate::platform::Store;
 use crate::prelude::*;
@@ -27,6 +28,7 @@
 use crate::wire;
 use async_trait::async_trait;
 use coordination::claim::Owner;
+use coordination::detector::Bounds;
 use coordination::journal::Journal;
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
@@ -230,9 +232,11 @@
             scope: scope.clone(),
             owner: Owner { name: config.name.clone(), incarnation },
         };
+        let hedge = Bounds { min: config.timing.min_hedge, max: config.timing.max_hedge };
         let lookups = Lookups {
             services: ports.services.clone(),
             dispatch: dispatch.clone(),
+            pacer: Pacer::start(&scope, hedge),
             metrics: metrics.clone(),
         };
         let (closed, rng) = (AtomicBool::new(false), Mutex::new(rng));
--- a/standin/src/gate.rs
+++ b/standin/src/gate.rs
@@ -1,6 +1,6 @@
 //! The point that every call passes: latency, and parties that are dead, frozen or parted.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -15,6 +15,7 @@
     dead: BTreeSet<String>,
     frozen: BTreeSet<String>,
     parted: BTreeSet<(String, String)>,
+    slow: BTreeMap<String, Duration>,
 }
 
 /// Shared by all stand-ins of one system.
@@ -33,7 +34,7 @@
 
     /// Waits until a message from `from` reaches `to`.
     pub async fn pass(&self, from: &str, to: &str) -> Result<(), Dead> {
-        let latency = self.lock().latency;
+        let latency = self.latency(to);
         if !latency.is_zero() {
             tokio::time::sleep(latency).await;
         }
@@ -72,6 +73,13 @@
         self.change(|state| set(&mut state.frozen, party.to_owned(), frozen));
     }
 
+    /// Delays what goes to a party.
+    pub fn set_slow(&self, party: &str, delay: Duration) {
+        self.change(|state| {
+            state.slow.insert(party.to_owned(), delay);
+        });
+    }
+
     /// Parts or joins two parties, in both directions.
     pub fn set_parted(&self, a: &str, b: &str, parted: bool) {
         self.change(|state| {
@@ -85,6 +93,11 @@
         self.verdict(from, to) == Some(Ok(()))
     }
 
+    fn latency(&self, to: &str) -> Duration {
+        let state = self.lock();
+        state.latency + state.slow.get(to).copied().unwrap_or_default()
+    }
+
     fn verdict(&self, from: &str, to: &str) -> Option<Result<(), Dead>> {
         let state = self.lock();
         let parted = state.parted.contains(&(from.to_owned(), to.to_owned()));
