Stop the owner, not only its engine, when a cancel reaches another entry VM

Cause: a cancel at an entry VM that does not serve the generation stopped the engine's stream; the owner took that for a lost engine and went on elsewhere, and when it was fenced it left the new attempt running. Found by a test of cancels.

Change: the cancel is passed to the owner that the keeper names; a fenced owner stops an attempt that its keeper never heard of.

--- a/coordination/src/journal.rs
+++ b/coordination/src/journal.rs
@@ -138,13 +138,15 @@
         Ok(entry.tokens.len() as u32)
     }
 
-    /// Hands an answer of `account` to `owner` under a new term; the former owner is fenced.
+    /// Hands an answer of `account` to `owner` under a new term; the former owner, whom the result
+    /// names, is fenced.
     pub fn take(&mut self, now: Duration, id: &str, account: &str, owner: &str) -> Option<Entry> {
         let entry = self.entries.get_mut(id).filter(|entry| entry.origin.account == account)?;
         entry.term += 1;
-        entry.origin.owner = owner.to_owned();
         entry.touched = now;
-        Some(entry.clone())
+        let former = entry.clone();
+        entry.origin.owner = owner.to_owned();
+        Some(former)
     }
 
     /// Forgets an answer that ended, unless a newer term owns it.
--- a/quetzaltiller/src/router.rs
+++ b/quetzaltiller/src/router.rs
@@ -335,21 +335,42 @@
         let Some(taken) = self.take(generation, &account.name, u32::MAX).await else {
             return Err(self.refuse(unknown_generation()));
         };
-        let origin = taken.origin.unwrap_or_default();
-        let set = self.catalog.set();
-        let upstream = set.upstreams().find(|upstream| upstream.name == origin.upstream);
-        if let Some(upstream) = upstream.filter(|_| !taken.whole) {
-            let address = upstream.address.clone();
-            let generation = generation.to_owned();
-            let attempt = Attempt { address, generation, number: origin.attempt };
-            let engines = self.ports.engines.clone();
-            self.scope.spawn(async move {
-                let _ = engines.cancel(&attempt).await;
-            });
+        if !taken.whole && !self.cancel_at_owner(generation, &taken).await {
+            self.cancel_at_engine(generation, &taken);
         }
         Ok(())
     }
 
+    /// Asks the entry VM that serves a generation to stop it; false when it does not answer.
+    async fn cancel_at_owner(&self, generation: &str, taken: &wire::Taken) -> bool {
+        let Some(origin) = &taken.origin else {
+            return false;
+        };
+        let view = self.members.view();
+        let Some(owner) = view.member(&origin.owner) else {
+            return false;
+        };
+        let (generation, account) = (generation.to_owned(), origin.account.clone());
+        let ask = wire::Ask::Cancel(wire::Cancel { generation, account });
+        let answer = timeout(TAKE_TIMEOUT, self.ports.link.call(&owner.peer_address, ask)).await;
+        matches!(answer, Ok(Ok(wire::Reply::Cancelled(wire::Cancelled { found: true }))))
+    }
+
+    fn cancel_at_engine(&self, generation: &str, taken: &wire::Taken) {
+        let origin = taken.origin.clone().unwrap_or_default();
+        let set = self.catalog.set();
+        let upstream = set.upstreams().find(|upstream| upstream.name == origin.upstream);
+        let Some(address) = upstream.map(|upstream| upstream.address.clone()) else {
+            return;
+        };
+        let generation = generation.to_owned();
+        let attempt = Attempt { address, generation, number: origin.attempt };
+        let engines = self.ports.engines.clone();
+        self.scope.spawn(async move {
+            let _ = engines.cancel(&attempt).await;
+        });
+    }
+
     /// Calls a plain service.
     pub async fn call(
         &self,
@@ -651,6 +672,14 @@
                 let abandoned = self.actions.ledger.is_abandoned(claim.nonce).await;
                 wire::Reply::Claimed(wire::Claimed { gone, abandoned })
             }
+            wire::Ask::Cancel(cancel) => {
+                let session = self.registry.get(&cancel.generation, &cancel.account).await;
+                let found = session.is_some();
+                if let Some(session) = session {
+                    session.cancel().await;
+                }
+                wire::Reply::Cancelled(wire::Cancelled { found })
+            }
             wire::Ask::Pull(pull) => wire::Reply::Accepted(self.catalog.pull(pull.number)),
         }
     }
--- a/quetzaltiller/src/session/courier.rs
+++ b/quetzaltiller/src/session/courier.rs
@@ -38,6 +38,8 @@
     failed: Vec<String>,
     acked: u32,
     acked_whole: bool,
+    sent_attempt: u32,
+    acked_attempt: u32,
     in_flight: bool,
     degraded: bool,
     rest_until: Duration,
@@ -80,6 +82,7 @@
             return None;
         }
         self.in_flight = true;
+        self.sent_attempt = origin.attempt;
         let append = wire::Append {
             generation: splice.generation().to_owned(),
             term,
@@ -98,6 +101,7 @@
             Receipt::Answered(appended) if appended.fenced_by > 0 => Some(appended.fenced_by),
             Receipt::Answered(appended) if !appended.full => {
                 self.acked = appended.next;
+                self.acked_attempt = self.sent_attempt;
                 self.acked_whole |= whole;
                 self.degraded = false;
                 None
@@ -110,6 +114,11 @@
         }
     }
 
+    /// Whether a keeper knows of `attempt`, so that whoever takes the answer over does too.
+    pub fn knows(&self, attempt: u32) -> bool {
+        self.acked_attempt == attempt
+    }
+
     /// Stops waiting for the append in flight; emission goes on.
     pub fn overdue(&mut self) {
         self.degraded = true;
--- a/quetzaltiller/src/session/task.rs
+++ b/quetzaltiller/src/session/task.rs
@@ -400,12 +400,23 @@
             Notice::Journaled { receipt, whole } => {
                 if let Some(term) = self.courier.receive(receipt, whole) {
                     info!("generation_fenced", kv: { generation = self.generation(), term });
-                    self.input(Input::Fenced);
+                    self.fenced();
                 }
             }
         }
     }
 
+    /// Another entry VM owns the generation: an attempt that it can't know of is stopped here.
+    fn fenced(&mut self) {
+        let attempt = self.machine.splice().attempt();
+        if let Some(upstream) = self.machine.upstream()
+            && !self.courier.knows(attempt)
+        {
+            self.cancel(upstream, attempt);
+        }
+        self.input(Input::Fenced);
+    }
+
     fn placed(&mut self, placement: Placement) {
         let version = placement.pool.version.clone().unwrap_or_default();
         let upstream = placement.upstream.name.clone();
--- a/quetzaltiller/src/wire.rs
+++ b/quetzaltiller/src/wire.rs
@@ -10,7 +10,7 @@
     #[prost(uint64, tag = "1")]
     pub sequence: u64,
     /// Content.
-    #[prost(oneof = "Ask", tags = "2, 3, 4, 5, 6")]
+    #[prost(oneof = "Ask", tags = "2, 3, 4, 5, 6, 7")]
     pub ask: Option<Ask>,
 }
 
@@ -32,6 +32,9 @@
     /// Send the accepted configuration.
     #[prost(message, tag = "6")]
     Pull(Pull),
+    /// Stop a generation that you serve.
+    #[prost(message, tag = "7")]
+    Cancel(Cancel),
 }
 
 /// Answer to a request.
@@ -41,7 +44,7 @@
     #[prost(uint64, tag = "1")]
     pub sequence: u64,
     /// Content.
-    #[prost(oneof = "Reply", tags = "2, 3, 4, 5, 6")]
+    #[prost(oneof = "Reply", tags = "2, 3, 4, 5, 6, 7")]
     pub reply: Option<Reply>,
 }
 
@@ -63,6 +66,9 @@
     /// The accepted configuration.
     #[prost(message, tag = "6")]
     Accepted(Accepted),
+    /// Result of a cancel.
+    #[prost(message, tag = "7")]
+    Cancelled(Cancelled),
 }
 
 /// State of a member.
@@ -257,3 +263,20 @@
     #[prost(string, tag = "2")]
     pub json: String,
 }
+
+/// Request to stop a generation.
+#[derive(Clone, Message, PartialEq)]
+pub struct Cancel {
+    #[prost(string, tag = "1")]
+    pub generation: String,
+    #[prost(string, tag = "2")]
+    pub account: String,
+}
+
+/// Result of a cancel.
+#[derive(Clone, Copy, Message, PartialEq)]
+pub struct Cancelled {
+    /// The peer served it.
+    #[prost(bool, tag = "1")]
+    pub found: bool,
+}
