Send an answer's origin to its keeper only when it changes

Cause: each batch of tokens carried about 250 bytes of origin; peers used 19.3 kB/s for each entry VM, above the budget of 13.

Change: the origin goes along with the first batch of an attempt; a keeper that does not know the answer asks for it. A new attempt is told to the keeper before its first token.

--- a/coordination/src/journal.rs
+++ b/coordination/src/journal.rs
@@ -12,7 +12,7 @@
 //! let mut journal = Journal::new(Duration::from_secs(60), 1 << 20);
 //! let tokens = ["x".to_owned()];
 //! let append =
-//!     Append { id: "g", term: 1, from: 0, tokens: &tokens, origin: &origin, whole: false };
+//!     Append { id: "g", term: 1, from: 0, tokens: &tokens, origin: Some(&origin), whole: false };
 //! assert_eq!(journal.append(Duration::ZERO, append), Ok(1));
 //! let taken = journal.take(Duration::ZERO, "g", "a", "vm-2").unwrap();
 //! assert_eq!((taken.term, taken.tokens.len()), (2, 1));
@@ -35,6 +35,10 @@
         Gap(next: u32) {
             display("the journal continues at index {next}")
         }
+        /// No such answer is held, and the append does not tell its origin.
+        Unknown {
+            display("unknown answer")
+        }
         /// The journal's memory is used up.
         Full {
             display("the journal is full")
@@ -70,8 +74,8 @@
     pub from: u32,
     /// Tokens.
     pub tokens: &'a [String],
-    /// Where they come from.
-    pub origin: &'a Origin,
+    /// Where they come from; may be left out while that does not change.
+    pub origin: Option<&'a Origin>,
     /// The answer is whole with these tokens.
     pub whole: bool,
 }
@@ -111,13 +115,16 @@
         if self.used_bytes + bytes > self.capacity_bytes {
             return Err(Error::Full);
         }
-        let entry = self.entries.entry(append.id.to_owned()).or_insert_with(|| Entry {
-            term: append.term,
-            origin: append.origin.clone(),
-            tokens: Vec::new(),
-            whole: false,
-            touched: now,
-        });
+        if let Some(origin) = append.origin {
+            self.entries.entry(append.id.to_owned()).or_insert_with(|| Entry {
+                term: append.term,
+                origin: origin.clone(),
+                tokens: Vec::new(),
+                whole: false,
+                touched: now,
+            });
+        }
+        let entry = self.entries.get_mut(append.id).ok_or(Error::Unknown)?;
         if append.term < entry.term {
             return Err(Error::Fenced(entry.term));
         }
@@ -129,8 +136,8 @@
         entry.term = append.term;
         entry.touched = now;
         entry.whole |= append.whole;
-        if entry.origin != *append.origin {
-            entry.origin = append.origin.clone();
+        if let Some(origin) = append.origin {
+            entry.origin.clone_from(origin);
         }
         let known = (next - from).min(append.tokens.len());
         entry.tokens.extend_from_slice(&append.tokens[known..]);
--- a/quetzaltiller/src/keeper.rs
+++ b/quetzaltiller/src/keeper.rs
@@ -89,7 +89,7 @@
 }
 
 fn keep(journal: &mut Journal, now: Duration, append: wire::Append) -> wire::Appended {
-    let origin = append.origin.unwrap_or_default().into();
+    let origin = append.origin.map(Into::into);
     let result = journal.append(
         now,
         Append {
@@ -97,13 +97,14 @@
             term: append.term,
             from: append.from,
             tokens: &append.tokens,
-            origin: &origin,
+            origin: origin.as_ref(),
             whole: append.whole,
         },
     );
     match result {
         Ok(next) | Err(Error::Gap(next)) => wire::Appended { next, ..Default::default() },
         Err(Error::Fenced(term)) => wire::Appended { fenced_by: term, ..Default::default() },
+        Err(Error::Unknown) => wire::Appended { unknown: true, ..Default::default() },
         Err(Error::Full) => wire::Appended { full: true, ..Default::default() },
     }
 }
--- a/quetzaltiller/src/session/courier.rs
+++ b/quetzaltiller/src/session/courier.rs
@@ -10,6 +10,8 @@
 use coordination::journal::Origin;
 use std::time::Duration;
 
+/// Attempts are numbered from 1.
+const NO_ATTEMPT: u32 = 0;
 /// Pause after no keeper confirmed before one is tried again.
 const REST: Duration = Duration::from_secs(1);
 
@@ -76,8 +78,11 @@
             self.keeper = Some(keeper.name.clone());
             self.acked = 0;
             self.acked_whole = false;
+            self.acked_attempt = NO_ATTEMPT;
         }
-        let due = splice.next() > self.acked || whole && !self.acked_whole;
+        let placed = !origin.upstream.is_empty();
+        let moved = placed && self.acked_attempt != origin.attempt;
+        let due = splice.next() > self.acked || whole && !self.acked_whole || moved;
         if !due {
             return None;
         }
@@ -88,7 +93,7 @@
             term,
             from: self.acked,
             tokens: splice.tokens()[self.acked as usize..].to_vec(),
-            origin: Some(origin.clone().into()),
+            origin: (self.acked_attempt != origin.attempt).then(|| origin.clone().into()),
             whole,
         };
         Some(Letter { address: keeper.peer_address.clone(), append })
@@ -99,6 +104,11 @@
         self.in_flight = false;
         match receipt {
             Receipt::Answered(appended) if appended.fenced_by > 0 => Some(appended.fenced_by),
+            Receipt::Answered(appended) if appended.unknown => {
+                self.acked = 0;
+                self.acked_attempt = NO_ATTEMPT;
+                None
+            }
             Receipt::Answered(appended) if !appended.full => {
                 self.acked = appended.next;
                 self.acked_attempt = self.sent_attempt;
--- a/quetzaltiller/src/wire.rs
+++ b/quetzaltiller/src/wire.rs
@@ -180,6 +180,7 @@
     pub from: u32,
     #[prost(string, repeated, tag = "4")]
     pub tokens: Vec<String>,
+    /// Left out while the keeper knows it.
     #[prost(message, optional, tag = "5")]
     pub origin: Option<Origin>,
     #[prost(bool, tag = "6")]
@@ -198,6 +199,9 @@
     /// The keeper has no room.
     #[prost(bool, tag = "3")]
     pub full: bool,
+    /// The keeper has no such answer and needs its origin.
+    #[prost(bool, tag = "4")]
+    pub unknown: bool,
 }
 
 /// Request for an unfinished answer.
