Queue fairly by account and share upstreams near their limit (measured next)

Cause: who waited for a place was served first come, first served, and four routers with lagging reports overshot an upstream's slots.

Change: start-time fair queueing by account weight; near its limit an upstream gives each entry VM its own part; the expected wait counts only who goes first.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod faults;
 pub mod hedge;
 pub mod load;
+pub mod overload;
 pub mod realtime;
 pub mod report;
 pub mod run;
--- a/bench/src/load.rs
+++ b/bench/src/load.rs
@@ -218,7 +218,7 @@
 }
 
 /// Times of a Poisson process.
-fn arrivals(rng: &mut ChaCha12Rng, per_s: f64, duration: Duration) -> Vec<Duration> {
+pub fn arrivals(rng: &mut ChaCha12Rng, per_s: f64, duration: Duration) -> Vec<Duration> {
     let mut times = Vec::new();
     let mut at_s = 0.0;
     if per_s <= 0.0 {
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,6 +3,7 @@
 use argh::FromArgs;
 use bench::deployment::Deployment;
 use bench::faults::Kind;
+use bench::overload::{self, LOADS};
 use bench::report::Report;
 use bench::run::{Options, run};
 use bench::{cost, hedge, realtime, soak, sweep};
@@ -25,6 +26,7 @@
 enum Command {
     Cost(CostArgs),
     Hedge(HedgeArgs),
+    Overload(OverloadArgs),
     Run(RunArgs),
     Soak(SoakArgs),
     Sweep(SweepArgs),
@@ -57,6 +59,18 @@
     json: Option<PathBuf>,
 }
 
+/// Load from half to three times the capacity, with one account far above its share.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "overload")]
+struct OverloadArgs {
+    /// seed of the load
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// file to write the figures to
+    #[argh(option)]
+    json: Option<PathBuf>,
+}
+
 /// One run and its baselines.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "run")]
@@ -137,6 +151,12 @@
             let json = serde_json::to_string_pretty(&figures).unwrap_or_default();
             print(args.json.as_deref(), &json).unwrap_or(ExitCode::SUCCESS)
         }
+        Command::Overload(args) => {
+            let points: Vec<_> =
+                LOADS.iter().map(|load| overload::measure(*load, args.seed)).collect();
+            let json = serde_json::to_string_pretty(&points).unwrap_or_default();
+            print(args.json.as_deref(), &json).unwrap_or(ExitCode::SUCCESS)
+        }
         Command::Run(args) => run_one(&args),
         Command::Soak(args) => soak(&args),
         Command::Sweep(args) => sweep(&args),
--- a/bench/src/system.rs
+++ b/bench/src/system.rs
@@ -47,6 +47,10 @@
 pub struct Tuning {
     /// Weight of a second's wait in all pools, if not the configured one.
     pub resume_weight: Option<f64>,
+    /// Slots of each engine, if not the configured ones.
+    pub slots: Option<u32>,
+    /// Engines kept.
+    pub engines: Option<usize>,
     /// Changes each entry VM's settings.
     pub config: Option<Change>,
 }
@@ -99,7 +103,8 @@
                 zone: upstream.zone.clone(),
             };
             if let (Some(model), Some(version)) = (&pool.model, &pool.version) {
-                let settings = Settings::new(&upstream.address, model, version);
+                let mut settings = Settings::new(&upstream.address, model, version);
+                settings.max_batch = upstream.slots as usize;
                 let engine = Engine::start(settings, gate.clone(), seed * 1_000 + index as u64);
                 engines.insert(upstream.address.clone(), engine);
                 places.push(place);
@@ -285,10 +290,20 @@
     format!("entry-{index}")
 }
 
-fn tune(objects: &mut [Object], tuning: &Tuning) {
-    for object in objects {
-        if let (Object::Pool(pool), Some(weight)) = (object, tuning.resume_weight) {
-            pool.resume_weight = weight;
+fn tune(objects: &mut Vec<Object>, tuning: &Tuning) {
+    let pools: Vec<_> = objects.iter().filter_map(Object::as_pool).cloned().collect();
+    let serves_model = |name: &str| pools.iter().any(|p| p.name == name && p.model.is_some());
+    let mut engines = 0;
+    objects.retain_mut(|object| match object {
+        Object::Pool(pool) => {
+            pool.resume_weight = tuning.resume_weight.unwrap_or(pool.resume_weight);
+            true
         }
-    }
+        Object::Upstream(upstream) if serves_model(&upstream.pool) => {
+            upstream.slots = tuning.slots.unwrap_or(upstream.slots);
+            engines += 1;
+            tuning.engines.is_none_or(|kept| engines <= kept)
+        }
+        _ => true,
+    });
 }
--- a/quetzaltiller/src/dispatch/mod.rs
+++ b/quetzaltiller/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 
 mod demand;
 mod prefixes;
+mod queue;
 mod table;
 mod task;
 
--- a/quetzaltiller/src/dispatch/table.rs
+++ b/quetzaltiller/src/dispatch/table.rs
@@ -18,6 +18,8 @@
 
 const FIRST_SUSPICION: Duration = Duration::from_millis(500);
 const MAX_SUSPICION_DOUBLINGS: u32 = 5;
+/// Share of an upstream's slots up to which an entry VM uses more than its own part.
+const BORROW_BELOW: f64 = 0.5;
 /// Load above the mean at which affinity yields, as a factor.
 const LOAD_BOUND: f64 = 1.25;
 
@@ -66,6 +68,7 @@
     states: BTreeMap<String, UpstreamState>,
     prefixes: BTreeMap<String, Prefixes>,
     leaving: BTreeSet<String>,
+    members: u32,
 }
 
 impl Table {
@@ -153,6 +156,11 @@
         state.suspect_until_ms = until.as_millis() as u64;
     }
 
+    /// Tells how many entry VMs share the upstreams.
+    pub fn set_members(&mut self, members: u32) {
+        self.members = members;
+    }
+
     /// Replaces the upstreams that are leaving by other word than the configuration's.
     pub fn set_leaving(&mut self, leaving: BTreeSet<String>) {
         self.leaving = leaving;
@@ -176,8 +184,7 @@
         candidates: &[(&Upstream, &Pool)],
         demand: &Demand,
     ) -> Option<String> {
-        let open: Vec<_> =
-            candidates.iter().filter(|(u, _)| self.load(&u.name) < u.slots).copied().collect();
+        let open: Vec<_> = candidates.iter().filter(|(u, _)| self.has_room(u)).copied().collect();
         if open.is_empty() {
             return None;
         }
@@ -223,6 +230,16 @@
         (now.as_millis() as u64) < until
     }
 
+    /// Whether an upstream takes one more. Reports lag, and other entry VMs choose meanwhile: near
+    /// its limit, each uses only its own share of the slots.
+    fn has_room(&self, upstream: &Upstream) -> bool {
+        let load = self.load(&upstream.name);
+        let own = self.states.get(&upstream.name).map_or(0, |state| state.in_flight);
+        let share = upstream.slots.div_ceil(self.members.max(1));
+        let lightly_loaded = f64::from(load) < BORROW_BELOW * f64::from(upstream.slots);
+        load < upstream.slots && (own < share || lightly_loaded)
+    }
+
     fn load(&self, upstream: &str) -> u32 {
         self.states.get(upstream).map_or(0, UpstreamState::load)
     }
--- a/quetzaltiller/src/dispatch/task.rs
+++ b/quetzaltiller/src/dispatch/task.rs
@@ -1,6 +1,7 @@
 //! The task that owns the table and the requests that wait.
 
 use super::demand::Demand;
+use super::queue::{Queue, Tag};
 use super::table::{Choice, Table, UpstreamState};
 use crate::clock::Clock;
 use crate::engine::Report;
@@ -78,7 +79,8 @@
             waiters: Vec::new(),
             accounts: BTreeMap::new(),
             members: 1,
-            mean_hold_s: 0.0,
+            queue: Queue::default(),
+            mean_hold_s: BTreeMap::new(),
         };
         scope.spawn(task.run(messages));
         Self { clock, mailbox }
@@ -142,6 +144,7 @@
 }
 
 struct Waiter {
+    tag: Tag,
     demand: Demand,
     deadline: Duration,
     reply: oneshot::Sender<Answer>,
@@ -155,7 +158,8 @@
     waiters: Vec<Waiter>,
     accounts: BTreeMap<String, u32>,
     members: u32,
-    mean_hold_s: f64,
+    queue: Queue,
+    mean_hold_s: BTreeMap<String, f64>,
 }
 
 impl Task {
@@ -178,7 +182,7 @@
         let now = self.clock.now();
         match message {
             Message::Place { demand, deadline, reply } => {
-                self.place(Waiter { demand, deadline, reply });
+                self.place(demand, deadline, reply);
             }
             Message::Adopt { upstream, account, reply } => {
                 self.table.begin(&upstream);
@@ -200,34 +204,40 @@
                 self.set = set;
                 self.serve();
             }
-            Message::Members(members) => self.members = members.max(1),
+            Message::Members(members) => {
+                self.members = members.max(1);
+                self.table.set_members(self.members);
+            }
             Message::Leaving(leaving) => self.table.set_leaving(leaving),
             Message::Dump(reply) => drop(reply.send(self.table.states().clone())),
         }
     }
 
-    fn place(&mut self, waiter: Waiter) {
+    fn place(&mut self, demand: Demand, deadline: Duration, reply: oneshot::Sender<Answer>) {
+        let account = self.set.accounts().find(|account| account.name == demand.account);
+        let weight = account.map_or(1, |account| account.weight);
+        if self.waiters.is_empty() {
+            self.queue.forget_idle();
+        }
+        let tag = self.queue.tag(&demand.account, weight, demand.resumed);
+        let waiter = Waiter { tag, demand, deadline, reply };
         if self.set.number == 0 {
             return refuse(waiter, Code::NoConfiguration);
         }
         if !waiter.demand.resumed && self.is_over_limit(&waiter.demand.account) {
             return refuse(waiter, Code::AccountLimit);
         }
-        let expected = self.clock.now() + self.expected_wait();
+        let place = self.waiters.partition_point(|other| other.tag < tag);
+        // Those who wait for the same upstreams go first; this one may still find another free.
         if let Some(waiter) = self.try_place(waiter) {
+            let expected = self.clock.now() + self.expected_wait(place, &waiter.demand);
             if expected > waiter.deadline && !waiter.demand.resumed {
                 return refuse(waiter, Code::Overloaded);
             }
-            self.enqueue(waiter);
+            self.waiters.insert(place, waiter);
         }
     }
 
-    fn enqueue(&mut self, waiter: Waiter) {
-        let resumed = waiter.demand.resumed;
-        let place = self.waiters.iter().position(|other| resumed && !other.demand.resumed);
-        self.waiters.insert(place.unwrap_or(self.waiters.len()), waiter);
-    }
-
     /// Answers the waiter if that is possible now; hands it back otherwise.
     fn try_place(&mut self, waiter: Waiter) -> Option<Waiter> {
         let now = self.clock.now();
@@ -253,6 +263,7 @@
     }
 
     fn grant(&mut self, waiter: Waiter, name: String) {
+        self.queue.served(waiter.tag);
         let upstream = self.set.upstreams().find(|upstream| upstream.name == name).cloned();
         let Some(upstream) = upstream else {
             return refuse(waiter, Code::NoUpstream);
@@ -273,7 +284,11 @@
     fn release(&mut self, upstream: &str, account: &str, since: Duration) {
         self.table.end(upstream);
         let held_s = (self.clock.now() - since).as_secs_f64();
-        self.mean_hold_s += HOLD_GAIN * (held_s - self.mean_hold_s);
+        let pool = self.set.upstreams().find(|known| known.name == upstream);
+        if let Some(pool) = pool.map(|upstream| upstream.pool.clone()) {
+            let mean_s = self.mean_hold_s.entry(pool).or_insert(held_s);
+            *mean_s += HOLD_GAIN * (held_s - *mean_s);
+        }
         if let Some(count) = self.accounts.get_mut(account) {
             *count = count.saturating_sub(1);
         }
@@ -293,11 +308,13 @@
         self.accounts.get(account).copied().unwrap_or_default() >= share
     }
 
-    /// Time until those who wait already have been served, by the mean time a place is held.
-    fn expected_wait(&self) -> Duration {
-        let slots: u32 = self.set.upstreams().map(|upstream| upstream.slots).sum();
+    /// Time until those before `place` have been served, by the mean time that a place is held.
+    fn expected_wait(&self, place: usize, demand: &Demand) -> Duration {
+        let reachable = self.set.reachable(&demand.request());
+        let slots: u32 = reachable.iter().map(|(upstream, _)| upstream.slots).sum();
+        let hold_s = reachable.first().and_then(|(_, pool)| self.mean_hold_s.get(&pool.name));
         let share = f64::from(slots.max(1)) / f64::from(self.members);
-        Duration::from_secs_f64(self.waiters.len() as f64 * self.mean_hold_s / share)
+        Duration::from_secs_f64((place + 1) as f64 * hold_s.copied().unwrap_or_default() / share)
     }
 }
 
--- a/quetzaltiller/src/objects/account.rs
+++ b/quetzaltiller/src/objects/account.rs
@@ -16,6 +16,9 @@
     pub key_digest: String,
     /// Largest number of requests at once, over all entry VMs.
     pub max_concurrent: u32,
+    /// Share of a busy system, relative to other accounts'.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
     /// Wait that the account's callers accept, unless a request says otherwise, in milliseconds.
     pub patience_ms: u64,
     /// Labels that callers may set on their requests.
@@ -23,6 +26,10 @@
     pub caller_labels: Vec<String>,
 }
 
+fn default_weight() -> u32 {
+    1
+}
+
 impl Account {
     /// Whether `key` is the account's, compared in constant time.
     pub fn accepts(&self, key: &str) -> bool {
@@ -37,6 +44,7 @@
             faults.push(Fault::new("key_digest", &self.key_digest, allowed));
         }
         check_range(&mut faults, "max_concurrent", self.max_concurrent.into(), 1, 1_000_000);
+        check_range(&mut faults, "weight", self.weight.into(), 1, 1_000);
         check_range(&mut faults, "patience_ms", self.patience_ms, 1, MAX_PATIENCE_MS);
         faults
     }
