--- a/quetzaltiller/src/generation/machine.rs
+++ b/quetzaltiller/src/generation/machine.rs
@@ -3,14 +3,14 @@
 //! A broken connection is acted on at once; silence is not taken for death. Either way the first
 //! answer is to reattach at the next index on a new connection, which costs no engine work. An
 //! engine that forgot the stream, or that refuses connections, is replaced at once. One that does
-//! not answer is waited for as long as [`Patience`] says: until the wait has cost as much as the
+//! not answer is waited for as long as [`Patience`](coordination::patience::Patience) says: until the wait has cost as much as the
 //! prefill that a replacement would repeat.
 
+use super::protocol::{Effect, Input, Opening, Outcome, Settings, Start, Stats};
 use super::splice::{Splice, Verdict};
 use crate::engine::{Chunk, Error};
 use crate::refusal::Code;
-use coordination::detector::{Bounds, Detector};
-use coordination::patience::Patience;
+use coordination::detector::Detector;
 use std::time::Duration;
 
 /// Time that a reattach gets at the least, however impatient the pool.
@@ -22,124 +22,6 @@
 /// Gaps and broken connections without a new token in between before the engine is replaced.
 const MAX_FRUITLESS: u32 = 3;
 
-/// What a pool and a caller decide.
-#[derive(Clone, Debug)]
-pub struct Settings {
-    /// Price of waiting.
-    pub patience: Patience,
-    /// Prefill speed of the pool's engines.
-    pub prefill_tokens_per_s: f64,
-    /// Length of the prompt.
-    pub prompt_tokens: u32,
-    /// Time for an engine to answer a submission or a reattach.
-    pub open_timeout: Duration,
-    /// Time without a new token after which the caller gets an answer.
-    pub deadline: Duration,
-    /// Limits of the silence threshold.
-    pub silence: Bounds,
-}
-
-/// How a connection is opened.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Opening {
-    /// Submits the prompt and the tokens so far.
-    Submit,
-    /// Goes on with the running stream.
-    Reattach,
-}
-
-/// Something that happened.
-#[derive(Clone, Debug)]
-pub enum Input {
-    /// An upstream was chosen, serving the version.
-    Placed(String, String),
-    /// No upstream before the deadline, for this reason.
-    Unplaced(Code),
-    /// The engine accepted the connection's request.
-    Opened(u32),
-    /// A chunk on a connection.
-    Chunk(u32, Chunk),
-    /// A connection failed.
-    Failed(u32, Error),
-    /// The caller cancelled, or nobody came back.
-    Cancel,
-    /// Another entry VM owns the generation now.
-    Fenced,
-    /// This entry VM stops; another may go on.
-    HandOver,
-    /// Time has passed.
-    Tick,
-}
-
-/// Something to do.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Effect {
-    /// Choose an upstream, none of `avoid`, for new or resumed work.
-    Place {
-        /// Upstreams that failed this generation.
-        avoid: Vec<String>,
-        /// Tokens or work are at stake already.
-        resumed: bool,
-    },
-    /// Open a connection.
-    Open {
-        /// Number that inputs refer to.
-        conn: u32,
-        /// How.
-        opening: Opening,
-        /// Upstream.
-        upstream: String,
-    },
-    /// Close a connection.
-    Close(u32),
-    /// Tell an upstream to stop an attempt.
-    Cancel {
-        /// Upstream.
-        upstream: String,
-        /// Attempt.
-        attempt: u32,
-    },
-    /// Nothing more will happen.
-    Finish(Outcome),
-}
-
-/// How a generation ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Outcome {
-    /// Whole.
-    Whole,
-    /// Unfinished, for this reason.
-    Failed(Code),
-    /// Cancelled.
-    Cancelled,
-    /// Another entry VM owns it.
-    Superseded,
-    /// To be taken over by another entry VM.
-    HandedOver,
-}
-
-/// Where a machine begins.
-#[derive(Clone, Debug)]
-pub enum Start {
-    /// A new request.
-    Fresh,
-    /// An answer taken over, with its upstream and version.
-    TakenOver(String, String),
-    /// An answer whose engine is unknown, with its version.
-    Returned(String),
-}
-
-/// What happened to a generation, for metrics.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Stats {
-    /// Streams continued on a new connection to the same engine.
-    pub reattached: u32,
-    /// Attempts after the first.
-    pub redispatched: u32,
-    /// Suspicions that the engine itself disproved.
-    pub false_suspicions: u32,
-}
-
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Phase {
     Placing,
--- a/quetzaltiller/src/generation/mod.rs
+++ b/quetzaltiller/src/generation/mod.rs
@@ -7,11 +7,13 @@
 mod event;
 mod event_id;
 mod machine;
+mod protocol;
 mod request;
 mod splice;
 
 pub use event::Event;
 pub use event_id::{EventId, Place};
-pub use machine::{Effect, Input, Machine, Opening, Outcome, Settings, Start, Stats};
+pub use machine::Machine;
+pub use protocol::{Effect, Input, Opening, Outcome, Settings, Start, Stats};
 pub use request::Request;
 pub use splice::{Splice, Verdict};
--- /dev/null
+++ b/quetzaltiller/src/router/builder.rs
@@ -0,0 +1,166 @@
+//! Puts a router together.
+
+use super::Router;
+use crate::actions::{Actions, Ledger};
+use crate::catalog::Catalog;
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::dispatch::Dispatch;
+use crate::engine;
+use crate::keeper::Keeper;
+use crate::lookups::Lookups;
+use crate::members::{self, Members, Own};
+use crate::metrics::Metrics;
+use crate::pacer::Pacer;
+use crate::peer::Link;
+use crate::platform::Store;
+use crate::prelude::*;
+use crate::registry::Registry;
+use crate::reports;
+use crate::scope::Scope;
+use crate::service;
+use coordination::claim::Owner;
+use coordination::detector::Bounds;
+use coordination::journal::Journal;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha12Rng;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+
+/// Outside systems.
+#[derive(Clone)]
+pub struct Ports {
+    /// Platform.
+    pub store: Arc<dyn Store>,
+    /// Model engines.
+    pub engines: Arc<dyn engine::Client>,
+    /// Plain services.
+    pub services: Arc<dyn service::Client>,
+    /// Other entry VMs.
+    pub link: Arc<dyn Link>,
+}
+
+/// Builds a [`Router`].
+///
+/// ```no_run
+/// # use quetzaltiller::{config::Config, router::{Ports, Router}};
+/// # async fn start(ports: Ports) {
+/// let config = Config::new("vm-1", "zone-a");
+/// let router = Router::builder(config, ports).seed(7).start();
+/// println!("{:?}", router.entries(None));
+/// # }
+/// ```
+pub struct Builder {
+    config: Config,
+    ports: Ports,
+    seed: Option<u64>,
+    incarnation: u64,
+}
+
+impl Builder {
+    /// Makes identifiers repeatable.
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.seed = Some(seed);
+        self
+    }
+
+    /// Number of this start of the process; must rise with each.
+    pub fn incarnation(mut self, incarnation: u64) -> Self {
+        self.incarnation = incarnation;
+        self
+    }
+
+    /// Starts the router's tasks.
+    pub fn start(self) -> Arc<Router> {
+        let rng = match self.seed {
+            Some(seed) => ChaCha12Rng::seed_from_u64(seed),
+            None => ChaCha12Rng::from_os_rng(),
+        };
+        Arc::new(Router::new(self.config, self.ports, self.incarnation, rng))
+    }
+}
+
+impl Router {
+    /// Begins building a router.
+    pub fn builder(config: Config, ports: Ports) -> Builder {
+        Builder { config, ports, seed: None, incarnation: 1 }
+    }
+
+    fn new(config: Config, ports: Ports, incarnation: u64, rng: ChaCha12Rng) -> Self {
+        let (clock, scope) = (Clock::default(), Scope::default());
+        let metrics = Arc::new(Metrics::new(config.metrics_address.as_deref()));
+        let own = Arc::new(Own::new(&config, incarnation));
+        let catalog = Catalog::start(&scope, ports.store.clone(), metrics.clone());
+        let dispatch = Dispatch::start(&scope, clock);
+        let members = Members::start(
+            &scope,
+            members::Parts {
+                config: &config,
+                own: own.clone(),
+                clock,
+                store: ports.store.clone(),
+                link: ports.link.clone(),
+                catalog: catalog.clone(),
+                dispatch: dispatch.clone(),
+                metrics: metrics.clone(),
+            },
+        );
+        let journal = Journal::new(config.timing.journal_retention, config.limits.journal_bytes);
+        let keeper = Keeper::start(&scope, clock, journal);
+        let registry = Registry::start(&scope);
+        start_reports(&scope, &config, &ports, &catalog, &dispatch);
+        let actions = Actions {
+            store: ports.store.clone(),
+            services: ports.services.clone(),
+            link: ports.link.clone(),
+            members: members.clone(),
+            dispatch: dispatch.clone(),
+            ledger: Ledger::start(&scope),
+            metrics: metrics.clone(),
+            scope: scope.clone(),
+            owner: Owner { name: config.name.clone(), incarnation },
+        };
+        let hedge = Bounds { min: config.timing.min_hedge, max: config.timing.max_hedge };
+        let lookups = Lookups {
+            services: ports.services.clone(),
+            dispatch: dispatch.clone(),
+            pacer: Pacer::start(&scope, hedge),
+            metrics: metrics.clone(),
+        };
+        let (closed, rng) = (AtomicBool::new(false), Mutex::new(rng));
+        info!("router_started", kv: { name = config.name, zone = config.zone, incarnation });
+        Self {
+            config,
+            ports,
+            clock,
+            scope,
+            own,
+            catalog,
+            dispatch,
+            members,
+            keeper,
+            registry,
+            actions,
+            lookups,
+            metrics,
+            closed,
+            rng,
+        }
+    }
+}
+
+fn start_reports(
+    scope: &Scope,
+    config: &Config,
+    ports: &Ports,
+    catalog: &Catalog,
+    dispatch: &Dispatch,
+) {
+    let parts = reports::Parts {
+        engines: ports.engines.clone(),
+        catalog: catalog.clone(),
+        dispatch: dispatch.clone(),
+        period: config.timing.report,
+    };
+    reports::start(scope, parts);
+}
--- /dev/null
+++ b/quetzaltiller/src/router/takeover.rs
@@ -0,0 +1,188 @@
+//! Answers that move: taken over from a keeper, restored by their caller, or cancelled elsewhere.
+
+use super::{Caller, Router};
+use crate::engine::Attempt;
+use crate::generation::{Request, Start};
+use crate::metrics::Counter;
+use crate::prelude::*;
+use crate::session::{Origin, Subscription};
+use crate::wire;
+use futures::StreamExt as _;
+use futures::stream::FuturesUnordered;
+use tokio::time::timeout;
+
+/// Time for peers to answer whether they keep an answer.
+const TAKE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Bits below the term in an attempt's number.
+const TERM_SHIFT: u32 = 16;
+
+impl Router {
+    /// Goes on with an answer that a keeper handed over.
+    pub(super) fn take_over(
+        &self,
+        caller: &Caller,
+        request: Request,
+        last: EventId,
+        taken: wire::Taken,
+    ) -> Result<Subscription, Refusal> {
+        let origin = taken.origin.clone().unwrap_or_default();
+        check_same_request(&origin.digest, &request)?;
+        let returned = request.emitted.clone().unwrap_or_default();
+        let held = taken.tokens.len().max(returned.len());
+        if (last.next as usize) > held {
+            return Err(tokens_needed());
+        }
+        self.metrics.count(Counter::GenerationTakenOver);
+        let longer = returned.len() > taken.tokens.len();
+        let set = self.catalog.set();
+        let upstream = set.upstreams().find(|upstream| upstream.name == origin.upstream);
+        let same_attempt = !longer || last.attempt == origin.attempt;
+        let start = match upstream {
+            Some(upstream) if same_attempt => {
+                Start::TakenOver(upstream.name.clone(), origin.version.clone())
+            }
+            _ if origin.version.is_empty() => Start::Fresh,
+            _ => Start::Returned(origin.version.clone()),
+        };
+        info!("generation_taken_over", kv: {
+            generation = last.generation, from = origin.owner, term = taken.term, next = held
+        });
+        let origin = Origin {
+            generation: last.generation,
+            attempt: origin.attempt.max(last.attempt),
+            floor: taken.term << TERM_SHIFT,
+            term: taken.term,
+            tokens: if longer { returned } else { taken.tokens },
+            whole: taken.whole,
+            start,
+            address: upstream.map(|upstream| upstream.address.clone()),
+        };
+        Ok(self.serve(caller, request, origin, last.next))
+    }
+
+    /// Goes on from the tokens that the caller returned, as nobody keeps the answer any more.
+    pub(super) fn restore(
+        &self,
+        caller: &Caller,
+        request: Request,
+        last: EventId,
+    ) -> Result<Subscription, Refusal> {
+        let (Some(emitted), Some(version)) = (request.emitted.clone(), request.version.clone())
+        else {
+            return Err(unknown_generation());
+        };
+        self.check_open()?;
+        if emitted.len() < last.next as usize {
+            return Err(tokens_needed());
+        }
+        let generation = self.new_generation();
+        info!("generation_restored", kv: { generation, lost = last.generation, next = last.next });
+        let origin = Origin {
+            generation,
+            attempt: last.attempt,
+            floor: 1,
+            term: 1,
+            tokens: emitted,
+            whole: false,
+            start: Start::Returned(version),
+            address: None,
+        };
+        Ok(self.serve(caller, request, origin, last.next))
+    }
+
+    /// Asks the peers for an answer and takes it over; stops at the first that has `next` tokens.
+    pub(super) async fn take(
+        &self,
+        generation: &str,
+        account: &str,
+        next: u32,
+    ) -> Option<wire::Taken> {
+        let take = wire::Take {
+            generation: generation.to_owned(),
+            account: account.to_owned(),
+            owner: self.config.name.clone(),
+        };
+        let mut best = Some(self.keeper.take(take.clone()).await).filter(|taken| taken.found);
+        let view = self.members.view();
+        let mut answers: FuturesUnordered<_> = view
+            .keepers(generation, "")
+            .into_iter()
+            .map(|beat| {
+                let ask = wire::Ask::Take(take.clone());
+                timeout(TAKE_TIMEOUT, self.ports.link.call(&beat.peer_address, ask))
+            })
+            .collect();
+        while best.as_ref().is_none_or(|taken| (taken.tokens.len() as u32) < next) {
+            match answers.next().await {
+                None => break,
+                Some(Ok(Ok(wire::Reply::Taken(taken)))) if taken.found => {
+                    best = better(best, taken);
+                }
+                Some(_) => {}
+            }
+        }
+        best
+    }
+
+    /// Asks the entry VM that serves a generation to stop it; false when it does not answer.
+    pub(super) async fn cancel_at_owner(&self, generation: &str, taken: &wire::Taken) -> bool {
+        let Some(origin) = &taken.origin else {
+            return false;
+        };
+        let view = self.members.view();
+        let Some(owner) = view.member(&origin.owner) else {
+            return false;
+        };
+        let (generation, account) = (generation.to_owned(), origin.account.clone());
+        let ask = wire::Ask::Cancel(wire::Cancel { generation, account });
+        let answer = timeout(TAKE_TIMEOUT, self.ports.link.call(&owner.peer_address, ask)).await;
+        matches!(answer, Ok(Ok(wire::Reply::Cancelled(wire::Cancelled { found: true }))))
+    }
+
+    pub(super) fn cancel_at_engine(&self, generation: &str, taken: &wire::Taken) {
+        let origin = taken.origin.clone().unwrap_or_default();
+        let set = self.catalog.set();
+        let upstream = set.upstreams().find(|upstream| upstream.name == origin.upstream);
+        let Some(address) = upstream.map(|upstream| upstream.address.clone()) else {
+            return;
+        };
+        let generation = generation.to_owned();
+        let attempt = Attempt { address, generation, number: origin.attempt };
+        let engines = self.ports.engines.clone();
+        self.scope.spawn(async move {
+            let _ = engines.cancel(&attempt).await;
+        });
+    }
+}
+
+fn better(best: Option<wire::Taken>, other: wire::Taken) -> Option<wire::Taken> {
+    let rank = |taken: &wire::Taken| (taken.whole, taken.tokens.len(), taken.term);
+    match best {
+        Some(best) if rank(&best) >= rank(&other) => {
+            Some(wire::Taken { term: best.term.max(other.term), ..best })
+        }
+        Some(best) => Some(wire::Taken { term: best.term.max(other.term), ..other }),
+        None => Some(other),
+    }
+}
+
+/// Refuses a body that differs from the one that began the generation.
+pub fn check_same_request(digest: &str, request: &Request) -> Result<(), Refusal> {
+    if digest == request.digest() {
+        return Ok(());
+    }
+    let message = "the body differs from the one that began this generation";
+    Err(Refusal::new(Code::BadRequest, Ran::No, message))
+}
+
+/// Refusal for a generation that does not exist, or not for this account.
+pub fn unknown_generation() -> Refusal {
+    let message =
+        "no such generation; return its tokens as `emitted` with their `version` to go on";
+    Refusal::new(Code::GenerationUnknown, Ran::Unknown, message)
+}
+
+fn tokens_needed() -> Refusal {
+    let message = "the last tokens are not kept; return them as `emitted` with their `version`";
+    Refusal::new(Code::TokensNeeded, Ran::Yes, message)
+}
--- /dev/null
+++ b/quetzaltiller/src/session/settings.rs
@@ -0,0 +1,61 @@
+//! What a request and its pool mean for the choice of upstreams and for the machine.
+
+use crate::config::Timing;
+use crate::dispatch::{Demand, Placement};
+use crate::generation::{Request, Settings};
+use crate::objects::Labels;
+use coordination::detector::Bounds;
+use coordination::patience::Patience;
+use std::time::Duration;
+
+/// Bytes of prompt for a token, to estimate its length.
+const BYTES_PER_TOKEN: usize = 5;
+/// Bytes of the prompt's beginning that place it with its like.
+const AFFINITY_BYTES: usize = 512;
+/// Prefill speed assumed until the pool is known.
+const PREFILL_TOKENS_PER_S: f64 = 8_000.0;
+
+/// What the request needs of an upstream.
+pub fn demand(account: &str, labels: Labels, request: &Request) -> Demand {
+    let mut end = request.prompt.len().min(AFFINITY_BYTES);
+    while !request.prompt.is_char_boundary(end) {
+        end -= 1;
+    }
+    Demand {
+        account: account.to_owned(),
+        model: Some(request.model.clone()),
+        adapter: request.adapter.clone(),
+        labels,
+        affinity: request.prompt[..end].to_owned(),
+        ..Demand::default()
+    }
+}
+
+/// Settings until the pool is known.
+pub fn initial_settings(timing: &Timing, request: &Request, deadline: Duration) -> Settings {
+    let prompt_tokens = (request.prompt.len() / BYTES_PER_TOKEN) as u32;
+    Settings {
+        patience: Patience { weight: 1.0, max: timing.open_timeout },
+        prefill_tokens_per_s: PREFILL_TOKENS_PER_S,
+        prompt_tokens,
+        open_timeout: timing.open_timeout,
+        deadline,
+        silence: Bounds { min: timing.min_silence, max: timing.max_silence },
+    }
+}
+
+/// Settings with the pool's.
+pub fn pool_settings(
+    timing: &Timing,
+    request: &Request,
+    placement: &Placement,
+    deadline: Duration,
+) -> Settings {
+    let pool = &placement.pool;
+    let max = Duration::from_millis(pool.max_silence_ms);
+    Settings {
+        patience: Patience { weight: pool.resume_weight, max },
+        prefill_tokens_per_s: pool.prefill_tokens_per_s as f64,
+        ..initial_settings(timing, request, deadline)
+    }
+}
--- a/quetzaltiller/src/session/task.rs
+++ b/quetzaltiller/src/session/task.rs
@@ -1,228 +1,38 @@
 //! Performs a machine's effects and serves the caller.
 
+use super::context::{Context, Work};
 use super::courier::{Courier, Letter, Receipt};
-use crate::clock::Clock;
-use crate::config::Timing;
-use crate::dispatch::{Demand, Dispatch, Permit, Placement};
+use super::handle::{Command, Status};
+use super::reader::Reader;
+use super::settings::{demand, initial_settings, pool_settings};
+use crate::dispatch::{Demand, Permit, Placement};
 use crate::engine::{self, Attempt, Submission, blocks};
-use crate::generation::{
-    Effect, Input, Machine, Opening, Outcome, Request, Settings, Splice, Start,
-};
-use crate::members::{Entered, Members};
-use crate::metrics::{Counter, Metrics};
-use crate::objects::Labels;
-use crate::peer::Link;
+use crate::generation::{Effect, Input, Machine, Opening, Outcome, Request, Splice};
+use crate::members::Entered;
+use crate::metrics::Counter;
 use crate::prelude::*;
-use crate::registry::Registry;
 use crate::scope::Scope;
 use crate::wire;
-use coordination::detector::Bounds;
-use coordination::patience::Patience;
-use futures::StreamExt as _;
-use serde::Serialize;
 use std::collections::BTreeMap;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
-/// Events that wait for a slow caller; further tokens gather in the answer so far.
-const SUBSCRIBER_QUEUE: usize = 8;
 const NOTICE_QUEUE: usize = 64;
 const CANCEL_TRIES: u32 = 8;
 const CANCEL_PAUSE: Duration = Duration::from_millis(500);
 const FIRST_ATTEMPT: u32 = 1;
 const NORMAL_PRIORITY: u8 = 1;
 const RESUMED_PRIORITY: u8 = 2;
-/// Bytes of prompt for a token, to estimate its length.
-const BYTES_PER_TOKEN: usize = 5;
-/// Bytes of the prompt's beginning that place it with its like.
-const AFFINITY_BYTES: usize = 512;
-
-/// What sessions share.
-#[derive(Clone)]
-pub struct Context {
-    /// Clock.
-    pub clock: Clock,
-    /// Times.
-    pub timing: Timing,
-    /// Engines.
-    pub engines: Arc<dyn engine::Client>,
-    /// Other entry VMs.
-    pub link: Arc<dyn Link>,
-    /// Choice of upstreams.
-    pub dispatch: Dispatch,
-    /// Other entry VMs that are alive.
-    pub members: Members,
-    /// Generations served here.
-    pub registry: Registry,
-    /// Counters.
-    pub metrics: Arc<Metrics>,
-    /// Tasks of this process.
-    pub scope: Scope,
-    /// This entry VM.
-    pub vm: Arc<Vm>,
-}
-
-/// Name and zone of an entry VM.
-#[derive(Clone, Debug)]
-pub struct Vm {
-    /// Name.
-    pub name: String,
-    /// Availability zone.
-    pub zone: String,
-}
-
-/// Where a session begins.
-#[derive(Clone, Debug)]
-pub struct Origin {
-    /// Generation.
-    pub generation: String,
-    /// Attempt at the engine.
-    pub attempt: u32,
-    /// Lowest number of attempts that this owner begins.
-    pub floor: u32,
-    /// Term of this owner.
-    pub term: u32,
-    /// Tokens so far.
-    pub tokens: Vec<String>,
-    /// The answer is whole with them.
-    pub whole: bool,
-    /// How the machine starts.
-    pub start: Start,
-    /// Address of the upstream that is at work.
-    pub address: Option<String>,
-}
-
-/// Events for one caller.
-pub struct Subscription {
-    /// Generation.
-    pub generation: String,
-    /// Events.
-    pub events: mpsc::Receiver<Event>,
-}
-
-/// State of a generation, for the state dump.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub struct Status {
-    /// Account that asked.
-    pub account: String,
-    /// Upstream at work.
-    pub upstream: Option<String>,
-    /// Attempt at the upstream.
-    pub attempt: u32,
-    /// Term of this owner.
-    pub term: u32,
-    /// Tokens so far.
-    pub next: u32,
-    /// Whether the upstream is suspected.
-    pub suspected: bool,
-    /// Whether a caller is connected.
-    pub has_caller: bool,
-}
-
-enum Command {
-    Attach { next: u32, sender: mpsc::Sender<Event> },
-    Cancel,
-    HandOver { entries: Vec<String> },
-}
-
-/// Handle to a session.
-#[derive(Clone)]
-pub struct Session {
-    generation: String,
-    account: Arc<str>,
-    digest: Arc<str>,
-    commands: mpsc::Sender<Command>,
-    status: watch::Receiver<Status>,
-}
-
-impl Session {
-    /// Starts serving; the first caller has tokens up to `next`.
-    pub fn start(
-        context: Context,
-        account: &Account,
-        labels: Labels,
-        request: Request,
-        origin: Origin,
-        (next, entered): (u32, Entered),
-    ) -> (Self, Subscription) {
-        let (commands_sender, commands) = mpsc::channel(NOTICE_QUEUE);
-        let (notices_sender, notices) = mpsc::channel(NOTICE_QUEUE);
-        let (events_sender, events) = mpsc::channel(SUBSCRIBER_QUEUE);
-        let (status_sender, status) = watch::channel(Status::default());
-        let session = Self {
-            generation: origin.generation.clone(),
-            account: account.name.as_str().into(),
-            digest: request.digest().into(),
-            commands: commands_sender,
-            status,
-        };
-        let generation = origin.generation.clone();
-        context.registry.insert(&generation, session.clone());
-        let patience = Duration::from_millis(account.patience_ms);
-        let now = context.clock.now();
-        let splice = Splice::new(origin.generation, origin.attempt, origin.floor, origin.tokens);
-        let settings = initial_settings(&context.timing, &request, patience);
-        let (machine, effects) = Machine::new(now, splice, settings, origin.start);
-        let task = Task {
-            demand: demand(&account.name, labels, &request),
-            digest: session.digest.to_string(),
-            scope: context.scope.child(),
-            context,
-            machine,
-            request,
-            patience,
-            term: origin.term,
-            address: origin.address,
-            permit: None,
-            connections: BTreeMap::new(),
-            courier: Courier::default(),
-            letter_due: Duration::ZERO,
-            subscriber: Some(Subscriber::new(events_sender, next)),
-            orphaned_at: None,
-            outcome: origin.whole.then_some(Outcome::Whole),
-            moved_to: Vec::new(),
-            notices: notices_sender,
-            status: status_sender,
-            _entered: entered,
-        };
-        let scope = task.context.scope.clone();
-        scope.spawn(task.run(effects, notices, commands));
-        (session, Subscription { generation, events })
-    }
-
-    /// Account that asked.
-    pub fn account(&self) -> &str {
-        &self.account
-    }
 
-    /// State now.
-    pub fn status(&self) -> Status {
-        self.status.borrow().clone()
-    }
-
-    /// Digest of the request.
-    pub fn digest(&self) -> &str {
-        &self.digest
-    }
-
-    /// Serves a caller that came back with tokens up to `next`, instead of the former one.
-    pub async fn attach(&self, next: u32) -> Option<Subscription> {
-        let (sender, events) = mpsc::channel(SUBSCRIBER_QUEUE);
-        self.commands.send(Command::Attach { next, sender }).await.ok()?;
-        Some(Subscription { generation: self.generation.clone(), events })
-    }
-
-    /// Stops the generation.
-    pub async fn cancel(&self) {
-        let _ = self.commands.send(Command::Cancel).await;
-    }
-
-    /// Sends the caller to other entry VMs.
-    pub async fn hand_over(&self, entries: Vec<String>) {
-        let _ = self.commands.send(Command::HandOver { entries }).await;
-    }
+/// A task's ends of the channels to its handle and its caller.
+pub struct Channels {
+    /// From the handle.
+    pub commands: mpsc::Receiver<Command>,
+    /// To the first caller.
+    pub events: mpsc::Sender<Event>,
+    /// To the handle.
+    pub status: watch::Sender<Status>,
 }
 
 struct Subscriber {
@@ -244,16 +54,29 @@
     Last { outcome: Outcome, sent: u32 },
 }
 
-enum Notice {
+/// What came of something that the task began.
+pub enum Notice {
+    /// Upstream chosen, or why not.
     Placed(Result<Box<Placement>, Code>),
+    /// Place held at the upstream of an answer taken over.
     Adopted(Option<Permit>),
+    /// A connection is open.
     Opened(u32),
+    /// A chunk on a connection.
     Chunk(u32, engine::Chunk),
+    /// A connection failed.
     Failed(u32, engine::Error),
-    Journaled { receipt: Receipt, whole: bool },
+    /// Result of an append.
+    Journaled {
+        /// Keeper's answer.
+        receipt: Receipt,
+        /// The append told that the answer is whole.
+        whole: bool,
+    },
 }
 
-struct Task {
+/// Serves one generation.
+pub struct Task {
     context: Context,
     scope: Scope,
     machine: Machine,
@@ -277,6 +100,41 @@
 }
 
 impl Task {
+    /// Starts the task in the process's scope.
+    pub fn start(work: Work, digest: String, channels: Channels) {
+        let Work { context, account, labels, request, origin, next, entered } = work;
+        let (notices_sender, notices) = mpsc::channel(NOTICE_QUEUE);
+        let patience = Duration::from_millis(account.patience_ms);
+        let splice = Splice::new(origin.generation, origin.attempt, origin.floor, origin.tokens);
+        let settings = initial_settings(&context.timing, &request, patience);
+        let now = context.clock.now();
+        let (machine, effects) = Machine::new(now, splice, settings, origin.start);
+        let task = Self {
+            demand: demand(&account.name, labels, &request),
+            digest,
+            scope: context.scope.child(),
+            context,
+            machine,
+            request,
+            patience,
+            term: origin.term,
+            address: origin.address,
+            permit: None,
+            connections: BTreeMap::new(),
+            courier: Courier::default(),
+            letter_due: Duration::ZERO,
+            subscriber: Some(Subscriber::new(channels.events, next)),
+            orphaned_at: None,
+            outcome: origin.whole.then_some(Outcome::Whole),
+            moved_to: Vec::new(),
+            notices: notices_sender,
+            status: channels.status,
+            _entered: entered,
+        };
+        let scope = task.context.scope.clone();
+        scope.spawn(task.run(effects, notices, channels.commands));
+    }
+
     async fn run(
         mut self,
         effects: Vec<Effect>,
@@ -721,47 +579,6 @@
     }
 }
 
-struct Reader {
-    conn: u32,
-    engines: Arc<dyn engine::Client>,
-    submission: Option<Submission>,
-    attempt: Attempt,
-    from: u32,
-    notices: mpsc::Sender<Notice>,
-}
-
-impl Reader {
-    /// Opens the stream and passes on what it brings.
-    async fn run(self) {
-        let opened = match &self.submission {
-            Some(submission) => self.engines.submit(&self.attempt.address, submission).await,
-            None => self.engines.reattach(&self.attempt, self.from).await,
-        };
-        let error = match opened {
-            Ok(stream) => self.pass_on(stream).await,
-            Err(error) => error,
-        };
-        let _ = self.notices.send(Notice::Failed(self.conn, error)).await;
-    }
-
-    async fn pass_on(&self, mut stream: engine::Stream) -> engine::Error {
-        if self.notices.send(Notice::Opened(self.conn)).await.is_err() {
-            return engine::Error::Reset;
-        }
-        loop {
-            match stream.next().await {
-                Some(Ok(chunk)) => {
-                    if self.notices.send(Notice::Chunk(self.conn, chunk)).await.is_err() {
-                        return engine::Error::Reset;
-                    }
-                }
-                Some(Err(error)) => return error,
-                None => return engine::Error::Reset,
-            }
-        }
-    }
-}
-
 /// Waits for room in the caller's queue; `None` when the caller is gone.
 async fn room(sender: Option<&mpsc::Sender<Event>>) -> Option<mpsc::Permit<'_, Event>> {
     match sender {
@@ -776,45 +593,3 @@
         None => std::future::pending().await,
     }
 }
-
-fn demand(account: &str, labels: Labels, request: &Request) -> Demand {
-    let mut end = request.prompt.len().min(AFFINITY_BYTES);
-    while !request.prompt.is_char_boundary(end) {
-        end -= 1;
-    }
-    Demand {
-        account: account.to_owned(),
-        model: Some(request.model.clone()),
-        adapter: request.adapter.clone(),
-        labels,
-        affinity: request.prompt[..end].to_owned(),
-        ..Demand::default()
-    }
-}
-
-fn initial_settings(timing: &Timing, request: &Request, deadline: Duration) -> Settings {
-    let prompt_tokens = (request.prompt.len() / BYTES_PER_TOKEN) as u32;
-    Settings {
-        patience: Patience { weight: 1.0, max: timing.open_timeout },
-        prefill_tokens_per_s: 8_000.0,
-        prompt_tokens,
-        open_timeout: timing.open_timeout,
-        deadline,
-        silence: Bounds { min: timing.min_silence, max: timing.max_silence },
-    }
-}
-
-fn pool_settings(
-    timing: &Timing,
-    request: &Request,
-    placement: &Placement,
-    deadline: Duration,
-) -> Settings {
-    let pool = &placement.pool;
-    let max = Duration::from_millis(pool.max_silence_ms);
-    Settings {
-        patience: Patience { weight: pool.resume_weight, max },
-        prefill_tokens_per_s: pool.prefill_tokens_per_s as f64,
-        ..initial_settings(timing, request, deadline)
-    }
-}
--- a/quetzaltiller/tests/daemons.rs
+++ b/quetzaltiller/tests/daemons.rs
@@ -1,5 +1,6 @@
 //! The real binaries over real sockets, with stand-ins on loopback.
 
+use quetzaltiller::adapters::{Method, Outgoing, fetch};
 use quetzaltiller::caller::{Caller, Http, Reply, Unfinished};
 use quetzaltiller::generation::Request;
 use quetzaltiller::objects::Object;
@@ -307,6 +308,25 @@
     assert_refused(down, Code::StoreUnavailable);
 }
 
+/// Posts a body; returns the status, the code and what is said of having run.
+async fn post(
+    entry: &str,
+    key: &str,
+    path: &str,
+    headers: Vec<(&'static str, &'static str)>,
+    body: String,
+) -> (u16, String, Value) {
+    let mut outgoing = Outgoing::new(Method::POST, path).json(body);
+    outgoing = outgoing.header("authorization", format!("Bearer {key}"));
+    for (name, value) in headers {
+        outgoing = outgoing.header(name, value);
+    }
+    let response = fetch(entry, outgoing, PATIENCE).await.unwrap();
+    let body: Value = serde_json::from_slice(response.body()).unwrap();
+    let code = body["code"].as_str().unwrap().to_owned();
+    (response.status().as_u16(), code, body["ran"].clone())
+}
+
 fn assert_refused(reply: Reply, code: Code) {
     match reply {
         Reply::Refused(refusal) => assert_eq!((refusal.code, refusal.ran), (code, Ran::No)),
@@ -318,27 +338,7 @@
 async fn bad_input_gets_a_clear_error() {
     let bed = Bed::start("bad").await;
     let entry = bed.routers[0].address("caller_address");
-    let ask = |key: &'static str,
-               path: &'static str,
-               headers: Vec<(&'static str, &'static str)>,
-               body: String| {
-        let entry = entry.clone();
-        async move {
-            use quetzaltiller::adapters::{Method, Outgoing, fetch};
-            let mut outgoing = Outgoing::new(Method::POST, path).json(body);
-            outgoing = outgoing.header("authorization", format!("Bearer {key}"));
-            for (name, value) in headers {
-                outgoing = outgoing.header(name, value);
-            }
-            let response = fetch(&entry, outgoing, PATIENCE).await.unwrap();
-            let body: Value = serde_json::from_slice(response.body()).unwrap();
-            (
-                response.status().as_u16(),
-                body["code"].as_str().unwrap().to_owned(),
-                body["ran"].clone(),
-            )
-        }
-    };
+    let ask = |key, path, headers, body| post(&entry, key, path, headers, body);
     let good = serde_json::to_string(&request(10)).unwrap();
     let generations = "/v1/generations";
     let forged = ("last-event-id", "00000000000000000000000000000000.1.5");
