Ask a silent engine before its first token as soon as prefill should be over

Change: before the first token, silence is twice the prefill of prompt and answer.

Conclusion: a reattach costs no engine work, so asking early is safe.

--- a/coordination/src/detector.rs
+++ b/coordination/src/detector.rs
@@ -61,6 +61,11 @@
         self.observed += 1;
     }
 
+    /// Whether any gap was observed.
+    pub fn has_observed(&self) -> bool {
+        self.observed > 0
+    }
+
     /// Gap from which silence is suspicious.
     pub fn threshold(&self) -> Duration {
         if self.observed == 0 {
--- a/quetzaltiller/src/generation/machine.rs
+++ b/quetzaltiller/src/generation/machine.rs
@@ -389,13 +389,26 @@
     }
 
     fn patience_ends_at(&self) -> Duration {
+        self.last_life + self.settings.patience.wait(self.prefill_s())
+    }
+
+    /// Time that an engine needs to prefill prompt and answer.
+    fn prefill_s(&self) -> f64 {
         let tokens = f64::from(self.settings.prompt_tokens + self.splice.next());
-        let price_s = tokens / self.settings.prefill_tokens_per_s;
-        self.last_life + self.settings.patience.wait(price_s)
+        tokens / self.settings.prefill_tokens_per_s
     }
 
+    /// When silence is acted on. Before the first token it may be prefill; asking an engine that
+    /// is at work costs it nothing, so twice the time of that is enough.
     fn silent_at(&self) -> Duration {
-        self.last_life + self.detector.threshold() * self.backoff
+        let threshold = if self.detector.has_observed() {
+            self.detector.threshold()
+        } else {
+            let silence = self.settings.silence;
+            let prefill = Duration::from_secs_f64(2.0 * self.prefill_s());
+            prefill.clamp(silence.min, silence.max)
+        };
+        self.last_life + threshold * self.backoff
     }
 
     fn expires_at(&self) -> Duration {
