Share account limits by demand between entry VMs

Change: coordination::share: use travels with heartbeats, and a process takes more only while there is room even if all others took as much in the last two rounds.

--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`patience`]: how long to wait before paying for a replacement.
 //! - [`budget`]: a bound on retries as a share of successes.
 //! - [`rendezvous`]: agreement on an order of members without talking.
+//! - [`share`]: a limit that several processes share by demand.
 
 pub mod budget;
 pub mod claim;
@@ -21,3 +22,4 @@
 pub mod membership;
 pub mod patience;
 pub mod rendezvous;
+pub mod share;
--- a/quetzaltiller/src/dispatch/task.rs
+++ b/quetzaltiller/src/dispatch/task.rs
@@ -8,8 +8,10 @@
 use crate::mailbox::Mailbox;
 use crate::prelude::*;
 use crate::scope::Scope;
+use crate::wire;
+use coordination::share::{Shares, Usage};
 use std::collections::{BTreeMap, BTreeSet};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::MissedTickBehavior;
 
 const RETRY: Duration = Duration::from_millis(50);
@@ -53,7 +55,8 @@
     Report { upstream: String, report: Option<Report> },
     Cached { upstream: String, blocks: Vec<u64> },
     Configure(Arc<Set>),
-    Members(u32),
+    Members { known: Vec<String>, alive: Vec<String> },
+    Heard { member: String, usage: Usage },
     Leaving(BTreeSet<String>),
     Dump(oneshot::Sender<BTreeMap<String, UpstreamState>>),
 }
@@ -65,25 +68,28 @@
 pub struct Dispatch {
     clock: Clock,
     mailbox: Mailbox<Message>,
+    usage: watch::Receiver<Usage>,
 }
 
 impl Dispatch {
     /// Starts the task in `scope`.
     pub fn start(scope: &Scope, clock: Clock) -> Self {
         let (mailbox, messages) = Mailbox::new();
+        let (usage_sender, usage) = watch::channel(Usage::new());
         let task = Task {
             clock,
             mailbox: mailbox.clone(),
             set: Arc::default(),
             table: Table::default(),
             waiters: Vec::new(),
-            accounts: BTreeMap::new(),
+            shares: Shares::default(),
+            usage: usage_sender,
             members: 1,
             queue: Queue::default(),
             mean_hold_s: BTreeMap::new(),
         };
         scope.spawn(task.run(messages));
-        Self { clock, mailbox }
+        Self { clock, mailbox, usage }
     }
 
     /// Time on the clock that deadlines refer to.
@@ -127,9 +133,24 @@
         self.mailbox.tell(Message::Configure(set));
     }
 
-    /// Tells how many entry VMs share the accounts' limits.
-    pub fn set_members(&self, members: u32) {
-        self.mailbox.tell(Message::Members(members));
+    /// Tells the other entry VMs: those not forgotten, and those of them that are alive.
+    pub fn set_members(&self, known: Vec<String>, alive: Vec<String>) {
+        self.mailbox.tell(Message::Members { known, alive });
+    }
+
+    /// Tells what another entry VM uses of the accounts' limits.
+    pub fn heard(&self, member: String, usage: Usage) {
+        self.mailbox.tell(Message::Heard { member, usage });
+    }
+
+    /// What this entry VM uses of the accounts' limits.
+    pub fn usage(&self) -> Vec<wire::Usage> {
+        let usage = self.usage.borrow();
+        let entry = |(account, count): (&String, &u32)| wire::Usage {
+            account: account.clone(),
+            count: *count,
+        };
+        usage.iter().map(entry).collect()
     }
 
     /// Tells which upstreams leave by other word than the configuration's.
@@ -156,7 +177,8 @@
     set: Arc<Set>,
     table: Table,
     waiters: Vec<Waiter>,
-    accounts: BTreeMap<String, u32>,
+    shares: Shares,
+    usage: watch::Sender<Usage>,
     members: u32,
     queue: Queue,
     mean_hold_s: BTreeMap<String, f64>,
@@ -204,10 +226,12 @@
                 self.set = set;
                 self.serve();
             }
-            Message::Members(members) => {
-                self.members = members.max(1);
+            Message::Members { known, alive } => {
+                self.members = alive.len() as u32 + 1;
                 self.table.set_members(self.members);
+                self.shares.set_members(&known, &alive);
             }
+            Message::Heard { member, usage } => self.shares.hear(&member, usage),
             Message::Leaving(leaving) => self.table.set_leaving(leaving),
             Message::Dump(reply) => drop(reply.send(self.table.states().clone())),
         }
@@ -277,7 +301,8 @@
     }
 
     fn permit(&mut self, upstream: String, account: String) -> Permit {
-        *self.accounts.entry(account.clone()).or_default() += 1;
+        self.shares.take(&account);
+        self.publish_usage();
         Permit { upstream, account, since: self.clock.now(), mailbox: self.mailbox.clone() }
     }
 
@@ -289,9 +314,12 @@
             let mean_s = self.mean_hold_s.entry(pool).or_insert(held_s);
             *mean_s += HOLD_GAIN * (held_s - *mean_s);
         }
-        if let Some(count) = self.accounts.get_mut(account) {
-            *count = count.saturating_sub(1);
-        }
+        self.shares.release(account);
+        self.publish_usage();
+    }
+
+    fn publish_usage(&self) {
+        self.usage.send_modify(|usage| usage.clone_from(self.shares.own()));
     }
 
     fn serve(&mut self) {
@@ -304,8 +332,7 @@
         let Some(limit) = self.set.accounts().find(|a| a.name == account) else {
             return true;
         };
-        let share = limit.max_concurrent.div_ceil(self.members);
-        self.accounts.get(account).copied().unwrap_or_default() >= share
+        !self.shares.may_take(account, limit.max_concurrent)
     }
 
     /// Time until those before `place` have been served, by the mean time that a place is held.
--- a/quetzaltiller/src/members.rs
+++ b/quetzaltiller/src/members.rs
@@ -126,6 +126,7 @@
 pub struct Members {
     own: Arc<Own>,
     catalog: Catalog,
+    dispatch: Dispatch,
     mailbox: Mailbox<Message>,
     view: watch::Receiver<Arc<View>>,
 }
@@ -157,8 +158,13 @@
         let (sender, view) = watch::channel(Arc::default());
         let (targets_sender, targets) =
             watch::channel(BTreeSet::from_iter(parts.config.peers.clone()));
-        let members =
-            Self { own: parts.own, catalog: parts.catalog, mailbox: mailbox.clone(), view };
+        let members = Self {
+            own: parts.own,
+            catalog: parts.catalog,
+            dispatch: parts.dispatch.clone(),
+            mailbox: mailbox.clone(),
+            view,
+        };
         let task = Task {
             clock: parts.clock,
             own: members.own.clone(),
@@ -198,6 +204,7 @@
     /// This process's heartbeat.
     pub fn heartbeat(&self) -> wire::Heartbeat {
         let mut beat = wire::Heartbeat::from(self.own.heartbeat(self.catalog.number()));
+        beat.usage = self.dispatch.usage();
         beat.leaving_upstreams = self.view.borrow().listed_leaving.iter().cloned().collect();
         beat
     }
@@ -244,6 +251,8 @@
         }
         let now = self.clock.now();
         self.told.retain(|told| told.by != beat.name);
+        let usage = beat.usage.iter().map(|usage| (usage.account.clone(), usage.count));
+        self.dispatch.heard(beat.name.clone(), usage.collect());
         if !beat.leaving_upstreams.is_empty() {
             let upstreams = beat.leaving_upstreams.clone();
             self.told.push(Told { upstreams, by: beat.name.clone(), at: now });
@@ -267,7 +276,9 @@
         let listed_leaving = self.listed_leaving();
         let leaving_upstreams: BTreeSet<_> =
             listed_leaving.iter().cloned().chain(self.told_leaving(now)).collect();
-        self.dispatch.set_members(alive.len() as u32 + 1);
+        let names = |beats: &[Heartbeat]| beats.iter().map(|beat| beat.name.clone()).collect();
+        let known = self.table.members().map(|member| member.beat.name.clone()).collect();
+        self.dispatch.set_members(known, names(&alive));
         if self.view.borrow().leaving_upstreams != leaving_upstreams {
             self.dispatch.set_leaving(leaving_upstreams.clone());
         }
--- a/quetzaltiller/src/wire.rs
+++ b/quetzaltiller/src/wire.rs
@@ -93,6 +93,18 @@
     /// Upstreams that the member knows to be leaving.
     #[prost(string, repeated, tag = "9")]
     pub leaving_upstreams: Vec<String>,
+    /// What the member uses of the accounts' limits.
+    #[prost(message, repeated, tag = "10")]
+    pub usage: Vec<Usage>,
+}
+
+/// Use of one account's limit.
+#[derive(Clone, Message, PartialEq)]
+pub struct Usage {
+    #[prost(string, tag = "1")]
+    pub account: String,
+    #[prost(uint32, tag = "2")]
+    pub count: u32,
 }
 
 impl From<membership::Heartbeat> for Heartbeat {
@@ -107,6 +119,7 @@
             number: beat.number,
             open: beat.open,
             leaving_upstreams: Vec::new(),
+            usage: Vec::new(),
         }
     }
 }
