Answer unknown paths as JSON; print to closed pipes without a panic

Cause: trying the demo by hand: an unknown path got an HTML page, 'qtctl status | head' panicked, and qtctl named an empty list of operators' addresses.

Change: a refusal 'not_found', output that a gone reader does not break, and a message that says what to give.

Seen: the three cases by hand before; the first is in the tests of bad input now.

--- a/quetzaltiller/src/bin/qtctl.rs
+++ b/quetzaltiller/src/bin/qtctl.rs
@@ -7,6 +7,7 @@
 use quetzaltiller::digest::key_digest;
 use quetzaltiller::objects::{Kind, Object};
 use serde::Serialize;
+use std::io::Write as _;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -147,7 +148,7 @@
     match run(args) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) if json => {
-            println!("{}", serde_json::json!({ "error": error.to_string() }));
+            print_out(&serde_json::json!({ "error": error.to_string() }).to_string());
             ExitCode::from(EXIT_FAULTS)
         }
         Err(error) => {
@@ -173,7 +174,7 @@
             let kind = command.target.as_ref().map(|target| target.kind);
             let name = command.target.as_ref().and_then(|target| target.name.as_deref());
             let objects = session.get(kind, name).await?;
-            println!("{}", serde_json::to_string_pretty(&objects).unwrap_or_default());
+            print_out(&serde_json::to_string_pretty(&objects).unwrap_or_default());
         }
         Command::Diff(command) => {
             let objects = ctl::read_objects(&command.files)?;
@@ -182,7 +183,7 @@
         Command::Status(_) => printer.status(&session.status().await?),
         Command::Dump(command) => {
             let dump = session.dump(&command.address).await?;
-            println!("{}", serde_json::to_string_pretty(&dump).unwrap_or_default());
+            print_out(&serde_json::to_string_pretty(&dump).unwrap_or_default());
         }
         Command::Drain(command) if command.target.contains(':') => {
             session.leave(&command.target).await?;
@@ -197,7 +198,7 @@
             let mut key = String::new();
             let read = std::io::stdin().read_line(&mut key);
             read.map_err(|error| Error::File("standard input".into(), error.to_string()))?;
-            println!("{}", key_digest(&command.salt, key.trim()));
+            print_out(&key_digest(&command.salt, key.trim()));
         }
     }
     Ok(())
@@ -237,9 +238,9 @@
 impl Printer {
     fn say<T: Serialize>(&self, text: &str, value: &T) {
         if self.json {
-            println!("{}", serde_json::to_string(value).unwrap_or_default());
+            print_out(&serde_json::to_string(value).unwrap_or_default());
         } else {
-            println!("{text}");
+            print_out(text);
         }
     }
 
@@ -251,7 +252,7 @@
         for row in rows {
             table.push([row.object.to_string(), format!("{:?}", row.change).to_lowercase()]);
         }
-        print!("{table}");
+        print_out(table.to_string().trim_end());
     }
 
     fn status(&self, status: &ctl::Status) {
@@ -276,15 +277,20 @@
             let counts = [row.in_flight.to_string(), reported, row.failures.to_string()];
             upstreams.push(names.into_iter().chain(counts));
         }
-        println!("{entries}\n{pools}\n{upstreams}");
+        print_out(format!("{entries}\n{pools}\n{upstreams}").trim_end());
         for (id, status) in &status.faulty {
             for fault in &status.faults {
-                println!("not in force: {id}: {fault}");
+                print_out(&format!("not in force: {id}: {fault}"));
             }
         }
     }
 }
 
+/// Prints a line or more; a reader that has gone away is no error.
+fn print_out(text: &str) {
+    let _ = writeln!(std::io::stdout(), "{text}");
+}
+
 fn state(leaving: bool) -> String {
     if leaving { "leaving" } else { "serving" }.to_owned()
 }
--- a/quetzaltiller/src/ctl/error.rs
+++ b/quetzaltiller/src/ctl/error.rs
@@ -33,6 +33,10 @@
         Operators(addresses: String) {
             display("nobody answers at {addresses}; check --operators")
         }
+        /// No operators' address was given.
+        NoOperators {
+            display("no operators' address; give one or more with --operators")
+        }
         /// The configuration did not come in force in time.
         Late(waiting: String) {
             display("not in force in time: {waiting}; see `qtctl status`")
--- a/quetzaltiller/src/ctl/session.rs
+++ b/quetzaltiller/src/ctl/session.rs
@@ -227,6 +227,9 @@
                 return Ok(dump);
             }
         }
+        if self.reach.operators.is_empty() {
+            return Err(Error::NoOperators);
+        }
         Err(Error::Operators(self.reach.operators.join(", ")))
     }
 
--- a/quetzaltiller/src/front.rs
+++ b/quetzaltiller/src/front.rs
@@ -22,11 +22,12 @@
 /// Routes for callers.
 pub fn routes(core: &Arc<Core>) -> Router {
     let front = |call| Front { core: core.clone(), call };
-    Router::with_path("v1")
+    let calls = Router::with_path("v1")
         .push(Router::with_path("entries").get(front(Endpoint::Entries)))
         .push(Router::with_path("generations").post(front(Endpoint::Generate)))
         .push(Router::with_path("generations/{id}").delete(front(Endpoint::Cancel)))
-        .push(Router::with_path("services/{service}/{**path}").goal(front(Endpoint::Service)))
+        .push(Router::with_path("services/{service}/{**path}").goal(front(Endpoint::Service)));
+    Router::new().push(calls).push(Router::with_path("{**path}").goal(front(Endpoint::Unknown)))
 }
 
 #[derive(Clone, Copy)]
@@ -35,6 +36,7 @@
     Generate,
     Cancel,
     Service,
+    Unknown,
 }
 
 struct Front {
@@ -56,6 +58,9 @@
             Endpoint::Generate => self.generate(request, response).await,
             Endpoint::Cancel => self.cancel(request, response).await,
             Endpoint::Service => self.service(request, response).await,
+            Endpoint::Unknown => {
+                Err(Refusal::not_run(Code::NotFound, "no such call; see docs/INTERFACES.md"))
+            }
         };
         if let Err(refusal) = result {
             write_refusal(response, &refusal);
--- a/quetzaltiller/tests/daemons.rs
+++ b/quetzaltiller/tests/daemons.rs
@@ -382,6 +382,7 @@
             "not_allowed",
             "no",
         ),
+        (ask(KEY, "/v1/nothing", vec![], "{}".into()).await, 404, "not_found", "no"),
         (
             ask(KEY, "/v1/services/nothing/orders", vec![], "{}".into()).await,
             403,
