Retry at the next entry VM without a long pause; split the engine stand-in

Cause: with a zone lost, lookups took whole seconds at the 99th percentile, as the caller slept a second after each dead entry VM although nothing had been sent.

Change: after an unreachable entry VM or a broken connection the caller pauses 50 ms; after a refusal, as long as it says. The stand-in's streams and settings have files of their own.

--- a/coordination/tests/share.rs
+++ b/coordination/tests/share.rs
@@ -65,7 +65,7 @@
                     process.held.push_back(now + HOLD);
                 }
             }
-            if (now + index as u64 * 3) % PERIOD == 0 {
+            if (now + index as u64 * 3).is_multiple_of(PERIOD) {
                 beat(&mut all, index, now);
             }
         }
--- a/quetzaltiller/src/caller.rs
+++ b/quetzaltiller/src/caller.rs
@@ -170,20 +170,27 @@
             let entries = self.entries().await;
             let entry = &entries[0];
             let left = deadline.saturating_duration_since(Instant::now());
-            match timeout(left, self.transport.call(entry, service, call)).await {
+            let pause = match timeout(left, self.transport.call(entry, service, call)).await {
                 Ok(Ok(answer)) => return Reply::Answered(answer),
                 Ok(Err(Failure::Refused(refusal))) if refusal.retry_after_ms == 0 => {
                     return Reply::Refused(refusal);
                 }
-                Ok(Err(Failure::Refused(refusal))) => last = Reply::Refused(refusal),
-                Ok(Err(Failure::Broken)) => last = Reply::Broken,
-                Ok(Err(Failure::Unreachable)) | Err(_) => {}
-            }
-            if Instant::now() + MAX_PAUSE >= deadline {
+                Ok(Err(Failure::Refused(refusal))) => {
+                    let pause = Duration::from_millis(refusal.retry_after_ms);
+                    last = Reply::Refused(refusal);
+                    pause.min(MAX_PAUSE)
+                }
+                Ok(Err(Failure::Broken)) => {
+                    last = Reply::Broken;
+                    PAUSE
+                }
+                Ok(Err(Failure::Unreachable)) | Err(_) => PAUSE,
+            };
+            if Instant::now() + pause >= deadline {
                 return last;
             }
             self.demote(entry).await;
-            tokio::time::sleep(MAX_PAUSE).await;
+            tokio::time::sleep(pause).await;
         }
     }
 
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -5,8 +5,12 @@
 mod cache;
 mod client;
 mod order;
+mod settings;
+mod state;
 
-pub use batch::{Engine, Running, Settings, Submitted, Work};
+pub use batch::Engine;
 pub use cache::Cache;
 pub use client::Fleet;
 pub use order::{Order, OrderError, Role};
+pub use settings::Settings;
+pub use state::{Running, Submitted, Work};
--- a/standin/src/engine/client.rs
+++ b/standin/src/engine/client.rs
@@ -33,7 +33,7 @@
         self.gate.pass(address, &self.reader).await.map_err(|_| Error::Reset)
     }
 
-    fn stream(&self, engine: &Engine, cursor: super::batch::Cursor) -> Stream {
+    fn stream(&self, engine: &Engine, cursor: super::state::Cursor) -> Stream {
         let place = (engine.clone(), cursor, self.reader.clone());
         stream::unfold(place, |(engine, mut cursor, reader)| async move {
             let chunk = engine.next(&mut cursor, &reader).await?;
