Name parts by the field's words: replicator, acknowledgement, owner state, tombstone

Cause: reading as a newcomer, some names were metaphors (courier, letter, word, bury) or general (force, desk, beats).

Change: names only.

--- a/bench/src/sockets.rs
+++ b/bench/src/sockets.rs
@@ -183,8 +183,8 @@
             let router = Router::builder(config, ports).start();
             serve_peers(&self.scope, peers, router.clone());
             serve_http(&self.scope, callers, front::routes(&router), MAX_CONNECTIONS)?;
-            let desk: Arc<dyn Process> = Arc::new(Desk(router.clone()));
-            serve_http(&self.scope, operators, operators::routes(&desk), MAX_CONNECTIONS)?;
+            let process: Arc<dyn Process> = Arc::new(RouterProcess(router.clone()));
+            serve_http(&self.scope, operators, operators::routes(&process), MAX_CONNECTIONS)?;
             self.routers.push(router);
         }
         platform.set_vms(vms);
@@ -227,10 +227,10 @@
     }
 }
 
-struct Desk(Arc<Router>);
+struct RouterProcess(Arc<Router>);
 
 #[async_trait]
-impl Process for Desk {
+impl Process for RouterProcess {
     async fn dump(&self) -> Value {
         serde_json::to_value(self.0.dump().await).unwrap_or_default()
     }
--- a/coordination/src/claim.rs
+++ b/coordination/src/claim.rs
@@ -58,7 +58,7 @@
 
 /// What an owner says of a claim of its own.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub enum Word {
+pub enum OwnerState {
     /// It was given up before anything was sent, for good.
     Abandoned,
     /// It is at work, or its outcome is being recorded.
@@ -84,8 +84,8 @@
     Found(u64, Record<A>),
     /// There is no record.
     Absent,
-    /// The owner's word, for [`Step::AskOwner`].
-    Said(Word),
+    /// The owner's state, for [`Step::AskOwner`].
+    OwnerAnswered(OwnerState),
 }
 
 /// What to do next.
@@ -125,7 +125,7 @@
 enum Phase {
     Creating,
     Reading,
-    Burying,
+    CreatingTombstone,
     Replacing,
     Asking(u64),
     Marking,
@@ -158,13 +158,15 @@
         self.contested |= self.phase == Phase::Creating && matches!(event, Event::Conflict);
         match (self.phase, event) {
             (Phase::Creating | Phase::Replacing, Event::Written(version)) => self.send(version),
-            (Phase::Burying, Event::Written(version)) => self.replace(version),
+            (Phase::CreatingTombstone, Event::Written(version)) => self.replace(version),
             (Phase::Marking, Event::Written(_)) => self.refuse(Refusal::Unknown),
             (Phase::Reading, Event::Found(version, record)) => self.judge(version, record),
-            (Phase::Reading, Event::Absent) => self.bury(),
-            (Phase::Asking(version), Event::Said(word)) => self.hear(version, word),
+            (Phase::Reading, Event::Absent) => self.create_tombstone(),
+            (Phase::Asking(version), Event::OwnerAnswered(state)) => {
+                self.on_owner_state(version, state)
+            }
             (
-                Phase::Creating | Phase::Burying | Phase::Replacing,
+                Phase::Creating | Phase::CreatingTombstone | Phase::Replacing,
                 Event::Conflict | Event::Lost,
             )
             | (Phase::Marking, Event::Conflict | Event::Lost) => self.read(),
@@ -224,15 +226,15 @@
         Step::AskOwner(record.owner, record.nonce)
     }
 
-    fn hear(&mut self, version: u64, word: Word) -> Step<A> {
-        match word {
-            Word::Abandoned => {
+    fn on_owner_state(&mut self, version: u64, state: OwnerState) -> Step<A> {
+        match state {
+            OwnerState::Abandoned => {
                 self.contested = false;
                 self.replace(version)
             }
-            Word::Running => Step::Wait,
-            Word::Silent => self.refuse(Refusal::Unknown),
-            Word::Gone => self.mark_unknown(version),
+            OwnerState::Running => Step::Wait,
+            OwnerState::Silent => self.refuse(Refusal::Unknown),
+            OwnerState::Gone => self.mark_unknown(version),
         }
     }
 
@@ -241,8 +243,8 @@
         Step::Replace(version, self.outcome(State::Unknown))
     }
 
-    fn bury(&mut self) -> Step<A> {
-        self.phase = Phase::Burying;
+    fn create_tombstone(&mut self) -> Step<A> {
+        self.phase = Phase::CreatingTombstone;
         Step::Create(self.outcome(State::Aborted))
     }
 
--- a/coordination/tests/claim.rs
+++ b/coordination/tests/claim.rs
@@ -4,7 +4,7 @@
 //! claimants may crash between any two steps and start again; a budget bounds the faults of a
 //! path. Each claimant makes up to two attempts at the same key.
 
-use coordination::claim::{Event, Machine, Owner, Record, Refusal, State, Step, Word};
+use coordination::claim::{Event, Machine, Owner, OwnerState, Record, Refusal, State, Step};
 use std::collections::{BTreeSet, HashSet};
 
 const CLAIMANTS: usize = 2;
@@ -168,8 +168,9 @@
                 next
             }
             Step::AskOwner(owner, nonce) => {
-                let mut next = vec![self.fed(index, Event::Said(self.word_of(owner, *nonce)))];
-                next.extend(self.faulty(index, Event::Said(Word::Silent)));
+                let mut next =
+                    vec![self.fed(index, Event::OwnerAnswered(self.owner_state(owner, *nonce)))];
+                next.extend(self.faulty(index, Event::OwnerAnswered(OwnerState::Silent)));
                 next
             }
             Step::Wait => self.wait(index),
@@ -190,13 +191,13 @@
         next
     }
 
-    fn word_of(&self, owner: &Owner, nonce: u64) -> Word {
+    fn owner_state(&self, owner: &Owner, nonce: u64) -> OwnerState {
         let asked = &self.claimants[owner.name.parse::<usize>().unwrap()];
         match asked.phase {
-            Phase::Crashed => Word::Silent,
-            _ if asked.incarnation != owner.incarnation => Word::Gone,
-            _ if asked.abandoned.contains(&nonce) => Word::Abandoned,
-            _ => Word::Running,
+            Phase::Crashed => OwnerState::Silent,
+            _ if asked.incarnation != owner.incarnation => OwnerState::Gone,
+            _ if asked.abandoned.contains(&nonce) => OwnerState::Abandoned,
+            _ => OwnerState::Running,
         }
     }
 
--- a/quetzaltiller/src/actions.rs
+++ b/quetzaltiller/src/actions.rs
@@ -16,7 +16,9 @@
 use crate::scope::Scope;
 use crate::service::{self, Answer, Call};
 use crate::wire;
-use coordination::claim::{Event, Machine, Owner, Record, Refusal as Denial, State, Step, Word};
+use coordination::claim::{
+    Event, Machine, Owner, OwnerState, Record, Refusal as ClaimRefusal, State, Step,
+};
 use std::collections::BTreeSet;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, timeout, timeout_at};
@@ -167,7 +169,7 @@
                     self.actions.metrics.count(Counter::ActionReplayed);
                     return Ok(answer);
                 }
-                Step::Refuse(denial) => return self.refuse(denial).await,
+                Step::Refuse(refusal) => return self.refuse(refusal).await,
                 _ if Instant::now() >= self.deadline => return self.give_up().await,
                 Step::Wait => {
                     tokio::time::sleep(WAIT_FOR_OTHER).await;
@@ -192,7 +194,9 @@
             Step::Create(record) => self.create(&record).await,
             Step::Replace(version, record) => self.replace(version, &record).await,
             Step::Read => self.read().await,
-            Step::AskOwner(owner, nonce) => Event::Said(self.ask_owner(&owner, nonce).await),
+            Step::AskOwner(owner, nonce) => {
+                Event::OwnerAnswered(self.ask_owner(&owner, nonce).await)
+            }
             Step::Send(_) | Step::Wait | Step::Replay(_) | Step::Refuse(_) => Event::Unreachable,
         }
     }
@@ -219,26 +223,26 @@
         }
     }
 
-    async fn ask_owner(&self, owner: &Owner, nonce: u64) -> Word {
+    async fn ask_owner(&self, owner: &Owner, nonce: u64) -> OwnerState {
         let same_name = owner.name == self.actions.owner.name;
         if same_name && owner.incarnation != self.actions.owner.incarnation {
-            return Word::Gone;
+            return OwnerState::Gone;
         }
         if same_name {
             let abandoned = self.actions.ledger.is_abandoned(nonce).await;
-            return if abandoned { Word::Abandoned } else { Word::Running };
+            return if abandoned { OwnerState::Abandoned } else { OwnerState::Running };
         }
         let view = self.actions.members.view();
         let Some(member) = view.member(&owner.name) else {
-            return Word::Silent;
+            return OwnerState::Silent;
         };
         let ask = wire::Ask::Claim(wire::Claim { incarnation: owner.incarnation, nonce });
         self.actions.metrics.count(Counter::PeerCall);
         match timeout(OWNER_TIMEOUT, self.actions.link.call(&member.peer_address, ask)).await {
-            Ok(Ok(wire::Reply::Claimed(claimed))) if claimed.gone => Word::Gone,
-            Ok(Ok(wire::Reply::Claimed(claimed))) if claimed.abandoned => Word::Abandoned,
-            Ok(Ok(wire::Reply::Claimed(_))) => Word::Running,
-            _ => Word::Silent,
+            Ok(Ok(wire::Reply::Claimed(claimed))) if claimed.gone => OwnerState::Gone,
+            Ok(Ok(wire::Reply::Claimed(claimed))) if claimed.abandoned => OwnerState::Abandoned,
+            Ok(Ok(wire::Reply::Claimed(_))) => OwnerState::Running,
+            _ => OwnerState::Silent,
         }
     }
 
@@ -302,13 +306,13 @@
         (answer.status == 200).then_some(answer)
     }
 
-    async fn refuse(&self, denial: Denial) -> Result<Answer, Refusal> {
-        match denial {
-            Denial::StoreUnavailable => self.abandon().await,
-            Denial::KeyReused => {
+    async fn refuse(&self, refusal: ClaimRefusal) -> Result<Answer, Refusal> {
+        match refusal {
+            ClaimRefusal::StoreUnavailable => self.abandon().await,
+            ClaimRefusal::KeyReused => {
                 Err(Refusal::not_run(Code::KeyReused, "the key was used for another request"))
             }
-            Denial::Unknown => self.settle_earlier().await,
+            ClaimRefusal::Unknown => self.settle_earlier_attempt().await,
         }
     }
 
@@ -328,7 +332,7 @@
     }
 
     /// An earlier attempt was sent and its outcome is unknown: the service may know by now.
-    async fn settle_earlier(&self) -> Result<Answer, Refusal> {
+    async fn settle_earlier_attempt(&self) -> Result<Answer, Refusal> {
         self.actions.ledger.abandon(self.machine.nonce()).await;
         let Some(answer) = self.look_up().await else {
             return Err(unknown());
--- a/quetzaltiller/src/adapters/tcp_peer.rs
+++ b/quetzaltiller/src/adapters/tcp_peer.rs
@@ -1,4 +1,4 @@
-//! Peers over framed TCP: one connection for each direction, requests told apart by sequence.
+//! Peers over framed TCP: one connection for each direction, answers matched to requests by sequence.
 
 use crate::peer::{Error, Handler, Link};
 use crate::prelude::*;
--- a/quetzaltiller/src/bin/qt-router.rs
+++ b/quetzaltiller/src/bin/qt-router.rs
@@ -92,10 +92,10 @@
     let max_connections = config.limits.max_connections;
     let router = Router::builder(config, ports).incarnation(daemon::incarnation()).start();
     let process = Arc::new(Daemon { router: router.clone(), leave: Notify::new() });
-    let desk: Arc<dyn Process> = process.clone();
+    let operated: Arc<dyn Process> = process.clone();
     let scope = Scope::default();
     serve_peers(&scope, peers, router.clone());
-    daemon::serve_http(&scope, operators, operators::routes(&desk), MAX_OPERATORS)?;
+    daemon::serve_http(&scope, operators, operators::routes(&operated), MAX_OPERATORS)?;
     let server = daemon::serve_http(&scope, callers, front::routes(&router), max_connections)?;
     tokio::select! {
         biased;
--- a/quetzaltiller/src/bin/qt-steward.rs
+++ b/quetzaltiller/src/bin/qt-steward.rs
@@ -80,8 +80,8 @@
     let scope = Scope::default();
     scope.spawn(Steward::new(store, metrics.clone()).run());
     let process = Arc::new(Daemon { name: config.name, metrics, leave: Notify::new() });
-    let desk: Arc<dyn Process> = process.clone();
-    daemon::serve_http(&scope, operators, operators::routes(&desk), MAX_OPERATORS)?;
+    let operated: Arc<dyn Process> = process.clone();
+    daemon::serve_http(&scope, operators, operators::routes(&operated), MAX_OPERATORS)?;
     tokio::select! {
         biased;
         () = daemon::terminated() => {}
--- a/quetzaltiller/src/catalog.rs
+++ b/quetzaltiller/src/catalog.rs
@@ -17,7 +17,7 @@
 
 /// The set in force and its JSON text.
 #[derive(Debug, Default)]
-pub struct Force {
+pub struct Current {
     /// Indexed set.
     pub set: Arc<Set>,
     /// Text for peers.
@@ -28,17 +28,17 @@
 #[derive(Clone, Debug)]
 pub struct Catalog {
     mailbox: Mailbox<String>,
-    force: watch::Receiver<Arc<Force>>,
+    current: watch::Receiver<Arc<Current>>,
 }
 
 impl Catalog {
     /// Starts following the platform in `scope`.
     pub fn start(scope: &Scope, store: Arc<dyn Store>, metrics: Arc<Metrics>) -> Self {
         let (mailbox, messages) = Mailbox::new();
-        let (sender, force) = watch::channel(Arc::default());
+        let (sender, current) = watch::channel(Arc::default());
         scope.spawn(keep(messages, sender));
         scope.spawn(follow(store, metrics, mailbox.clone()));
-        Self { mailbox, force }
+        Self { mailbox, current }
     }
 
     /// Offers the JSON text of an accepted set.
@@ -48,28 +48,28 @@
 
     /// Set in force.
     pub fn set(&self) -> Arc<Set> {
-        self.force.borrow().set.clone()
+        self.current.borrow().set.clone()
     }
 
     /// Number in force.
     pub fn number(&self) -> u64 {
-        self.force.borrow().set.number
+        self.current.borrow().set.number
     }
 
     /// Notices of changes.
-    pub fn changes(&self) -> watch::Receiver<Arc<Force>> {
-        self.force.clone()
+    pub fn changes(&self) -> watch::Receiver<Arc<Current>> {
+        self.current.clone()
     }
 
     /// Answers a peer that has `number`.
     pub fn pull(&self, number: u64) -> wire::Accepted {
-        let force = self.force.borrow().clone();
-        let json = if force.set.number > number { force.json.clone() } else { String::new() };
-        wire::Accepted { number: force.set.number, json }
+        let current = self.current.borrow().clone();
+        let json = if current.set.number > number { current.json.clone() } else { String::new() };
+        wire::Accepted { number: current.set.number, json }
     }
 }
 
-async fn keep(mut offers: mpsc::UnboundedReceiver<String>, force: watch::Sender<Arc<Force>>) {
+async fn keep(mut offers: mpsc::UnboundedReceiver<String>, current: watch::Sender<Arc<Current>>) {
     let mut feed = Feed::default();
     while let Some(json) = offers.recv().await {
         let accepted: Accepted = match serde_json::from_str(&json) {
@@ -83,7 +83,7 @@
         if feed.offer(number, ()) {
             info!("configuration_in_force", kv: { number });
             let set = Arc::new(Set::new(&accepted));
-            force.send_replace(Arc::new(Force { set, json }));
+            current.send_replace(Arc::new(Current { set, json }));
         }
     }
 }
--- a/quetzaltiller/src/engine.rs
+++ b/quetzaltiller/src/engine.rs
@@ -1,7 +1,7 @@
 //! Port to model engines.
 //!
 //! Every chunk echoes the generation and the attempt it belongs to, so a chunk of another
-//! generation, or of an attempt that was given up, is told apart wherever it turns up.
+//! generation, or of an attempt that was given up, is recognised wherever it turns up.
 
 use async_trait::async_trait;
 use futures::stream::BoxStream;
--- a/quetzaltiller/src/lookups.rs
+++ b/quetzaltiller/src/lookups.rs
@@ -50,7 +50,7 @@
                 biased;
                 Some(tried) = race.tries.next() => match tried {
                     Ok((upstream, answer)) => {
-                        race.blame_outrun(&upstream);
+                        race.mark_overtaken(&upstream);
                         return Ok(answer);
                     }
                     Err(()) if !race.tries.is_empty() => continue,
@@ -104,7 +104,7 @@
 
     /// Replicas that an answer of a later try overtook are avoided for a while: a connection that
     /// went silent never fails by itself.
-    fn blame_outrun(&self, winner: &str) {
+    fn mark_overtaken(&self, winner: &str) {
         for upstream in self.demand.avoid.iter().take_while(|name| *name != winner) {
             self.lookups.dispatch.failed(upstream);
         }
--- a/quetzaltiller/src/members.rs
+++ b/quetzaltiller/src/members.rs
@@ -145,7 +145,7 @@
     pub link: Arc<dyn Link>,
     /// Configuration, to learn newer ones from peers.
     pub catalog: Catalog,
-    /// Told of members and leaving upstreams.
+    /// LeavingNews of members and leaving upstreams.
     pub dispatch: Dispatch,
     /// Counters.
     pub metrics: Arc<Metrics>,
@@ -172,14 +172,14 @@
             timeout: parts.config.timing.peer_timeout,
             seeds: parts.config.peers.clone(),
             listed: Vec::new(),
-            told: Vec::new(),
+            news: Vec::new(),
             dispatch: parts.dispatch,
             view: sender,
             targets: targets_sender,
         };
         scope.spawn(task.run(messages, parts.config.timing.heartbeat));
         scope.spawn(list_vms(parts.store, parts.metrics.clone(), mailbox));
-        let beats = Beats {
+        let beats = Heartbeats {
             members: members.clone(),
             link: parts.link,
             metrics: parts.metrics,
@@ -210,7 +210,7 @@
     }
 }
 
-struct Told {
+struct LeavingNews {
     upstreams: Vec<String>,
     by: String,
     at: Duration,
@@ -223,7 +223,7 @@
     timeout: Duration,
     seeds: Vec<String>,
     listed: Vec<Vm>,
-    told: Vec<Told>,
+    news: Vec<LeavingNews>,
     dispatch: Dispatch,
     view: watch::Sender<Arc<View>>,
     targets: watch::Sender<BTreeSet<String>>,
@@ -250,12 +250,12 @@
             return;
         }
         let now = self.clock.now();
-        self.told.retain(|told| told.by != beat.name);
+        self.news.retain(|news| news.by != beat.name);
         let usage = beat.usage.iter().map(|usage| (usage.account.clone(), usage.count));
         self.dispatch.heard(beat.name.clone(), usage.collect());
         if !beat.leaving_upstreams.is_empty() {
             let upstreams = beat.leaving_upstreams.clone();
-            self.told.push(Told { upstreams, by: beat.name.clone(), at: now });
+            self.news.push(LeavingNews { upstreams, by: beat.name.clone(), at: now });
         }
         self.table.hear(now, beat.into());
         self.publish();
@@ -275,7 +275,7 @@
         let alive: Vec<_> = self.table.alive(now).map(|member| member.beat.clone()).collect();
         let listed_leaving = self.listed_leaving();
         let leaving_upstreams: BTreeSet<_> =
-            listed_leaving.iter().cloned().chain(self.told_leaving(now)).collect();
+            listed_leaving.iter().cloned().chain(self.reported_leaving(now)).collect();
         let names = |beats: &[Heartbeat]| beats.iter().map(|beat| beat.name.clone()).collect();
         let known = self.table.members().map(|member| member.beat.name.clone()).collect();
         self.dispatch.set_members(known, names(&alive));
@@ -296,10 +296,10 @@
         leaving.map(|vm| vm.name.clone()).collect()
     }
 
-    fn told_leaving(&mut self, now: Duration) -> Vec<String> {
+    fn reported_leaving(&mut self, now: Duration) -> Vec<String> {
         let timeout = self.timeout;
-        self.told.retain(|told| told.at + timeout >= now);
-        self.told.iter().flat_map(|told| told.upstreams.iter().cloned()).collect()
+        self.news.retain(|news| news.at + timeout >= now);
+        self.news.iter().flat_map(|news| news.upstreams.iter().cloned()).collect()
     }
 
     fn addresses(&self) -> BTreeSet<String> {
@@ -322,7 +322,7 @@
     }
 }
 
-struct Beats {
+struct Heartbeats {
     members: Members,
     link: Arc<dyn Link>,
     metrics: Arc<Metrics>,
@@ -330,7 +330,7 @@
     scope: Scope,
 }
 
-impl Beats {
+impl Heartbeats {
     async fn run(self, targets: watch::Receiver<BTreeSet<String>>) {
         let mut period = tokio::time::interval(self.period);
         loop {
--- a/quetzaltiller/src/operators.rs
+++ b/quetzaltiller/src/operators.rs
@@ -35,11 +35,11 @@
 
 /// Routes for operators.
 pub fn routes(process: &Arc<dyn Process>) -> Router {
-    let desk = |call| Desk { process: process.clone(), call };
+    let operation = |call| Operation { process: process.clone(), call };
     Router::new()
-        .push(Router::with_path("dump").get(desk(Endpoint::Dump)))
-        .push(Router::with_path("health").get(desk(Endpoint::Health)))
-        .push(Router::with_path("leave").post(desk(Endpoint::Leave)))
+        .push(Router::with_path("dump").get(operation(Endpoint::Dump)))
+        .push(Router::with_path("health").get(operation(Endpoint::Health)))
+        .push(Router::with_path("leave").post(operation(Endpoint::Leave)))
 }
 
 #[derive(Clone, Copy)]
@@ -49,13 +49,13 @@
     Leave,
 }
 
-struct Desk {
+struct Operation {
     process: Arc<dyn Process>,
     call: Endpoint,
 }
 
 #[async_trait]
-impl Handler for Desk {
+impl Handler for Operation {
     async fn handle(
         &self,
         _: &mut Request,
--- a/quetzaltiller/src/scope.rs
+++ b/quetzaltiller/src/scope.rs
@@ -12,14 +12,14 @@
 pub struct Scope {
     tracker: TaskTracker,
     token: CancellationToken,
-    valve: Arc<Valve>,
+    pause: Arc<Pause>,
 }
 
 impl Scope {
     /// Runs `task` until it ends or the scope is stopped.
     pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
         let token = self.token.clone();
-        let task = Freezable { task: Box::pin(task), valve: self.valve.clone() };
+        let task = Freezable { task: Box::pin(task), pause: self.pause.clone() };
         self.tracker.spawn(async move {
             tokio::select! {
                 biased;
@@ -31,13 +31,13 @@
 
     /// A scope that ends with this one, or earlier.
     pub fn child(&self) -> Self {
-        let (tracker, valve) = (self.tracker.clone(), self.valve.clone());
-        Self { tracker, token: self.token.child_token(), valve }
+        let (tracker, pause) = (self.tracker.clone(), self.pause.clone());
+        Self { tracker, token: self.token.child_token(), pause }
     }
 
     /// Stops or continues all tasks, as SIGSTOP and SIGCONT do a process. For tests.
     pub fn set_frozen(&self, frozen: bool) {
-        self.valve.set_frozen(frozen);
+        self.pause.set_frozen(frozen);
     }
 
     /// Stops all tasks where they stand.
@@ -62,17 +62,17 @@
 }
 
 #[derive(Debug, Default)]
-struct Valve {
-    state: Mutex<ValveState>,
+struct Pause {
+    state: Mutex<PauseState>,
 }
 
 #[derive(Debug, Default)]
-struct ValveState {
+struct PauseState {
     frozen: bool,
     waiting: Vec<Waker>,
 }
 
-impl Valve {
+impl Pause {
     fn set_frozen(&self, frozen: bool) {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         state.frozen = frozen;
@@ -81,7 +81,7 @@
         }
     }
 
-    /// Whether the task must wait; it is woken when the valve opens.
+    /// Whether the task must wait; it is woken when the pause opens.
     fn blocks(&self, context: &Context<'_>) -> bool {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         if state.frozen {
@@ -93,14 +93,14 @@
 
 struct Freezable<F> {
     task: Pin<Box<F>>,
-    valve: Arc<Valve>,
+    pause: Arc<Pause>,
 }
 
 impl<F: Future<Output = ()>> Future for Freezable<F> {
     type Output = ();
 
     fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
-        if self.valve.blocks(context) {
+        if self.pause.blocks(context) {
             return Poll::Pending;
         }
         self.task.as_mut().poll(context)
--- a/quetzaltiller/src/session/courier.rs
+++ b/quetzaltiller/src/session/replicator.rs
@@ -17,7 +17,7 @@
 
 /// An append to send.
 #[derive(Clone, Debug)]
-pub struct Letter {
+pub struct OutgoingAppend {
     /// Keeper's address.
     pub address: String,
     /// Message.
@@ -26,7 +26,7 @@
 
 /// Result of an append.
 #[derive(Clone, Copy, Debug)]
-pub enum Receipt {
+pub enum Acknowledgement {
     /// The keeper's answer.
     Answered(wire::Appended),
     /// None in time.
@@ -35,7 +35,7 @@
 
 /// State of the copy.
 #[derive(Debug, Default)]
-pub struct Courier {
+pub struct Replicator {
     keeper: Option<String>,
     failed: Vec<String>,
     acked: u32,
@@ -47,7 +47,7 @@
     rest_until: Duration,
 }
 
-impl Courier {
+impl Replicator {
     /// Tokens that may be emitted.
     pub fn safe(&self, next: u32) -> u32 {
         let waits = self.keeper.is_some() && !self.degraded;
@@ -55,7 +55,7 @@
     }
 
     /// Next append, if one is due.
-    pub fn next_letter(
+    pub fn next_append(
         &mut self,
         now: Duration,
         view: &View,
@@ -63,7 +63,7 @@
         splice: &Splice,
         (term, whole): (u32, bool),
         origin: &Origin,
-    ) -> Option<Letter> {
+    ) -> Option<OutgoingAppend> {
         if self.in_flight || now < self.rest_until {
             return None;
         }
@@ -96,20 +96,22 @@
             origin: (self.acked_attempt != origin.attempt).then(|| origin.clone().into()),
             whole,
         };
-        Some(Letter { address: keeper.peer_address.clone(), append })
+        Some(OutgoingAppend { address: keeper.peer_address.clone(), append })
     }
 
     /// Takes the result of an append; returns the term that fenced this process off, if one did.
-    pub fn receive(&mut self, receipt: Receipt, whole: bool) -> Option<u32> {
+    pub fn receive(&mut self, acknowledgement: Acknowledgement, whole: bool) -> Option<u32> {
         self.in_flight = false;
-        match receipt {
-            Receipt::Answered(appended) if appended.fenced_by > 0 => Some(appended.fenced_by),
-            Receipt::Answered(appended) if appended.unknown => {
+        match acknowledgement {
+            Acknowledgement::Answered(appended) if appended.fenced_by > 0 => {
+                Some(appended.fenced_by)
+            }
+            Acknowledgement::Answered(appended) if appended.unknown => {
                 self.acked = 0;
                 self.acked_attempt = NO_ATTEMPT;
                 None
             }
-            Receipt::Answered(appended) if !appended.full => {
+            Acknowledgement::Answered(appended) if !appended.full => {
                 self.acked = appended.next;
                 self.acked_attempt = self.sent_attempt;
                 self.acked_whole |= whole;
--- a/quetzaltiller/src/session/task.rs
+++ b/quetzaltiller/src/session/task.rs
@@ -1,9 +1,9 @@
 //! Performs a machine's effects and serves the caller.
 
 use super::context::{Context, Work};
-use super::courier::{Courier, Letter, Receipt};
 use super::handle::{Command, Status};
 use super::reader::Reader;
+use super::replicator::{Acknowledgement, OutgoingAppend, Replicator};
 use super::settings::{demand, initial_settings, pool_settings};
 use crate::dispatch::{Demand, Permit, Placement};
 use crate::engine::{self, Attempt, Submission, blocks};
@@ -69,7 +69,7 @@
     /// Result of an append.
     Journaled {
         /// Keeper's answer.
-        receipt: Receipt,
+        acknowledgement: Acknowledgement,
         /// The append told that the answer is whole.
         whole: bool,
     },
@@ -88,8 +88,8 @@
     address: Option<String>,
     permit: Option<Permit>,
     connections: BTreeMap<u32, CancellationToken>,
-    courier: Courier,
-    letter_due: Duration,
+    replicator: Replicator,
+    append_due: Duration,
     subscriber: Option<Subscriber>,
     orphaned_at: Option<Duration>,
     outcome: Option<Outcome>,
@@ -121,8 +121,8 @@
             address: origin.address,
             permit: None,
             connections: BTreeMap::new(),
-            courier: Courier::default(),
-            letter_due: Duration::ZERO,
+            replicator: Replicator::default(),
+            append_due: Duration::ZERO,
             subscriber: Some(Subscriber::new(channels.events, next)),
             orphaned_at: None,
             outcome: origin.whole.then_some(Outcome::Whole),
@@ -146,7 +146,7 @@
             self.adopt();
         }
         while !self.is_over() {
-            self.send_letter();
+            self.send_append();
             self.publish_status();
             let wake = self.wake_at();
             let due = self.next_due().is_some();
@@ -197,16 +197,21 @@
 
     fn wake_at(&self) -> Duration {
         let grace = self.orphaned_at.map(|at| at + self.context.timing.orphan_grace);
-        let letter = self.courier.is_waiting().then_some(self.letter_due);
+        let outgoing = self.replicator.is_waiting().then_some(self.append_due);
         let far = self.context.clock.now() + Duration::from_secs(1);
-        [self.machine.wake_at(), grace, letter].into_iter().flatten().min().unwrap_or(far).min(far)
+        [self.machine.wake_at(), grace, outgoing]
+            .into_iter()
+            .flatten()
+            .min()
+            .unwrap_or(far)
+            .min(far)
     }
 
     fn tick(&mut self) {
         let now = self.context.clock.now();
-        if self.courier.is_waiting() && now >= self.letter_due {
+        if self.replicator.is_waiting() && now >= self.append_due {
             self.context.metrics.count(Counter::JournalDegraded);
-            self.courier.overdue();
+            self.replicator.overdue();
         }
         let grace = self.context.timing.orphan_grace;
         if self.orphaned_at.is_some_and(|at| now >= at + grace) {
@@ -255,8 +260,8 @@
                 });
                 self.input(Input::Failed(conn, error));
             }
-            Notice::Journaled { receipt, whole } => {
-                if let Some(term) = self.courier.receive(receipt, whole) {
+            Notice::Journaled { acknowledgement, whole } => {
+                if let Some(term) = self.replicator.receive(acknowledgement, whole) {
                     info!("generation_fenced", kv: { generation = self.generation(), term });
                     self.fenced();
                 }
@@ -268,7 +273,7 @@
     fn fenced(&mut self) {
         let attempt = self.machine.splice().attempt();
         if let Some(upstream) = self.machine.upstream()
-            && !self.courier.knows(attempt)
+            && !self.replicator.knows(attempt)
         {
             self.cancel(upstream, attempt);
         }
@@ -425,35 +430,35 @@
         self.permit = None;
     }
 
-    fn send_letter(&mut self) {
+    fn send_append(&mut self) {
         let whole = self.outcome == Some(Outcome::Whole);
         let now = self.context.clock.now();
         let origin = self.journal_origin();
         let view = self.context.members.view();
         let zone = &self.context.vm.zone;
         let splice = self.machine.splice();
-        let letter =
-            self.courier.next_letter(now, &view, zone, splice, (self.term, whole), &origin);
-        if let Some(letter) = letter {
-            self.letter_due = now + self.context.timing.journal_timeout;
-            let bytes = letter.append.tokens.iter().map(String::len).sum::<usize>();
+        let outgoing =
+            self.replicator.next_append(now, &view, zone, splice, (self.term, whole), &origin);
+        if let Some(outgoing) = outgoing {
+            self.append_due = now + self.context.timing.journal_timeout;
+            let bytes = outgoing.append.tokens.iter().map(String::len).sum::<usize>();
             self.context.metrics.add(Counter::JournalBytes, bytes as u64);
-            self.post(letter);
+            self.post(outgoing);
         }
     }
 
-    fn post(&self, letter: Letter) {
+    fn post(&self, outgoing: OutgoingAppend) {
         let (link, notices) = (self.context.link.clone(), self.notices.clone());
         let limit = self.context.timing.journal_timeout * 2;
-        let whole = letter.append.whole;
+        let whole = outgoing.append.whole;
         self.context.metrics.count(Counter::PeerCall);
         self.context.scope.spawn(async move {
-            let call = link.call(&letter.address, wire::Ask::Append(letter.append));
-            let receipt = match timeout(limit, call).await {
-                Ok(Ok(wire::Reply::Appended(appended))) => Receipt::Answered(appended),
-                _ => Receipt::Unanswered,
+            let call = link.call(&outgoing.address, wire::Ask::Append(outgoing.append));
+            let acknowledgement = match timeout(limit, call).await {
+                Ok(Ok(wire::Reply::Appended(appended))) => Acknowledgement::Answered(appended),
+                _ => Acknowledgement::Unanswered,
             };
-            let _ = notices.send(Notice::Journaled { receipt, whole }).await;
+            let _ = notices.send(Notice::Journaled { acknowledgement, whole }).await;
         });
     }
 
@@ -476,7 +481,7 @@
             return Some(Due::Start { next: subscriber.sent });
         }
         let superseded = self.outcome == Some(Outcome::Superseded);
-        let safe = self.courier.safe(splice.next());
+        let safe = self.replicator.safe(splice.next());
         if subscriber.sent < safe && !superseded {
             return Some(Due::Tokens { from: subscriber.sent, to: safe });
         }
@@ -570,7 +575,7 @@
 
     fn end(&mut self) {
         self.context.registry.remove(self.machine.splice().generation());
-        self.send_letter();
+        self.send_append();
         self.scope.stop();
     }
 
--- a/quetzaltiller/tests/daemons.rs
+++ b/quetzaltiller/tests/daemons.rs
@@ -25,7 +25,7 @@
 const KEY: &str = "oslo-nights-example-key";
 const PATIENCE: Duration = Duration::from_secs(60);
 
-struct Bed {
+struct Fixture {
     engines: Vec<Engine>,
     service: Service,
     platform: Platform,
@@ -68,7 +68,7 @@
     }
 }
 
-impl Bed {
+impl Fixture {
     async fn start(name: &str) -> Self {
         let folder = std::env::temp_dir().join(format!("qt-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
@@ -114,7 +114,7 @@
             "platform_address": platform_address,
         });
         let steward = Daemon::start(env!("CARGO_BIN_EXE_qt-steward"), &folder, settings);
-        let bed = Self {
+        let fixture = Self {
             engines,
             service,
             platform,
@@ -124,9 +124,9 @@
             folder,
             _scope: scope,
         };
-        bed.wait_for_peers().await;
-        bed.apply(&objects).await;
-        bed
+        fixture.wait_for_peers().await;
+        fixture.apply(&objects).await;
+        fixture
     }
 
     async fn apply(&self, objects: &[Object]) {
@@ -227,7 +227,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_killed_router_costs_no_token() {
-    let mut bed = Bed::start("kill").await;
+    let mut fixture = Fixture::start("kill").await;
     let request = request(300);
     let (enough, killable) = oneshot::channel();
     let mut enough = Some(enough);
@@ -240,28 +240,28 @@
             let _ = enough.send(());
         }
     };
-    let caller = bed.caller(KEY);
+    let caller = fixture.caller(KEY);
 
     let generate = caller.generate(&request, PATIENCE, &mut watch);
     let kill = async {
         killable.await.unwrap();
-        let serving = bed.serving().await;
-        bed.routers[serving].child.kill().unwrap();
+        let serving = fixture.serving().await;
+        fixture.routers[serving].child.kill().unwrap();
     };
     let (whole, ()) = tokio::join!(generate, kill);
 
     let whole = whole.unwrap();
     assert!(whole.reconnects > 0);
     assert_eq!(text::check(&request, &whole.version, &whole.tokens), Ok(()));
-    let decoded: u64 = bed.engines.iter().map(|engine| engine.work().decoded).sum();
+    let decoded: u64 = fixture.engines.iter().map(|engine| engine.work().decoded).sum();
     assert_eq!(decoded, whole.tokens.len() as u64, "the running stream was reattached");
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_router_that_leaves_cuts_nothing() {
-    let mut bed = Bed::start("leave").await;
+    let mut fixture = Fixture::start("leave").await;
     let request = request(120);
-    let caller = bed.caller(KEY);
+    let caller = fixture.caller(KEY);
     let (enough, leavable) = oneshot::channel();
     let mut enough = Some(enough);
     let mut watch = |_: &[String]| {
@@ -273,8 +273,8 @@
     let generate = caller.generate(&request, PATIENCE, &mut watch);
     let leave = async {
         leavable.await.unwrap();
-        let serving = bed.serving().await;
-        bed.routers[serving].terminate();
+        let serving = fixture.serving().await;
+        fixture.routers[serving].terminate();
         serving
     };
     let (whole, serving) = tokio::join!(generate, leave);
@@ -282,27 +282,27 @@
     let whole = whole.unwrap();
     assert_eq!(whole.reconnects, 0);
     assert_eq!(text::check(&request, &whole.version, &whole.tokens), Ok(()));
-    assert!(bed.routers[serving].child.wait().unwrap().success());
+    assert!(fixture.routers[serving].child.wait().unwrap().success());
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn an_order_runs_once_and_is_refused_without_the_platform() {
-    let bed = Bed::start("order").await;
-    let caller = bed.caller(KEY);
+    let fixture = Fixture::start("order").await;
+    let caller = fixture.caller(KEY);
 
     let first = caller.call("order-desk", &order(Some("k-1")), PATIENCE).await;
     let second = caller.call("order-desk", &order(Some("k-1")), PATIENCE).await;
     let other = Call { body: "{\"other\":1}".into(), ..order(Some("k-1")) };
     let reused = caller.call("order-desk", &other, PATIENCE).await;
     let keyless = caller.call("order-desk", &order(None), PATIENCE).await;
-    bed.platform.set_faults(|faults| faults.outage = true);
+    fixture.platform.set_faults(|faults| faults.outage = true);
     let down = caller.call("order-desk", &order(Some("k-2")), Duration::from_secs(3)).await;
 
     let (Reply::Answered(first), Reply::Answered(second)) = (first, second) else {
         panic!("the order was not answered");
     };
     assert_eq!(first, second);
-    assert_eq!(bed.service.runs(), [("k-1".to_owned(), 1)].into());
+    assert_eq!(fixture.service.runs(), [("k-1".to_owned(), 1)].into());
     assert_refused(reused, Code::KeyReused);
     assert_refused(keyless, Code::KeyMissing);
     assert_refused(down, Code::StoreUnavailable);
@@ -336,8 +336,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn bad_input_gets_a_clear_error() {
-    let bed = Bed::start("bad").await;
-    let entry = bed.routers[0].address("caller_address");
+    let fixture = Fixture::start("bad").await;
+    let entry = fixture.routers[0].address("caller_address");
     let ask = |key, path, headers, body| post(&entry, key, path, headers, body);
     let good = serde_json::to_string(&request(10)).unwrap();
     let generations = "/v1/generations";
@@ -396,7 +396,7 @@
         assert_eq!(ran, expected_ran);
     }
     let unknown_model = Request { model: "none".into(), ..request(10) };
-    let refused = bed.caller(KEY).generate(&unknown_model, PATIENCE, &mut |_| {}).await;
+    let refused = fixture.caller(KEY).generate(&unknown_model, PATIENCE, &mut |_| {}).await;
     assert!(
         matches!(refused, Err(Unfinished::Refused(refusal)) if refusal.code == Code::NotAllowed)
     );
--- a/quetzaltiller/tests/machine.rs
+++ b/quetzaltiller/tests/machine.rs
@@ -26,23 +26,23 @@
 }
 
 /// A machine and its clock.
-struct Bed {
+struct Fixture {
     machine: Machine,
     now: Duration,
 }
 
-impl Bed {
+impl Fixture {
     /// A generation that runs on connection 1 of `first`, with the first token emitted.
     fn running(weight: f64) -> Self {
         let splice = Splice::new("g".into(), 1, 1, Vec::new());
         let (machine, effects) =
             Machine::new(Duration::ZERO, splice, settings(weight), Start::Fresh);
         assert!(matches!(effects[..], [Effect::Place { resumed: false, .. }]));
-        let mut bed = Self { machine, now: Duration::ZERO };
-        bed.place("first", 1);
-        bed.on(Input::Opened(1));
-        bed.tokens(1, 1, 0, &["t0 "]);
-        bed
+        let mut fixture = Self { machine, now: Duration::ZERO };
+        fixture.place("first", 1);
+        fixture.on(Input::Opened(1));
+        fixture.tokens(1, 1, 0, &["t0 "]);
+        fixture
     }
 
     fn on(&mut self, input: Input) -> Vec<Effect> {
@@ -100,26 +100,26 @@
 
 #[test]
 fn an_engine_that_dies_during_the_last_chunk_is_replaced() {
-    let mut bed = Bed::running(1.0);
-    bed.tokens(1, 1, 1, &["t1 "]);
+    let mut fixture = Fixture::running(1.0);
+    fixture.tokens(1, 1, 1, &["t1 "]);
 
-    let effects = bed.lose(1);
-    bed.place("second", 3);
-    let end = bed.end(3, 2, 2);
+    let effects = fixture.lose(1);
+    fixture.place("second", 3);
+    let end = fixture.end(3, 2, 2);
 
     assert!(places(&effects));
     assert_eq!(finish(&end), Some(Outcome::Whole));
-    assert_eq!(bed.machine.splice().tokens(), ["t0 ", "t1 "]);
+    assert_eq!(fixture.machine.splice().tokens(), ["t0 ", "t1 "]);
 }
 
 #[test]
 fn two_engines_that_die_in_a_row_are_both_avoided() {
-    let mut bed = Bed::running(1.0);
-    bed.lose(1);
-    bed.place("second", 3);
-    bed.on(Input::Opened(3));
+    let mut fixture = Fixture::running(1.0);
+    fixture.lose(1);
+    fixture.place("second", 3);
+    fixture.on(Input::Opened(3));
 
-    let effects = bed.lose(3);
+    let effects = fixture.lose(3);
 
     let avoid = effects.iter().find_map(|effect| match effect {
         Effect::Place { avoid, .. } => Some(avoid.clone()),
@@ -130,11 +130,11 @@
 
 #[test]
 fn a_listed_engine_that_is_dead_costs_one_refusal() {
-    let mut bed = Bed::running(1.0);
-    bed.lose(1);
-    bed.place("second", 3);
+    let mut fixture = Fixture::running(1.0);
+    fixture.lose(1);
+    fixture.place("second", 3);
 
-    let effects = bed.on(Input::Failed(3, Error::Refused));
+    let effects = fixture.on(Input::Failed(3, Error::Refused));
 
     assert!(places(&effects));
     assert!(!effects.iter().any(|effect| matches!(effect, Effect::Cancel { .. })));
@@ -142,71 +142,71 @@
 
 #[test]
 fn an_engine_that_answers_for_another_generation_is_replaced() {
-    let mut bed = Bed::running(1.0);
+    let mut fixture = Fixture::running(1.0);
     let body = Body::Tokens { index: 1, tokens: vec!["x ".into()] };
 
-    let effects = bed.chunk(1, "other", 1, body);
+    let effects = fixture.chunk(1, "other", 1, body);
 
     assert!(places(&effects));
-    assert_eq!(bed.machine.splice().tokens(), ["t0 "]);
+    assert_eq!(fixture.machine.splice().tokens(), ["t0 "]);
 }
 
 #[test]
 fn a_total_below_the_tokens_sent_ends_honestly() {
-    let mut bed = Bed::running(1.0);
-    bed.tokens(1, 1, 1, &["t1 ", "t2 "]);
+    let mut fixture = Fixture::running(1.0);
+    fixture.tokens(1, 1, 1, &["t1 ", "t2 "]);
 
-    let effects = bed.end(1, 1, 2);
+    let effects = fixture.end(1, 1, 2);
 
     assert_eq!(finish(&effects), Some(Outcome::Failed(Code::EngineInconsistent)));
 }
 
 #[test]
 fn tokens_beyond_the_total_are_ignored_after_the_end() {
-    let mut bed = Bed::running(1.0);
-    assert_eq!(finish(&bed.end(1, 1, 1)), Some(Outcome::Whole));
+    let mut fixture = Fixture::running(1.0);
+    assert_eq!(finish(&fixture.end(1, 1, 1)), Some(Outcome::Whole));
 
-    let effects = bed.tokens(1, 1, 1, &["t1 "]);
+    let effects = fixture.tokens(1, 1, 1, &["t1 "]);
 
     assert!(effects.is_empty());
-    assert_eq!(bed.machine.splice().next(), 1);
+    assert_eq!(fixture.machine.splice().next(), 1);
 }
 
 #[test]
 fn a_chunk_of_an_old_attempt_changes_nothing() {
-    let mut bed = Bed::running(1.0);
-    bed.lose(1);
-    bed.place("second", 3);
-    bed.on(Input::Opened(3));
-    bed.tokens(3, 2, 1, &["new "]);
+    let mut fixture = Fixture::running(1.0);
+    fixture.lose(1);
+    fixture.place("second", 3);
+    fixture.on(Input::Opened(3));
+    fixture.tokens(3, 2, 1, &["new "]);
 
-    bed.tokens(1, 1, 1, &["old ", "old "]);
+    fixture.tokens(1, 1, 1, &["old ", "old "]);
 
-    assert_eq!(bed.machine.splice().tokens(), ["t0 ", "new "]);
+    assert_eq!(fixture.machine.splice().tokens(), ["t0 ", "new "]);
 }
 
 #[test]
 fn silence_is_answered_by_reattaching_and_the_stream_goes_on() {
-    let mut bed = Bed::running(1.0);
+    let mut fixture = Fixture::running(1.0);
 
-    let probe = bed.wake();
-    bed.on(Input::Opened(2));
-    bed.tokens(2, 1, 1, &["t1 "]);
+    let probe = fixture.wake();
+    fixture.on(Input::Opened(2));
+    fixture.tokens(2, 1, 1, &["t1 "]);
 
     assert!(opens(&probe, Opening::Reattach));
-    assert_eq!(bed.machine.stats().redispatched, 0);
-    assert_eq!(bed.machine.splice().next(), 2);
+    assert_eq!(fixture.machine.stats().redispatched, 0);
+    assert_eq!(fixture.machine.splice().next(), 2);
 }
 
 #[test]
 fn an_old_connection_that_wakes_up_ends_the_suspicion() {
-    let mut bed = Bed::running(1.0);
-    bed.wake();
+    let mut fixture = Fixture::running(1.0);
+    fixture.wake();
 
-    let effects = bed.tokens(1, 1, 1, &["t1 "]);
+    let effects = fixture.tokens(1, 1, 1, &["t1 "]);
 
     assert_eq!(effects, [Effect::Close(2)]);
-    assert_eq!(bed.machine.stats().false_suspicions, 1);
+    assert_eq!(fixture.machine.stats().false_suspicions, 1);
 }
 
 #[rstest]
@@ -217,54 +217,54 @@
     #[case] weight: f64,
     #[case] latest: Duration,
 ) {
-    let mut bed = Bed::running(weight);
+    let mut fixture = Fixture::running(weight);
 
-    while bed.machine.stats().redispatched == 0 {
-        bed.wake();
+    while fixture.machine.stats().redispatched == 0 {
+        fixture.wake();
     }
 
     // A prompt of 1,000 tokens costs a second; the first silence is noticed after one more.
-    assert!(bed.now <= latest, "{:?}", bed.now);
-    assert!(bed.now >= latest - Duration::from_millis(1_200), "{:?}", bed.now);
+    assert!(fixture.now <= latest, "{:?}", fixture.now);
+    assert!(fixture.now >= latest - Duration::from_millis(1_200), "{:?}", fixture.now);
 }
 
 #[test]
 fn an_engine_that_restarted_is_replaced_at_once() {
-    let mut bed = Bed::running(0.01);
-    bed.on(Input::Failed(1, Error::Reset));
+    let mut fixture = Fixture::running(0.01);
+    fixture.on(Input::Failed(1, Error::Reset));
 
-    let effects = bed.on(Input::Failed(2, Error::UnknownStream));
+    let effects = fixture.on(Input::Failed(2, Error::UnknownStream));
 
     assert!(places(&effects));
 }
 
 #[test]
 fn another_version_is_not_used_for_the_second_attempt() {
-    let mut bed = Bed::running(1.0);
-    bed.lose(1);
-    bed.place("second", 3);
+    let mut fixture = Fixture::running(1.0);
+    fixture.lose(1);
+    fixture.place("second", 3);
 
-    let effects = bed.on(Input::Failed(3, Error::OtherVersion));
+    let effects = fixture.on(Input::Failed(3, Error::OtherVersion));
 
     assert!(places(&effects));
-    assert_eq!(bed.machine.version(), Some("v1"));
+    assert_eq!(fixture.machine.version(), Some("v1"));
 }
 
 #[test]
 fn without_an_engine_the_caller_is_told_and_nothing_is_restarted() {
-    let mut bed = Bed::running(1.0);
-    bed.lose(1);
+    let mut fixture = Fixture::running(1.0);
+    fixture.lose(1);
 
-    let effects = bed.on(Input::Unplaced(Code::NoUpstream));
+    let effects = fixture.on(Input::Unplaced(Code::NoUpstream));
 
     assert_eq!(finish(&effects), Some(Outcome::Failed(Code::NoUpstream)));
 }
 
 #[test]
 fn a_fenced_owner_stops_and_leaves_the_engine_alone() {
-    let mut bed = Bed::running(1.0);
+    let mut fixture = Fixture::running(1.0);
 
-    let effects = bed.on(Input::Fenced);
+    let effects = fixture.on(Input::Fenced);
 
     assert_eq!(finish(&effects), Some(Outcome::Superseded));
     assert!(!effects.iter().any(|effect| matches!(effect, Effect::Cancel { .. })));
@@ -272,11 +272,11 @@
 
 #[test]
 fn a_cancel_stops_the_current_attempt_only() {
-    let mut bed = Bed::running(1.0);
-    bed.lose(1);
-    bed.place("second", 3);
+    let mut fixture = Fixture::running(1.0);
+    fixture.lose(1);
+    fixture.place("second", 3);
 
-    let effects = bed.on(Input::Cancel);
+    let effects = fixture.on(Input::Cancel);
 
     assert!(effects.contains(&Effect::Cancel { upstream: "second".into(), attempt: 2 }));
     assert_eq!(finish(&effects), Some(Outcome::Cancelled));
