--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -9,6 +9,7 @@
 use bench::{cost, hedge, realtime, soak, sweep};
 use quetzaltiller::daemon;
 use std::error::Error;
+use std::io::IsTerminal as _;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Instant;
@@ -167,6 +168,9 @@
     let kinds = if args.fault.is_empty() { DEFAULT_FAULTS.to_vec() } else { args.fault.clone() };
     let mut options = Options::new(args.deployment, args.seed, &kinds);
     options.baselines = !args.no_baseline;
+    if std::io::stderr().is_terminal() {
+        options.progress = |phase| eprintln!("running {phase}");
+    }
     options.plan.drafts_per_s = args.drafts_per_s;
     let began = Instant::now();
     let report = match args.real_time {
--- a/bench/src/run.rs
+++ b/bench/src/run.rs
@@ -40,6 +40,8 @@
     pub baselines: bool,
     /// Adjusts the system.
     pub tuning: Tuning,
+    /// Told what is run next.
+    pub progress: fn(&str),
 }
 
 impl Options {
@@ -52,6 +54,7 @@
             kinds: kinds.to_vec(),
             baselines: false,
             tuning: Tuning::default(),
+            progress: |_| {},
         }
     }
 }
@@ -60,11 +63,14 @@
 pub fn run(options: &Options) -> Report {
     quetzaltiller::daemon::stop_logs();
     let faults = faults::plan(&options.kinds, options.plan.duration, options.seed);
+    (options.progress)("without faults");
     let quiet = on_virtual_time(observe(options, Vec::new(), None));
+    (options.progress)("with faults");
     let seen = on_virtual_time(observe(options, faults.clone(), None));
     let mut report = report(options, &seen, &quiet);
     if options.baselines {
         let measure = |strategy| {
+            (options.progress)(&format!("baseline {strategy:?}"));
             let quiet = on_virtual_time(observe(options, Vec::new(), Some(strategy)));
             let seen = on_virtual_time(observe(options, faults.clone(), Some(strategy)));
             measures(&seen, &quiet)
