Take no answer over once closed

Cause: reading the shutdown again: a router that already refuses new work still took answers over from keepers, so it might never empty, and fenced off a healthy owner.

Change: it refuses such a return with 'leaving' and the others' addresses.

Seen: the new test fails before (the answer was taken over) and passes after.

Conclusion: only its own streams keep a leaving router open.

--- a/bench/tests/callers.rs
+++ b/bench/tests/callers.rs
@@ -8,7 +8,7 @@
 use quetzaltiller::generation::{Event, EventId, Request};
 use quetzaltiller::metrics::Counter;
 use quetzaltiller::objects::Labels;
-use quetzaltiller::refusal::Code;
+use quetzaltiller::refusal::{Code, Ran};
 use quetzaltiller::router::{Caller, Router};
 use standin::engine::Engine;
 use standin::text;
@@ -237,3 +237,25 @@
         assert!(whole.longest_gap() < Duration::from_millis(400), "{:?}", whole.longest_gap());
     });
 }
+
+#[test]
+fn a_router_that_has_closed_takes_no_answer_over() {
+    on_virtual_time(async {
+        let system = system().await;
+        let (serving, leaving) = (router(&system, 0), router(&system, 1));
+        let caller = client(&serving, ACCOUNT);
+        let mut subscription = serving.generate(&caller, request(2_000), None).await.unwrap();
+        for _ in 0..5 {
+            subscription.events.recv().await;
+        }
+        let generation = subscription.generation.clone();
+        let last = EventId { generation, attempt: 1, next: 1 };
+
+        leaving.drain().await;
+        let refused = leaving.generate(&caller, request(2_000), Some(last)).await.err().unwrap();
+
+        assert_eq!((refused.code, refused.ran), (Code::Leaving, Ran::No));
+        assert!(!refused.entries.is_empty());
+        assert!(!subscription.events.is_closed(), "the owner was not fenced off");
+    });
+}
--- a/quetzaltiller/src/router/mod.rs
+++ b/quetzaltiller/src/router/mod.rs
@@ -238,6 +238,7 @@
                 return Ok(subscription);
             }
         }
+        self.check_open()?;
         match self.take(&last.generation, account, last.next).await {
             Some(taken) => self.take_over(caller, request, last, taken),
             None => self.restore(caller, request, last),
--- a/quetzaltiller/src/router/takeover.rs
+++ b/quetzaltiller/src/router/takeover.rs
@@ -71,7 +71,6 @@
         else {
             return Err(unknown_generation());
         };
-        self.check_open()?;
         if emitted.len() < last.next as usize {
             return Err(tokens_needed());
         }
