Resume at engines of one's own when all entry VMs resume at once

Cause: the streams of a silent engine were resumed by four routers at random among near-equal engines, and collided: a prefill queued behind another router's.

Change: each engine has one entry VM that ranks first for it (rendezvous over those alive); resumed work goes first to near-equal engines of one's own. Ruled out: more jitter, which collides as often.

--- a/quetzaltiller/src/dispatch/table.rs
+++ b/quetzaltiller/src/dispatch/table.rs
@@ -68,7 +68,8 @@
     states: BTreeMap<String, UpstreamState>,
     prefixes: BTreeMap<String, Prefixes>,
     leaving: BTreeSet<String>,
-    members: u32,
+    own_name: String,
+    members: Vec<String>,
 }
 
 impl Table {
@@ -156,8 +157,13 @@
         state.suspect_until_ms = until.as_millis() as u64;
     }
 
-    /// Tells how many entry VMs share the upstreams.
-    pub fn set_members(&mut self, members: u32) {
+    /// A table of the entry VM `own_name`.
+    pub fn new(own_name: &str) -> Self {
+        Self { own_name: own_name.to_owned(), ..Self::default() }
+    }
+
+    /// Tells which other entry VMs share the upstreams.
+    pub fn set_members(&mut self, members: Vec<String>) {
         self.members = members;
     }
 
@@ -201,7 +207,16 @@
         let least_s = costed.iter().map(|(cost_s, _)| *cost_s).min_by(f64::total_cmp)?;
         let weight = open.iter().map(|(_, pool)| pool.resume_weight).fold(0.0, f64::max);
         let limit_s = if demand.resumed { least_s * spread(weight) } else { least_s };
-        costed.into_iter().find(|(cost_s, _)| *cost_s <= limit_s).map(|(_, name)| name.to_owned())
+        let good = || costed.iter().filter(|(cost_s, _)| *cost_s <= limit_s);
+        let own = good().find(|(_, name)| demand.resumed && self.is_first_for(name));
+        own.or_else(|| good().next()).map(|(_, name)| (*name).to_owned())
+    }
+
+    /// Whether this entry VM ranks first for an upstream among those that are alive. When all
+    /// resume streams at once, each turns to upstreams of its own.
+    fn is_first_for(&self, upstream: &str) -> bool {
+        let members = self.members.iter().map(String::as_str).chain([self.own_name.as_str()]);
+        rank(members, upstream).first() == Some(&self.own_name.as_str())
     }
 
     /// Engine seconds that a choice costs: prefill of what is not cached, and the wait for the
@@ -235,7 +250,7 @@
     fn has_room(&self, upstream: &Upstream) -> bool {
         let load = self.load(&upstream.name);
         let own = self.states.get(&upstream.name).map_or(0, |state| state.in_flight);
-        let share = upstream.slots.div_ceil(self.members.max(1));
+        let share = upstream.slots.div_ceil(self.members.len() as u32 + 1);
         let lightly_loaded = f64::from(load) < BORROW_BELOW * f64::from(upstream.slots);
         load < upstream.slots && (own < share || lightly_loaded)
     }
--- a/quetzaltiller/src/dispatch/task.rs
+++ b/quetzaltiller/src/dispatch/task.rs
@@ -73,14 +73,14 @@
 
 impl Dispatch {
     /// Starts the task in `scope`.
-    pub fn start(scope: &Scope, clock: Clock) -> Self {
+    pub fn start(scope: &Scope, clock: Clock, own_name: &str) -> Self {
         let (mailbox, messages) = Mailbox::new();
         let (usage_sender, usage) = watch::channel(Usage::new());
         let task = Task {
             clock,
             mailbox: mailbox.clone(),
             set: Arc::default(),
-            table: Table::default(),
+            table: Table::new(own_name),
             waiters: Vec::new(),
             shares: Shares::default(),
             usage: usage_sender,
@@ -228,8 +228,8 @@
             }
             Message::Members { known, alive } => {
                 self.members = alive.len() as u32 + 1;
-                self.table.set_members(self.members);
                 self.shares.set_members(&known, &alive);
+                self.table.set_members(alive);
             }
             Message::Heard { member, usage } => self.shares.hear(&member, usage),
             Message::Leaving(leaving) => self.table.set_leaving(leaving),
--- a/quetzaltiller/src/router/builder.rs
+++ b/quetzaltiller/src/router/builder.rs
@@ -91,7 +91,7 @@
         let metrics = Arc::new(Metrics::new(config.metrics_address.as_deref()));
         let own = Arc::new(Own::new(&config, incarnation));
         let catalog = Catalog::start(&scope, ports.store.clone(), metrics.clone());
-        let dispatch = Dispatch::start(&scope, clock);
+        let dispatch = Dispatch::start(&scope, clock, &config.name);
         let members = Members::start(
             &scope,
             members::Parts {
