Give the daemons' tests ports that outgoing connections can't take

Its ports were bound, released and bound again by the daemons; meanwhile a connection may get such a port, and the fixture then waits for a router that never started.

Change: ports below the kernel's range for outgoing connections, never twice.

The hang was not reproduced, so the cause is inferred.

--- a/quetzaltiller/tests/daemons.rs
+++ b/quetzaltiller/tests/daemons.rs
@@ -18,11 +18,13 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 
 const KEY: &str = "oslo-nights-example-key";
+static NEXT_PORT: AtomicU16 = AtomicU16::new(21_000);
 const PATIENCE: Duration = Duration::from_secs(60);
 
 struct Fixture {
@@ -180,9 +182,15 @@
     }
 }
 
+/// An address that nothing else gets before a daemon binds it: below the ports that the kernel
+/// hands out for outgoing connections, and never twice in this process.
 async fn free_address() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    listener.local_addr().unwrap().to_string()
+    loop {
+        let address = format!("127.0.0.1:{}", NEXT_PORT.fetch_add(1, Ordering::Relaxed));
+        if TcpListener::bind(&address).await.is_ok() {
+            return address;
+        }
+    }
 }
 
 async fn router_settings(index: usize, platform_address: &str) -> Value {
