--- a/bench/src/system/hub.rs
+++ b/bench/src/system/hub.rs
@@ -3,7 +3,7 @@
 use async_trait::async_trait;
 use prost::Message as _;
 use quetzaltiller::caller::{Failure, Frame, Frames, Transport};
-use quetzaltiller::generation::{EventId, Place, Request};
+use quetzaltiller::generation::{EventId, Position, Request};
 use quetzaltiller::objects::Labels;
 use quetzaltiller::peer::{Error, Handler as _, Link};
 use quetzaltiller::refusal::Refusal;
@@ -94,7 +94,7 @@
 
     /// Carries events to a caller until either side is gone.
     async fn carry(self, entry: String, mut subscription: Subscription, to: mpsc::Sender<Frame>) {
-        let mut place = Place::new(subscription.generation);
+        let mut place = Position::new(subscription.generation);
         loop {
             let frame = match timeout(KEEP_ALIVE, subscription.events.recv()).await {
                 Err(_) => Frame::Alive,
--- a/coordination/src/membership.rs
+++ b/coordination/src/membership.rs
@@ -36,6 +36,8 @@
     pub peer_address: String,
     /// Takes no new work.
     pub leaving: bool,
+    /// Takes callers' requests.
+    pub ready: bool,
     /// Number of the configuration in force.
     pub number: u64,
     /// Open streams and calls.
--- /dev/null
+++ b/quetzaltiller/src/entry.rs
@@ -0,0 +1,406 @@
+//! An entry VM that forwards requests: the controller.
+//!
+//! It follows the store, keeps in touch with the other entry VMs, forwards callers' requests and
+//! leaves without cutting any.
+
+use crate::clock::Clock;
+use crate::control::Store;
+use crate::drain::{self, Drain, Phase};
+use crate::fleet::Listing;
+use crate::follower::Follower;
+use crate::members::{self, Host, Members, Own, View};
+use crate::metrics::Metrics;
+use crate::pacer::{self, Pacer};
+use crate::peer::{Handler, Link};
+use crate::placement::{Placer, State, Table};
+use crate::prelude::*;
+use crate::proxy::{Context, Proxy};
+use crate::routes;
+use crate::scope::Scope;
+use crate::upstream::Client;
+use crate::wire;
+use async_trait::async_trait;
+use coordination::detector::Bounds;
+use coordination::membership::Heartbeat;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+/// Between heartbeats to a peer. Configuration is in force everywhere in a few of them.
+const HEARTBEAT: Duration = Duration::from_millis(400);
+/// A peer is left out of what callers are told after three lost heartbeats.
+const PEER_TIMEOUT: Duration = Duration::from_millis(1_300);
+/// A peer that has something newer is asked for it when the store has not told it in this time.
+const PULL_DELAY: Duration = Duration::from_millis(250);
+/// Bounds of the time after which a lookup is sent to a second replica: twice the mean of a
+/// lookup, and the users' objective for them.
+const HEDGE: Bounds = Bounds { min: Duration::from_millis(60), max: Duration::from_millis(200) };
+/// Callers are told to ask again after this time; shorter than the longest allowed, so that a VM
+/// that leaves is soon forgotten.
+const ENTRIES_LIFETIME: Duration = Duration::from_millis(2_000);
+/// Time between SIGTERM and refusing connections: in it most callers ask again.
+const ANNOUNCE: Duration = Duration::from_millis(2_000);
+/// Part of the retry budget that is used, as requests that arrive count late.
+const BUDGET_SHARE: f64 = 0.8;
+/// Pause between announcements that the store does not take.
+const ANNOUNCE_RETRY: Duration = Duration::from_millis(1_000);
+
+/// Settings.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Name of the entry VM.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Address for callers.
+    pub caller_address: String,
+    /// Address for peers.
+    pub peer_address: String,
+    /// Peers to begin with.
+    pub peer_seeds: Vec<String>,
+    /// Number of this start of the process; must rise with each.
+    pub incarnation: u64,
+    /// Time from SIGTERM to SIGKILL.
+    pub grace: Duration,
+    /// Longest time that callers keep an answer of which entry VMs to use.
+    pub entries_lifetime: Duration,
+    /// Retries for each request, over all entry VMs.
+    pub retry_ratio: f64,
+    /// Retries beyond the ratio, over all entry VMs.
+    pub retry_slack: f64,
+}
+
+/// Outside systems.
+pub struct Ports {
+    /// Store.
+    pub store: Arc<dyn Store>,
+    /// Upstreams.
+    pub client: Arc<dyn Client>,
+    /// Other entry VMs.
+    pub link: Arc<dyn Link>,
+}
+
+/// Entry VMs to use.
+#[derive(Clone, Debug)]
+pub struct Entries {
+    /// Callers' addresses.
+    pub addresses: Vec<String>,
+    /// How long they may be kept.
+    pub lifetime: Duration,
+}
+
+/// State of the process.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Dump {
+    /// Name.
+    pub name: String,
+    /// Start of the process.
+    pub incarnation: u64,
+    /// Step of leaving.
+    pub phase: Phase,
+    /// Number of the configuration in force.
+    pub number: u64,
+    /// Revision of the upstreams.
+    pub revision: u64,
+    /// Open requests.
+    pub open: u64,
+    /// Other entry VMs.
+    pub members: View,
+    /// Upstreams.
+    pub upstreams: BTreeMap<String, State>,
+}
+
+/// Entry VM.
+pub struct Entry {
+    config: Config,
+    own: Arc<Own>,
+    follower: Follower,
+    placer: Placer,
+    members: Members,
+    drain: Drain,
+    proxy: Proxy,
+    scope: Scope,
+    metrics: Arc<Metrics>,
+}
+
+impl Entry {
+    /// Starts the tasks.
+    pub fn start(config: Config, ports: Ports) -> Arc<Self> {
+        let (clock, scope) = (Clock::default(), Scope::default());
+        let metrics = Arc::new(Metrics::new(None));
+        let own = Arc::new(Own::new(heartbeat(&config)));
+        let follower = Follower::start(&scope, clock, ports.store.clone(), metrics.clone());
+        let table = Table::new(&config.name, &config.zone);
+        let placer = Placer::start(&scope, clock, table);
+        scope.spawn(keep_placer(placer.clone(), follower.clone()));
+        let host = EntryHost {
+            zone: config.zone.clone(),
+            follower: follower.clone(),
+            placer: placer.clone(),
+            link: ports.link.clone(),
+            scope: scope.clone(),
+            pulls: Arc::default(),
+        };
+        let parts = members::Parts {
+            seeds: config.peer_seeds.clone(),
+            timing: members::Timing { period: HEARTBEAT, timeout: PEER_TIMEOUT },
+            own: own.clone(),
+            clock,
+            link: ports.link.clone(),
+            host: Arc::new(host),
+            metrics: metrics.clone(),
+        };
+        let members = Members::start(&scope, parts);
+        scope.spawn(announce(ports.store, config.clone(), members.clone()));
+        let budget = pacer::Settings {
+            hedge: HEDGE,
+            retry_ratio: config.retry_ratio * BUDGET_SHARE,
+            retry_capacity: config.retry_slack * BUDGET_SHARE
+                / (config.peer_seeds.len() as f64 + 1.0),
+        };
+        let drain = Drain::new(clock, drain::Timing { grace: config.grace, announce: ANNOUNCE });
+        let proxy = Proxy::new(Context {
+            clock,
+            follower: follower.clone(),
+            placer: placer.clone(),
+            pacer: Pacer::start(&scope, budget),
+            client: ports.client,
+            drain: drain.clone(),
+            own: own.clone(),
+            metrics: metrics.clone(),
+            scope: scope.clone(),
+        });
+        info!("entry_started", kv: {
+            name = config.name, zone = config.zone, incarnation = config.incarnation
+        });
+        Arc::new(Self { config, own, follower, placer, members, drain, proxy, scope, metrics })
+    }
+
+    /// Forwards requests.
+    pub fn proxy(&self) -> &Proxy {
+        &self.proxy
+    }
+
+    /// Configuration in force.
+    pub fn routes(&self) -> Arc<routes::Table> {
+        self.follower.routes()
+    }
+
+    /// Step of leaving.
+    pub fn phase(&self) -> Phase {
+        self.drain.phase()
+    }
+
+    /// Waits for a step of leaving.
+    pub async fn reached(&self, phase: Phase) {
+        self.drain.reached(phase).await;
+    }
+
+    /// Whether callers should come.
+    pub fn is_ready(&self) -> bool {
+        let knows = self.follower.routes().number() > 0 && !self.follower.directory().is_empty();
+        knows && !self.own.is_leaving()
+    }
+
+    /// Entry VMs that callers in `zone` should use.
+    pub fn entries(&self, _zone: Option<&str>) -> Entries {
+        let view = self.members.view();
+        let others = view.alive.iter().filter(|beat| beat.ready && !beat.leaving);
+        let mut addresses: Vec<_> = others.map(|beat| beat.caller_address.clone()).collect();
+        if self.is_ready() {
+            addresses.push(self.config.caller_address.clone());
+        }
+        let lifetime = ENTRIES_LIFETIME.min(self.config.entries_lifetime);
+        Entries { addresses, lifetime }
+    }
+
+    /// Leaves; returns when nothing is open or the time is over.
+    pub async fn leave(&self) {
+        self.drain.run(&self.own).await;
+    }
+
+    /// Stops all tasks.
+    pub fn stop(&self) {
+        self.scope.stop();
+    }
+
+    /// Counters.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    /// State now.
+    pub async fn dump(&self) -> Dump {
+        Dump {
+            name: self.config.name.clone(),
+            incarnation: self.config.incarnation,
+            phase: self.drain.phase(),
+            number: self.follower.routes().number(),
+            revision: self.follower.directory().revision(),
+            open: self.own.open(),
+            members: self.members.view().as_ref().clone(),
+            upstreams: self.placer.dump().await,
+        }
+    }
+}
+
+#[async_trait]
+impl Handler for Entry {
+    async fn answer(&self, ask: wire::Ask) -> wire::Reply {
+        match ask {
+            wire::Ask::Heartbeat(beat) => wire::Reply::Heartbeat(self.members.answer(beat)),
+            wire::Ask::Pull(pull) => {
+                let table = self.follower.routes();
+                wire::Reply::Accepted(offer(pull.number, table.number(), table.as_ref()))
+            }
+            wire::Ask::Upstreams(pull) => {
+                let directory = self.follower.directory();
+                let listing = directory.listing();
+                wire::Reply::Upstreams(offer(pull.number, directory.revision(), &listing))
+            }
+            wire::Ask::Append(_) => wire::Reply::Appended(wire::Appended::default()),
+            wire::Ask::Take(_) => wire::Reply::Taken(wire::Taken::default()),
+            wire::Ask::Claim(_) => wire::Reply::Claimed(wire::Claimed::default()),
+            wire::Ask::Cancel(_) => wire::Reply::Cancelled(wire::Cancelled::default()),
+        }
+    }
+}
+
+/// What a peer that has `known` gets of a value numbered `number`.
+fn offer(known: u64, number: u64, value: &impl Serialize) -> wire::Accepted {
+    let json = if number > known {
+        serde_json::to_string(value).unwrap_or_default()
+    } else {
+        String::new()
+    };
+    wire::Accepted { number, json }
+}
+
+fn heartbeat(config: &Config) -> Heartbeat {
+    Heartbeat {
+        name: config.name.clone(),
+        incarnation: config.incarnation,
+        zone: config.zone.clone(),
+        caller_address: config.caller_address.clone(),
+        peer_address: config.peer_address.clone(),
+        ..Heartbeat::default()
+    }
+}
+
+async fn keep_placer(placer: Placer, follower: Follower) {
+    let (mut routes, mut directory) = (follower.watch_routes(), follower.watch_directory());
+    loop {
+        tokio::select! {
+            biased;
+            changed = routes.changed() => match changed {
+                Ok(()) => placer.configure(routes.borrow_and_update().clone()),
+                Err(_) => return,
+            },
+            changed = directory.changed() => match changed {
+                Ok(()) => placer.set_upstreams(directory.borrow_and_update().clone()),
+                Err(_) => return,
+            },
+        }
+    }
+}
+
+/// Announces this entry VM in the store and learns of the others from there.
+async fn announce(store: Arc<dyn Store>, config: Config, members: Members) {
+    while let Err(reason) = store.announce(&config.name, &config.peer_address).await {
+        info!("announcement_failed", kv: { reason:? = reason.to_string() });
+        tokio::time::sleep(ANNOUNCE_RETRY).await;
+    }
+    loop {
+        match store.members().await {
+            Ok(addresses) => return members.add_seeds(addresses),
+            Err(reason) => {
+                info!("members_unknown", kv: { reason:? = reason.to_string() });
+                tokio::time::sleep(ANNOUNCE_RETRY).await;
+            }
+        }
+    }
+}
+
+/// An entry VM's part in membership.
+struct EntryHost {
+    zone: String,
+    follower: Follower,
+    placer: Placer,
+    link: Arc<dyn Link>,
+    scope: Scope,
+    pulls: Arc<AtomicBool>,
+}
+
+impl Host for EntryHost {
+    fn describe(&self, beat: &mut wire::Heartbeat) {
+        beat.number = self.follower.routes().number();
+        beat.revision = self.follower.directory().revision();
+        beat.ready = beat.number > 0 && !self.follower.directory().is_empty();
+    }
+
+    fn heard(&self, beat: &wire::Heartbeat) {
+        let is_newer = beat.number > self.follower.routes().number()
+            || beat.revision > self.follower.directory().revision();
+        if !is_newer || self.pulls.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let pull =
+            Pull { follower: self.follower.clone(), link: self.link.clone(), beat: beat.clone() };
+        let pulls = self.pulls.clone();
+        self.scope.spawn(async move {
+            pull.run().await;
+            pulls.store(false, Ordering::Relaxed);
+        });
+    }
+
+    fn changed(&self, _known: Vec<String>, view: &View) {
+        let neighbours = view.alive.iter().filter(|beat| beat.zone == self.zone && !beat.leaving);
+        self.placer.set_neighbours(neighbours.map(|beat| beat.name.clone()).collect());
+    }
+}
+
+/// Fetches from a peer what the store has not told in time.
+struct Pull {
+    follower: Follower,
+    link: Arc<dyn Link>,
+    beat: wire::Heartbeat,
+}
+
+impl Pull {
+    async fn run(self) {
+        tokio::time::sleep(PULL_DELAY).await;
+        let address = &self.beat.peer_address;
+        let number = self.follower.routes().number();
+        if self.beat.number > number {
+            let ask = wire::Ask::Pull(wire::Pull { number });
+            if let Ok(wire::Reply::Accepted(accepted)) = self.link.call(address, ask).await
+                && let Some(table) = parse(&accepted)
+            {
+                self.follower.offer_routes(table);
+            }
+        }
+        let revision = self.follower.directory().revision();
+        if self.beat.revision > revision {
+            let ask = wire::Ask::Upstreams(wire::Pull { number: revision });
+            if let Ok(wire::Reply::Upstreams(accepted)) = self.link.call(address, ask).await
+                && let Some(listing) = parse::<Listing>(&accepted)
+            {
+                self.follower.offer_upstreams(listing);
+            }
+        }
+    }
+}
+
+fn parse<T: serde::de::DeserializeOwned>(accepted: &wire::Accepted) -> Option<T> {
+    if accepted.json.is_empty() {
+        return None;
+    }
+    serde_json::from_str(&accepted.json)
+        .inspect_err(|reason| {
+            warn!("peer_value_unreadable", kv: {
+                number = accepted.number, reason:? = reason.to_string()
+            });
+        })
+        .ok()
+}
--- /dev/null
+++ b/quetzaltiller/src/fleet/mod.rs
@@ -0,0 +1,9 @@
+//! Upstreams as the platform's directory names them.
+//!
+//! An [`Upstream`] is one start of one process; a [`Directory`] is all of them at one revision.
+
+mod directory;
+mod upstream;
+
+pub use directory::{Change, Directory, Listing};
+pub use upstream::Upstream;
--- /dev/null
+++ b/quetzaltiller/src/follower.rs
@@ -0,0 +1,309 @@
+//! Follows the platform's configuration and directory of upstreams.
+//!
+//! Both only move forward: a configuration by its number, the directory by the store's revision,
+//! whoever brings them. The store is watched; peers offer what they have when it is newer.
+//!
+//! While the store was away it may have dropped upstreams that live. They are kept for
+//! [`LAPSE_GRACE`] after its return, in which those that live are listed again. An outage may pass
+//! unnoticed while a watch waits, so upstreams are also kept when half of a service vanishes at once.
+
+use crate::clock::Clock;
+use crate::control::{Changes, Configuration, Error, Store};
+use crate::fleet::{Directory, Listing, Upstream};
+use crate::mailbox::Mailbox;
+use crate::metrics::{Counter, Metrics};
+use crate::prelude::*;
+use crate::routes::Table;
+use crate::scope::Scope;
+use coordination::feed::Feed;
+use std::collections::BTreeMap;
+use tokio::sync::{mpsc, watch};
+
+/// Pause after a failed call of the store; doubles up to [`MAX_RETRY`].
+const RETRY: Duration = Duration::from_millis(150);
+/// Longest pause between calls of a store that is away. Peers tell what is new meanwhile.
+const MAX_RETRY: Duration = Duration::from_millis(1_000);
+/// Changes are gathered for so long before the next watch, as each watch is a call. A tenth of the
+/// time in which a leaving upstream must get no more requests.
+const GATHER: Duration = Duration::from_millis(200);
+/// Time in which upstreams that lapsed with the store are listed again (users' letter).
+const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
+/// The same when an outage was not noticed: less, as the upstreams may be leaving.
+const VANISH_GRACE: Duration = Duration::from_millis(1_200);
+
+#[derive(Debug)]
+enum Message {
+    Configured(Configuration),
+    Offered(Table),
+    Listed(Listing),
+    Changed(Changes),
+    Lost,
+    Regained,
+}
+
+/// Handle to what is followed.
+#[derive(Clone, Debug)]
+pub struct Follower {
+    mailbox: Mailbox<Message>,
+    routes: watch::Receiver<Arc<Table>>,
+    directory: watch::Receiver<Arc<Directory>>,
+}
+
+impl Follower {
+    /// Starts following the store in `scope`.
+    pub fn start(
+        scope: &Scope,
+        clock: Clock,
+        store: Arc<dyn Store>,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        let (mailbox, messages) = Mailbox::new();
+        let (routes_sender, routes) = watch::channel(Arc::default());
+        let (directory_sender, directory) = watch::channel(Arc::default());
+        let task = Task {
+            clock,
+            feed: Feed::default(),
+            directory: Directory::default(),
+            lapsed: BTreeMap::new(),
+            away: false,
+            grace_until: Duration::ZERO,
+            routes: routes_sender,
+            published: directory_sender,
+        };
+        scope.spawn(task.run(messages));
+        let source = Source { store, metrics, mailbox: mailbox.clone() };
+        scope.spawn(source.clone().follow_routes());
+        scope.spawn(source.follow_upstreams());
+        Self { mailbox, routes, directory }
+    }
+
+    /// Configuration in force.
+    pub fn routes(&self) -> Arc<Table> {
+        self.routes.borrow().clone()
+    }
+
+    /// Upstreams as known now.
+    pub fn directory(&self) -> Arc<Directory> {
+        self.directory.borrow().clone()
+    }
+
+    /// Notices of changed configurations.
+    pub fn watch_routes(&self) -> watch::Receiver<Arc<Table>> {
+        self.routes.clone()
+    }
+
+    /// Notices of changed upstreams.
+    pub fn watch_directory(&self) -> watch::Receiver<Arc<Directory>> {
+        self.directory.clone()
+    }
+
+    /// Takes a peer's configuration, if it is newer.
+    pub fn offer_routes(&self, table: Table) {
+        self.mailbox.tell(Message::Offered(table));
+    }
+
+    /// Takes a peer's upstreams, if they are newer.
+    pub fn offer_upstreams(&self, listing: Listing) {
+        self.mailbox.tell(Message::Listed(listing));
+    }
+}
+
+struct Task {
+    clock: Clock,
+    feed: Feed<Arc<Table>>,
+    directory: Directory,
+    /// Upstreams that vanished with the store, and until when they are kept.
+    lapsed: BTreeMap<String, (Arc<Upstream>, Duration)>,
+    away: bool,
+    grace_until: Duration,
+    routes: watch::Sender<Arc<Table>>,
+    published: watch::Sender<Arc<Directory>>,
+}
+
+impl Task {
+    async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>) {
+        loop {
+            let expiry = self.lapsed.values().map(|(_, until)| *until).min();
+            let clock = self.clock;
+            tokio::select! {
+                biased;
+                message = messages.recv() => match message {
+                    Some(message) => self.take(message),
+                    None => return,
+                },
+                () = clock.sleep_until(expiry.unwrap_or_default()), if expiry.is_some() => {
+                    self.expire();
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Configured(Configuration { table: Some(table), .. }) => {
+                self.configure(table, "store");
+            }
+            Message::Configured(_) => {}
+            Message::Offered(table) => self.configure(table, "peer"),
+            Message::Listed(listing) => {
+                let before = self.directory.clone();
+                if self.directory.replace(listing) {
+                    self.publish(&before);
+                }
+            }
+            Message::Changed(Changes { revision, changes }) => {
+                let before = self.directory.clone();
+                if self.directory.apply(revision, changes) {
+                    self.publish(&before);
+                }
+            }
+            Message::Lost => self.away = true,
+            Message::Regained => {
+                self.away = false;
+                self.grace_until = self.clock.now() + LAPSE_GRACE;
+            }
+        }
+    }
+
+    fn configure(&mut self, table: Table, source: &str) {
+        let (number, routes) = (table.number(), table.routes().len());
+        let table = Arc::new(table);
+        if self.feed.offer(number, table.clone()) {
+            info!("configuration_in_force", kv: { number, routes, source });
+            self.routes.send_replace(table);
+        }
+    }
+
+    fn publish(&mut self, before: &Directory) {
+        let now = self.clock.now();
+        let gone = before.upstreams().filter(|old| self.directory.upstream(&old.id).is_none());
+        for upstream in gone {
+            let away = self.away || now < self.grace_until;
+            let vanished = self.half_vanished(before, &upstream.service);
+            let keeps = (away || vanished) && !upstream.leaving;
+            info!("upstream_gone", kv: {
+                upstream = upstream.id, revision = self.directory.revision(), keeps
+            });
+            if keeps {
+                let grace = if away { LAPSE_GRACE } else { VANISH_GRACE };
+                let until = self.grace_until.max(now + grace);
+                self.lapsed.insert(upstream.id.clone(), (upstream.clone(), until));
+            }
+        }
+        for upstream in self.directory.upstreams() {
+            self.lapsed.remove(&upstream.id);
+            let known = before.upstream(&upstream.id);
+            if known.is_none_or(|known| known.leaving != upstream.leaving) {
+                info!("upstream_listed", kv: {
+                    upstream = upstream.id, service = upstream.service,
+                    address:? = upstream.address, leaving = upstream.leaving,
+                    revision = self.directory.revision()
+                });
+            }
+        }
+        self.send();
+    }
+
+    /// Whether half of a service's upstreams, two at least, are missing that were listed before.
+    fn half_vanished(&self, before: &Directory, service: &str) -> bool {
+        let of_service = || before.upstreams().filter(|upstream| upstream.service == service);
+        let gone = of_service().filter(|old| self.directory.upstream(&old.id).is_none()).count();
+        gone >= 2 && gone * 2 >= of_service().count()
+    }
+
+    fn expire(&mut self) {
+        let now = self.clock.now();
+        self.lapsed.retain(|_, (_, until)| *until > now);
+        self.send();
+    }
+
+    fn send(&self) {
+        let mut directory = self.directory.clone();
+        directory.keep(self.lapsed.values().map(|(upstream, _)| upstream.clone()));
+        self.published.send_replace(Arc::new(directory));
+    }
+}
+
+/// Calls the store and passes on what it tells.
+#[derive(Clone)]
+struct Source {
+    store: Arc<dyn Store>,
+    metrics: Arc<Metrics>,
+    mailbox: Mailbox<Message>,
+}
+
+impl Source {
+    async fn follow_routes(self) {
+        let mut revision = None;
+        let mut pause = RETRY;
+        loop {
+            self.metrics.count(Counter::StoreCall);
+            let read = match revision {
+                None => self.store.configuration().await,
+                Some(revision) => self.store.next_configuration(revision).await,
+            };
+            match read {
+                Ok(configuration) => {
+                    revision = Some(configuration.revision);
+                    pause = RETRY;
+                    self.mailbox.tell(Message::Configured(configuration));
+                }
+                Err(Error::Expired) => {
+                    info!("store_history_gone", kv: { kind = "configuration" });
+                    revision = None;
+                }
+                Err(_) => {
+                    tokio::time::sleep(pause).await;
+                    pause = (pause * 2).min(MAX_RETRY);
+                }
+            }
+        }
+    }
+
+    async fn follow_upstreams(self) {
+        let mut revision = None;
+        let mut pause = RETRY;
+        let mut away = false;
+        loop {
+            self.metrics.count(Counter::StoreCall);
+            let read = match revision {
+                None => self.list().await,
+                Some(revision) => self.changes(revision).await,
+            };
+            match read {
+                Ok((newest, message)) => {
+                    if std::mem::take(&mut away) {
+                        info!("store_regained", kv: { revision = newest });
+                        self.mailbox.tell(Message::Regained);
+                    }
+                    self.mailbox.tell(message);
+                    pause = RETRY;
+                    revision = Some(newest);
+                    tokio::time::sleep(GATHER).await;
+                }
+                Err(Error::Expired) => {
+                    info!("store_history_gone", kv: { kind = "upstreams" });
+                    revision = None;
+                }
+                Err(reason) => {
+                    if !std::mem::replace(&mut away, true) {
+                        warn!("store_lost", kv: { reason:? = reason.to_string() });
+                        self.mailbox.tell(Message::Lost);
+                    }
+                    tokio::time::sleep(pause).await;
+                    pause = (pause * 2).min(MAX_RETRY);
+                }
+            }
+        }
+    }
+
+    async fn list(&self) -> Result<(u64, Message), Error> {
+        let listing = self.store.upstreams().await?;
+        Ok((listing.revision, Message::Listed(listing)))
+    }
+
+    async fn changes(&self, revision: u64) -> Result<(u64, Message), Error> {
+        let changes = self.store.next_upstreams(revision).await?;
+        Ok((changes.revision, Message::Changed(changes)))
+    }
+}
--- a/quetzaltiller/src/front.rs
+++ b/quetzaltiller/src/front.rs
@@ -1,6 +1,6 @@
 //! Callers' HTTP: `/v1/entries`, `/v1/generations` and `/v1/services`.
 
-use crate::generation::{Place, Request as Body};
+use crate::generation::{Position, Request as Body};
 use crate::objects::Labels;
 use crate::prelude::*;
 use crate::router::{Caller, Router as Core};
@@ -206,7 +206,7 @@
 }
 
 fn stream_events(response: &mut Response, subscription: Subscription, first: Event) {
-    let mut place = Place::new(subscription.generation);
+    let mut place = Position::new(subscription.generation);
     let rest = stream::unfold(subscription.events, next_event);
     let events = stream::once(async { first }).chain(rest).map(move |event| {
         let id = place.after(&event).map(|id| id.to_string()).unwrap_or_default();
--- a/quetzaltiller/src/generation/event_id.rs
+++ b/quetzaltiller/src/generation/event_id.rs
@@ -45,12 +45,12 @@
 
 /// Follows a stream to tell the id of each event.
 #[derive(Clone, Debug)]
-pub struct Place {
+pub struct Position {
     generation: String,
     attempt: u32,
 }
 
-impl Place {
+impl Position {
     /// The beginning of a stream of `generation`.
     pub fn new(generation: String) -> Self {
         Self { generation, attempt: 0 }
--- a/quetzaltiller/src/generation/machine.rs
+++ b/quetzaltiller/src/generation/machine.rs
@@ -5,10 +5,17 @@
 //! engine that forgot the stream, or that refuses connections, is replaced at once. One that does
 //! not answer is waited for as long as [`Patience`](coordination::patience::Patience) says: until the wait has cost as much as the
 //! prefill that a replacement would repeat.
-
-use super::protocol::{Effect, Input, Opening, Outcome, Settings, Start, Stats};
-use super::splice::{Splice, Verdict};
-use crate::engine::{Chunk, Error};
+//!
+//! Engines that drop a run with its connection can't be reattached to ([`Probe::Connect`]). There a
+//! broken connection means replacement, and silence is answered by asking whether the engine still
+//! accepts connections: no means replacement at once, yes means to wait until the pause would
+//! become longer than the caller accepts. Where another engine holds a copy of the run's memory,
+//! replacement is cheap and comes early.
+
+use super::answer::{Answer, Verdict};
+use super::protocol::{Effect, Input, Opening, Outcome, Place, Probe, Settings, Start, Stats};
+use super::splice::Splice;
+use crate::engine::Error;
 use crate::refusal::Code;
 use coordination::detector::Detector;
 use std::time::Duration;
@@ -21,6 +28,11 @@
 const MAX_BACKOFF: u32 = 16;
 /// Gaps and broken connections without a new token in between before the engine is replaced.
 const MAX_FRUITLESS: u32 = 3;
+/// Share of the longest pause that the caller accepts after which a silent run is replaced; the
+/// rest is for the replacement to begin.
+const PAUSE_SHARE: f64 = 0.6;
+/// Checks of an engine that answered the last one, at the most seldom.
+const MAX_CHECK_BACKOFF: u32 = 4;
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Phase {
@@ -31,40 +43,39 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Probe {
+struct Pending {
     conn: u32,
     since: Duration,
 }
 
 /// State of one generation.
-pub struct Machine {
-    splice: Splice,
+pub struct Machine<A = Splice> {
+    splice: A,
     settings: Settings,
     phase: Phase,
     upstream: Option<String>,
     version: Option<String>,
     avoid: Vec<String>,
+    /// Engine that holds a copy of the run's memory.
+    copy: Option<String>,
     current: Option<u32>,
-    probe: Option<Probe>,
+    probe: Option<Pending>,
     probe_at: Option<Duration>,
     conns: u32,
     detector: Detector,
     last_life: Duration,
     last_progress: Duration,
+    /// A piece of the current run has come.
+    flowing: bool,
     suspected: bool,
     backoff: u32,
     fruitless: u32,
     stats: Stats,
 }
 
-impl Machine {
+impl<A: Answer> Machine<A> {
     /// Starts a generation at `now`; returns the first effects.
-    pub fn new(
-        now: Duration,
-        splice: Splice,
-        settings: Settings,
-        start: Start,
-    ) -> (Self, Vec<Effect>) {
+    pub fn new(now: Duration, splice: A, settings: Settings, start: Start) -> (Self, Vec<Effect>) {
         let mut machine = Self {
             detector: Detector::new(settings.silence),
             splice,
@@ -73,12 +84,14 @@
             upstream: None,
             version: None,
             avoid: Vec::new(),
+            copy: None,
             current: None,
             probe: None,
             probe_at: None,
             conns: 0,
             last_life: now,
             last_progress: now,
+            flowing: false,
             suspected: false,
             backoff: 1,
             fruitless: 0,
@@ -89,7 +102,7 @@
     }
 
     /// The answer so far.
-    pub fn splice(&self) -> &Splice {
+    pub fn splice(&self) -> &A {
         &self.splice
     }
 
@@ -108,6 +121,11 @@
         self.stats
     }
 
+    /// Time since the last sign of life.
+    pub fn silence(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.last_life)
+    }
+
     /// Whether the engine is suspected.
     pub fn is_suspected(&self) -> bool {
         self.suspected
@@ -119,12 +137,12 @@
     }
 
     /// Takes an input; returns what to do.
-    pub fn on(&mut self, now: Duration, input: Input) -> Vec<Effect> {
+    pub fn on(&mut self, now: Duration, input: Input<A::Piece>) -> Vec<Effect> {
         if self.phase == Phase::Ended {
             return Vec::new();
         }
         match input {
-            Input::Placed(upstream, version) => self.submit(now, upstream, version),
+            Input::Placed(place) => self.submit(now, place),
             Input::Unplaced(code) => self.finish(Outcome::Failed(code)),
             Input::Opened(conn) => self.opened(now, conn),
             Input::Chunk(conn, chunk) => self.chunk(now, conn, &chunk),
@@ -140,14 +158,16 @@
     pub fn wake_at(&self) -> Option<Duration> {
         match self.phase {
             Phase::Ended | Phase::Placing => None,
-            Phase::Submitting => Some(self.last_life + self.settings.open_timeout),
-            Phase::Running => {
+            Phase::Submitting if self.settings.probe == Probe::Reattach => {
+                Some(self.last_life + self.settings.open_timeout)
+            }
+            Phase::Submitting | Phase::Running => {
                 let due = match (self.probe, self.probe_at) {
                     (Some(probe), _) => self.probe_ends_at(probe),
                     (None, Some(at)) => at,
                     (None, None) => self.silent_at(),
                 };
-                Some(due.min(self.expires_at()))
+                Some(due.min(self.expires_at()).min(self.stuck_at()))
             }
         }
     }
@@ -172,20 +192,28 @@
     fn place(&mut self) -> Vec<Effect> {
         self.phase = Phase::Placing;
         let resumed = self.splice.next() > 0 || self.splice.attempt() > 1;
-        vec![Effect::Place { avoid: self.avoid.clone(), resumed }]
+        let copy = self.copy.take();
+        vec![Effect::Place { avoid: self.avoid.clone(), copy, resumed }]
     }
 
-    fn submit(&mut self, now: Duration, upstream: String, version: String) -> Vec<Effect> {
+    fn submit(&mut self, now: Duration, place: Place) -> Vec<Effect> {
         if self.phase != Phase::Placing {
             return Vec::new();
         }
+        let Place { upstream, version, restores, backup } = place;
         self.phase = Phase::Submitting;
         self.upstream = Some(upstream.clone());
         self.version.get_or_insert(version);
+        self.copy = backup;
         self.last_life = now;
+        self.flowing = false;
+        self.suspected = false;
+        self.probe_at = None;
+        self.backoff = 1;
         let conn = self.next_conn();
         self.current = Some(conn);
-        vec![Effect::Open { conn, opening: Opening::Submit, upstream }]
+        let opening = if restores { Opening::Restore } else { Opening::Submit };
+        vec![Effect::Open { conn, opening, upstream }]
     }
 
     fn opened(&mut self, now: Duration, conn: u32) -> Vec<Effect> {
@@ -200,6 +228,12 @@
     }
 
     fn switch_to_probe(&mut self, now: Duration, conn: u32) -> Vec<Effect> {
+        if self.settings.probe == Probe::Connect {
+            self.probe = None;
+            self.probe_at = Some(now + PROBE_PAUSE * self.backoff);
+            self.backoff = (self.backoff * 2).min(MAX_CHECK_BACKOFF);
+            return vec![Effect::Close(conn)];
+        }
         let old = self.current.replace(conn);
         self.probe = None;
         self.stats.reattached += 1;
@@ -208,7 +242,7 @@
         old.map(Effect::Close).into_iter().collect()
     }
 
-    fn chunk(&mut self, now: Duration, conn: u32, chunk: &Chunk) -> Vec<Effect> {
+    fn chunk(&mut self, now: Duration, conn: u32, chunk: &A::Piece) -> Vec<Effect> {
         let probing = self.probe.is_some_and(|probe| probe.conn == conn);
         if !probing && self.current != Some(conn) {
             return Vec::new();
@@ -237,9 +271,11 @@
     }
 
     fn progress(&mut self, now: Duration) {
-        if !self.suspected && self.last_progress == self.last_life {
+        let comparable = self.flowing || self.settings.probe == Probe::Reattach;
+        if comparable && !self.suspected && self.last_progress == self.last_life {
             self.detector.observe(now - self.last_life);
         }
+        self.flowing = true;
         self.show_life(now);
         self.phase = Phase::Running;
         self.last_progress = now;
@@ -270,6 +306,7 @@
             (Phase::Submitting, Error::Refused | Error::Busy | Error::OtherVersion) => {
                 self.replace_unused_engine()
             }
+            _ if !self.settings.resumable => self.finish(Outcome::Failed(Code::UpstreamFailed)),
             (Phase::Submitting, _) => self.replace_engine(),
             _ => self.broken(now, conn),
         }
@@ -280,7 +317,7 @@
         self.current = None;
         self.fruitless += 1;
         let mut effects = vec![Effect::Close(conn)];
-        if self.fruitless > MAX_FRUITLESS {
+        if self.fruitless > MAX_FRUITLESS || self.settings.probe == Probe::Connect {
             effects.extend(self.replace_engine());
         } else if self.probe.is_none() {
             effects.extend(self.start_probe(now));
@@ -297,14 +334,21 @@
         }
         self.probe_at = None;
         let conn = self.next_conn();
-        self.probe = Some(Probe { conn, since: now });
-        vec![Effect::Open { conn, opening: Opening::Reattach, upstream }]
+        self.probe = Some(Pending { conn, since: now });
+        let opening = match self.settings.probe {
+            Probe::Reattach => Opening::Reattach,
+            Probe::Connect => Opening::Check,
+        };
+        vec![Effect::Open { conn, opening, upstream }]
     }
 
     fn probe_failed(&mut self, now: Duration, error: Error) -> Vec<Effect> {
         let probe = self.probe.take();
         match error {
-            Error::Reset | Error::Timeout if now + PROBE_PAUSE < self.patience_ends_at() => {
+            Error::Reset | Error::Timeout
+                if self.settings.probe == Probe::Reattach
+                    && now + PROBE_PAUSE < self.patience_ends_at() =>
+            {
                 self.probe_at = Some(now + PROBE_PAUSE);
                 probe.map(|probe| Effect::Close(probe.conn)).into_iter().collect()
             }
@@ -323,6 +367,9 @@
 
     fn replace_engine(&mut self) -> Vec<Effect> {
         let attempt = self.splice.attempt();
+        if !self.settings.resumable {
+            return self.cancel(Outcome::Failed(Code::UpstreamFailed));
+        }
         let cancel = self.upstream.clone().map(|upstream| Effect::Cancel { upstream, attempt });
         self.stats.redispatched += 1;
         self.suspected = false;
@@ -337,11 +384,13 @@
             return self.cancel(Outcome::Failed(Code::NoUpstream));
         }
         match self.phase {
-            Phase::Submitting if now >= self.last_life + self.settings.open_timeout => {
-                self.replace_engine()
+            Phase::Placing | Phase::Ended => Vec::new(),
+            Phase::Submitting if self.settings.probe == Probe::Reattach => {
+                let late = now >= self.last_life + self.settings.open_timeout;
+                if late { self.replace_engine() } else { Vec::new() }
             }
-            Phase::Running => self.tick_running(now),
-            _ => Vec::new(),
+            _ if now >= self.stuck_at() => self.replace_engine(),
+            _ => self.tick_running(now),
         }
     }
 
@@ -382,8 +431,22 @@
         self.conns
     }
 
-    /// End of a reattach that is not answered.
-    fn probe_ends_at(&self, probe: Probe) -> Duration {
+    /// When a run is replaced although its engine accepts connections.
+    fn stuck_at(&self) -> Duration {
+        if self.settings.probe == Probe::Reattach {
+            return Duration::MAX;
+        }
+        match (self.settings.pause, &self.copy) {
+            (Some(pause), Some(_)) if self.flowing => self.last_life + pause.mul_f64(PAUSE_SHARE),
+            _ => self.patience_ends_at(),
+        }
+    }
+
+    /// End of a probe that is not answered.
+    fn probe_ends_at(&self, probe: Pending) -> Duration {
+        if self.settings.probe == Probe::Connect {
+            return probe.since + MIN_PROBE;
+        }
         let hurried = self.patience_ends_at().max(probe.since + MIN_PROBE);
         hurried.min(probe.since + self.settings.open_timeout)
     }
@@ -401,8 +464,11 @@
     /// When silence is acted on. Before the first token it may be prefill; asking an engine that
     /// is at work costs it nothing, so twice the time of that is enough.
     fn silent_at(&self) -> Duration {
-        let threshold = if self.detector.has_observed() {
+        let connects = self.settings.probe == Probe::Connect;
+        let threshold = if self.detector.has_observed() && (self.flowing || !connects) {
             self.detector.threshold()
+        } else if connects {
+            self.settings.silence.max
         } else {
             let silence = self.settings.silence;
             let prefill = Duration::from_secs_f64(2.0 * self.prefill_s());
--- a/quetzaltiller/src/generation/protocol.rs
+++ b/quetzaltiller/src/generation/protocol.rs
@@ -21,6 +21,21 @@
     pub deadline: Duration,
     /// Limits of the silence threshold.
     pub silence: Bounds,
+    /// How a silent engine is asked whether it lives.
+    pub probe: Probe,
+    /// Longest pause that the caller accepts, where it is known.
+    pub pause: Option<Duration>,
+    /// Another run may go on with the answer.
+    pub resumable: bool,
+}
+
+/// How a silent engine is asked whether it lives.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Probe {
+    /// By reattaching to the run.
+    Reattach,
+    /// By connecting, as the engine drops a run with its connection.
+    Connect,
 }
 
 /// How a connection is opened.
@@ -28,21 +43,38 @@
 pub enum Opening {
     /// Submits the prompt and the tokens so far.
     Submit,
+    /// Submits the prompt to go on from a copy of the memory.
+    Restore,
     /// Goes on with the running stream.
     Reattach,
+    /// Only connects.
+    Check,
+}
+
+/// A chosen upstream.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Place {
+    /// Upstream.
+    pub upstream: String,
+    /// Version that it serves.
+    pub version: String,
+    /// It holds a copy of the run's memory.
+    pub restores: bool,
+    /// Engine that will hold a copy of the new run's memory.
+    pub backup: Option<String>,
 }
 
 /// Something that happened.
 #[derive(Clone, Debug)]
-pub enum Input {
-    /// An upstream was chosen, serving the version.
-    Placed(String, String),
+pub enum Input<P = Chunk> {
+    /// An upstream was chosen.
+    Placed(Place),
     /// No upstream before the deadline, for this reason.
     Unplaced(Code),
     /// The engine accepted the connection's request.
     Opened(u32),
-    /// A chunk on a connection.
-    Chunk(u32, Chunk),
+    /// A piece of the answer on a connection.
+    Chunk(u32, P),
     /// A connection failed.
     Failed(u32, Error),
     /// The caller cancelled, or nobody came back.
@@ -62,6 +94,8 @@
     Place {
         /// Upstreams that failed this generation.
         avoid: Vec<String>,
+        /// Engine that holds a copy of the run's memory.
+        copy: Option<String>,
         /// Tokens or work are at stake already.
         resumed: bool,
     },
--- a/quetzaltiller/src/generation/splice.rs
+++ b/quetzaltiller/src/generation/splice.rs
@@ -4,26 +4,10 @@
 //! below the next index were seen already and are trimmed; tokens above it reveal a gap. The
 //! answer is whole only when the engine's total and checksum agree with what was admitted.
 
+use super::answer::{Answer, Verdict};
 use crate::digest::Checksum;
 use crate::engine::{Body, Chunk};
 
-/// What became of a chunk.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Verdict {
-    /// So many new tokens were admitted.
-    Admitted(usize),
-    /// Nothing new: a start, or tokens that were seen already.
-    Nothing,
-    /// Of another generation or attempt.
-    Foreign,
-    /// Tokens are missing before it.
-    Gap,
-    /// The answer is whole.
-    Whole,
-    /// It contradicts what was admitted.
-    Inconsistent,
-}
-
 /// The answer so far.
 #[derive(Clone)]
 pub struct Splice {
@@ -48,16 +32,6 @@
         &self.generation
     }
 
-    /// Current attempt.
-    pub fn attempt(&self) -> u32 {
-        self.attempt
-    }
-
-    /// Index of the next token.
-    pub fn next(&self) -> u32 {
-        self.tokens.len() as u32
-    }
-
     /// Tokens admitted.
     pub fn tokens(&self) -> &[String] {
         &self.tokens
@@ -68,27 +42,6 @@
         self.checksum.hex()
     }
 
-    /// Goes over to the next attempt; chunks of earlier ones no longer count.
-    pub fn begin_attempt(&mut self) -> u32 {
-        self.attempt = self.floor.max(self.attempt + 1);
-        self.attempt
-    }
-
-    /// Takes a chunk.
-    pub fn take(&mut self, chunk: &Chunk) -> Verdict {
-        if chunk.generation != self.generation || chunk.attempt != self.attempt {
-            return Verdict::Foreign;
-        }
-        if self.total.is_some() {
-            return Verdict::Nothing;
-        }
-        match &chunk.body {
-            Body::Started { .. } => Verdict::Nothing,
-            Body::Tokens { index, tokens } => self.admit(*index, tokens),
-            Body::Ended { total, checksum } => self.finish(*total, checksum),
-        }
-    }
-
     fn admit(&mut self, index: u32, tokens: &[String]) -> Verdict {
         let next = self.next();
         if index > next {
@@ -116,3 +69,34 @@
         Verdict::Whole
     }
 }
+
+impl Answer for Splice {
+    type Piece = Chunk;
+
+    fn attempt(&self) -> u32 {
+        self.attempt
+    }
+
+    fn next(&self) -> u32 {
+        self.tokens.len() as u32
+    }
+
+    fn begin_attempt(&mut self) -> u32 {
+        self.attempt = self.floor.max(self.attempt + 1);
+        self.attempt
+    }
+
+    fn take(&mut self, chunk: &Chunk) -> Verdict {
+        if chunk.generation != self.generation || chunk.attempt != self.attempt {
+            return Verdict::Foreign;
+        }
+        if self.total.is_some() {
+            return Verdict::Nothing;
+        }
+        match &chunk.body {
+            Body::Started { .. } => Verdict::Nothing,
+            Body::Tokens { index, tokens } => self.admit(*index, tokens),
+            Body::Ended { total, checksum } => self.finish(*total, checksum),
+        }
+    }
+}
--- a/quetzaltiller/src/members.rs
+++ b/quetzaltiller/src/members.rs
@@ -1,13 +1,13 @@
 //! Heartbeats with the other entry VMs, and what they tell.
+//!
+//! Whoever runs the membership tasks is their [`Host`]: it completes the own heartbeat and takes
+//! what the heartbeats of others tell.
 
-use crate::catalog::Catalog;
 use crate::clock::Clock;
-use crate::config::Config;
-use crate::dispatch::Dispatch;
 use crate::mailbox::Mailbox;
 use crate::metrics::{Counter, Metrics};
 use crate::peer::Link;
-use crate::platform::{Store, Vm};
+use crate::platform::Vm;
 use crate::prelude::*;
 use crate::scope::Scope;
 use crate::wire;
@@ -18,7 +18,6 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use tokio::sync::{mpsc, watch};
 
-const VM_LIST_PERIOD: Duration = Duration::from_secs(1);
 /// A silent member is forgotten after this many timeouts.
 const FORGET_TIMEOUTS: u32 = 60;
 
@@ -32,16 +31,8 @@
 }
 
 impl Own {
-    /// Describes an entry VM whose process began as `incarnation`.
-    pub fn new(config: &Config, incarnation: u64) -> Self {
-        let beat = Heartbeat {
-            name: config.name.clone(),
-            incarnation,
-            zone: config.zone.clone(),
-            caller_address: config.caller_address.clone(),
-            peer_address: config.peer_address.clone(),
-            ..Heartbeat::default()
-        };
+    /// Describes an entry VM: its name, zone, addresses and incarnation.
+    pub fn new(beat: Heartbeat) -> Self {
         Self { beat, leaving: AtomicBool::new(false), open: AtomicU64::new(0) }
     }
 
@@ -66,9 +57,9 @@
         Entered { own: self.clone() }
     }
 
-    fn heartbeat(&self, number: u64) -> Heartbeat {
+    fn heartbeat(&self) -> Heartbeat {
         let (leaving, open) = (self.is_leaving(), self.open());
-        Heartbeat { leaving, open, number, ..self.beat.clone() }
+        Heartbeat { leaving, open, ..self.beat.clone() }
     }
 }
 
@@ -115,81 +106,108 @@
     }
 }
 
+/// Who runs the membership tasks.
+pub trait Host: Send + Sync {
+    /// Completes the heartbeat of this process.
+    fn describe(&self, beat: &mut wire::Heartbeat);
+
+    /// Takes the heartbeat of another.
+    fn heard(&self, beat: &wire::Heartbeat);
+
+    /// Takes the members as known now: all that are not forgotten, and those that are alive.
+    fn changed(&self, known: Vec<String>, view: &View);
+}
+
 #[derive(Debug)]
 enum Message {
     Hear(wire::Heartbeat),
     Vms(Vec<Vm>),
+    Found(Vec<String>),
 }
 
 /// Handle to the membership tasks.
 #[derive(Clone)]
 pub struct Members {
     own: Arc<Own>,
-    catalog: Catalog,
-    dispatch: Dispatch,
+    host: Arc<dyn Host>,
     mailbox: Mailbox<Message>,
     view: watch::Receiver<Arc<View>>,
 }
 
+/// Times of heartbeats.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// Between heartbeats to one member.
+    pub period: Duration,
+    /// A member is alive for so long after its last heartbeat.
+    pub timeout: Duration,
+}
+
 /// What the membership tasks use.
-pub struct Parts<'a> {
-    /// Settings.
-    pub config: &'a Config,
+pub struct Parts {
+    /// Addresses of peers to begin with.
+    pub seeds: Vec<String>,
+    /// Times.
+    pub timing: Timing,
     /// This process.
     pub own: Arc<Own>,
     /// Clock.
     pub clock: Clock,
-    /// Platform, for the list of VMs.
-    pub store: Arc<dyn Store>,
     /// Other entry VMs.
     pub link: Arc<dyn Link>,
-    /// Configuration, to learn newer ones from peers.
-    pub catalog: Catalog,
-    /// LeavingNews of members and leaving upstreams.
-    pub dispatch: Dispatch,
+    /// Who runs the tasks.
+    pub host: Arc<dyn Host>,
     /// Counters.
     pub metrics: Arc<Metrics>,
 }
 
 impl Members {
     /// Starts the tasks in `scope`.
-    pub fn start(scope: &Scope, parts: Parts<'_>) -> Self {
+    pub fn start(scope: &Scope, parts: Parts) -> Self {
         let (mailbox, messages) = Mailbox::new();
         let (sender, view) = watch::channel(Arc::default());
         let (targets_sender, targets) =
-            watch::channel(BTreeSet::from_iter(parts.config.peers.clone()));
-        let members = Self {
-            own: parts.own,
-            catalog: parts.catalog,
-            dispatch: parts.dispatch.clone(),
-            mailbox: mailbox.clone(),
-            view,
-        };
+            watch::channel(BTreeSet::from_iter(parts.seeds.iter().cloned()));
+        let members = Self { own: parts.own, host: parts.host, mailbox: mailbox.clone(), view };
         let task = Task {
             clock: parts.clock,
             own: members.own.clone(),
-            table: Table::new(parts.config.timing.peer_timeout),
-            timeout: parts.config.timing.peer_timeout,
-            seeds: parts.config.peers.clone(),
+            table: Table::new(parts.timing.timeout),
+            timeout: parts.timing.timeout,
+            seeds: parts.seeds,
             listed: Vec::new(),
             news: Vec::new(),
-            dispatch: parts.dispatch,
+            host: members.host.clone(),
             view: sender,
             targets: targets_sender,
         };
-        scope.spawn(task.run(messages, parts.config.timing.heartbeat));
-        scope.spawn(list_vms(parts.store, parts.metrics.clone(), mailbox));
+        scope.spawn(task.run(messages, parts.timing.period));
         let beats = Heartbeats {
             members: members.clone(),
             link: parts.link,
             metrics: parts.metrics,
-            period: parts.config.timing.heartbeat,
+            period: parts.timing.period,
             scope: scope.clone(),
         };
         scope.spawn(beats.run(targets));
         members
     }
 
+    /// Takes the platform's list of VMs.
+    pub fn set_listed(&self, vms: Vec<Vm>) {
+        self.mailbox.tell(Message::Vms(vms));
+    }
+
+    /// Adds addresses of peers.
+    pub fn add_seeds(&self, addresses: Vec<String>) {
+        self.mailbox.tell(Message::Found(addresses));
+    }
+
+    /// Notices of changed members.
+    pub fn watch(&self) -> watch::Receiver<Arc<View>> {
+        self.view.clone()
+    }
+
     /// Members as known now.
     pub fn view(&self) -> Arc<View> {
         self.view.borrow().clone()
@@ -203,8 +221,8 @@
 
     /// This process's heartbeat.
     pub fn heartbeat(&self) -> wire::Heartbeat {
-        let mut beat = wire::Heartbeat::from(self.own.heartbeat(self.catalog.number()));
-        beat.usage = self.dispatch.usage();
+        let mut beat = wire::Heartbeat::from(self.own.heartbeat());
+        self.host.describe(&mut beat);
         beat.leaving_upstreams = self.view.borrow().listed_leaving.iter().cloned().collect();
         beat
     }
@@ -224,7 +242,7 @@
     seeds: Vec<String>,
     listed: Vec<Vm>,
     news: Vec<LeavingNews>,
-    dispatch: Dispatch,
+    host: Arc<dyn Host>,
     view: watch::Sender<Arc<View>>,
     targets: watch::Sender<BTreeSet<String>>,
 }
@@ -239,6 +257,10 @@
                 message = messages.recv() => match message {
                     Some(Message::Hear(beat)) => self.hear(beat),
                     Some(Message::Vms(vms)) => self.list(vms),
+                    Some(Message::Found(addresses)) => {
+                        self.seeds.extend(addresses);
+                        self.publish();
+                    }
                     None => return,
                 },
             }
@@ -251,8 +273,7 @@
         }
         let now = self.clock.now();
         self.news.retain(|news| news.by != beat.name);
-        let usage = beat.usage.iter().map(|usage| (usage.account.clone(), usage.count));
-        self.dispatch.heard(beat.name.clone(), usage.collect());
+        self.host.heard(&beat);
         if !beat.leaving_upstreams.is_empty() {
             let upstreams = beat.leaving_upstreams.clone();
             self.news.push(LeavingNews { upstreams, by: beat.name.clone(), at: now });
@@ -276,13 +297,10 @@
         let listed_leaving = self.listed_leaving();
         let leaving_upstreams: BTreeSet<_> =
             listed_leaving.iter().cloned().chain(self.reported_leaving(now)).collect();
-        let names = |beats: &[Heartbeat]| beats.iter().map(|beat| beat.name.clone()).collect();
         let known = self.table.members().map(|member| member.beat.name.clone()).collect();
-        self.dispatch.set_members(known, names(&alive));
-        if self.view.borrow().leaving_upstreams != leaving_upstreams {
-            self.dispatch.set_leaving(leaving_upstreams.clone());
-        }
-        self.view.send_replace(Arc::new(View { alive, listed_leaving, leaving_upstreams }));
+        let view = View { alive, listed_leaving, leaving_upstreams };
+        self.host.changed(known, &view);
+        self.view.send_replace(Arc::new(view));
         self.targets.send_if_modified(|targets| {
             let fresh = self.addresses();
             let changed = *targets != fresh;
@@ -312,16 +330,6 @@
     }
 }
 
-async fn list_vms(store: Arc<dyn Store>, metrics: Arc<Metrics>, mailbox: Mailbox<Message>) {
-    loop {
-        metrics.count(Counter::StoreCall);
-        if let Ok(vms) = store.vms().await {
-            mailbox.tell(Message::Vms(vms));
-        }
-        tokio::time::sleep(VM_LIST_PERIOD).await;
-    }
-}
-
 struct Heartbeats {
     members: Members,
     link: Arc<dyn Link>,
@@ -350,20 +358,7 @@
             let Ok(wire::Reply::Heartbeat(beat)) = link.call(&address, ask).await else {
                 return;
             };
-            let newer = beat.number > members.catalog.number();
             members.mailbox.tell(Message::Hear(beat));
-            if newer {
-                pull(&members.catalog, link.as_ref(), &address).await;
-            }
         }
     }
 }
-
-async fn pull(catalog: &Catalog, link: &dyn Link, address: &str) {
-    let ask = wire::Ask::Pull(wire::Pull { number: catalog.number() });
-    if let Ok(wire::Reply::Accepted(accepted)) = link.call(address, ask).await
-        && !accepted.json.is_empty()
-    {
-        catalog.offer(accepted.json);
-    }
-}
--- a/quetzaltiller/src/pacer.rs
+++ b/quetzaltiller/src/pacer.rs
@@ -18,10 +18,31 @@
 /// Retries that an idle account or pool has saved up.
 const RETRY_CAPACITY: f64 = 10.0;
 
+/// Bounds on hedges and retries.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Bounds of the hedging delay.
+    pub hedge: Bounds,
+    /// Retries for each success.
+    pub retry_ratio: f64,
+    /// Retries that an idle payer has saved up.
+    pub retry_capacity: f64,
+}
+
+impl Settings {
+    /// Usual bounds on retries.
+    pub fn hedging(hedge: Bounds) -> Self {
+        Self { hedge, retry_ratio: RETRY_RATIO, retry_capacity: RETRY_CAPACITY }
+    }
+}
+
 #[derive(Debug)]
 enum Message {
     Delay(String, oneshot::Sender<Duration>),
     Succeeded { service: String, account: String, pool: String, took: Duration },
+    Answered { service: String, took: Duration },
+    Requested { pool: String },
+    Repeat { pool: String, reply: oneshot::Sender<bool> },
     Retry { account: String, pool: String, reply: oneshot::Sender<bool> },
 }
 
@@ -32,10 +53,10 @@
 }
 
 impl Pacer {
-    /// Starts the task in `scope`; hedges are due within `bounds`.
-    pub fn start(scope: &Scope, bounds: Bounds) -> Self {
+    /// Starts the task in `scope`.
+    pub fn start(scope: &Scope, settings: Settings) -> Self {
         let (mailbox, messages) = Mailbox::new();
-        let state = State { bounds, detectors: BTreeMap::new(), budgets: BTreeMap::new() };
+        let state = State { settings, detectors: BTreeMap::new(), budgets: BTreeMap::new() };
         scope.spawn(state.run(messages));
         Self { mailbox }
     }
@@ -56,6 +77,22 @@
         });
     }
 
+    /// Notes a request, which pays for a part of a repeat.
+    pub fn requested(&self, pool: &str) {
+        self.mailbox.tell(Message::Requested { pool: pool.to_owned() });
+    }
+
+    /// Takes one repeat from the pool's budget; false when it is spent.
+    pub async fn may_repeat(&self, pool: &str) -> bool {
+        let pool = pool.to_owned();
+        self.mailbox.ask(|reply| Message::Repeat { pool, reply }).await.unwrap_or(false)
+    }
+
+    /// Notes how long an answer took.
+    pub fn answered(&self, service: &str, took: Duration) {
+        self.mailbox.tell(Message::Answered { service: service.to_owned(), took });
+    }
+
     /// Takes one retry from the budgets of both; false when either is spent.
     pub async fn may_retry(&self, account: &str, pool: &str) -> bool {
         let (account, pool) = (account.to_owned(), pool.to_owned());
@@ -65,7 +102,7 @@
 }
 
 struct State {
-    bounds: Bounds,
+    settings: Settings,
     detectors: BTreeMap<String, Detector>,
     budgets: BTreeMap<Payer, Budget>,
 }
@@ -82,12 +119,15 @@
             match message {
                 Message::Delay(service, reply) => {
                     let delay = self.detectors.get(&service).map(Detector::threshold);
-                    let _ = reply.send(delay.unwrap_or(self.bounds.max));
+                    let _ = reply.send(delay.unwrap_or(self.settings.hedge.max));
+                }
+                Message::Answered { service, took } => self.observe(service, took),
+                Message::Requested { pool } => self.budget(Payer::Pool(pool)).deposit(),
+                Message::Repeat { pool, reply } => {
+                    let _ = reply.send(self.budget(Payer::Pool(pool)).withdraw());
                 }
                 Message::Succeeded { service, account, pool, took } => {
-                    let bounds = self.bounds;
-                    let detector = self.detectors.entry(service);
-                    detector.or_insert_with(|| Detector::new(bounds)).observe(took);
+                    self.observe(service, took);
                     self.budget(Payer::Account(account)).deposit();
                     self.budget(Payer::Pool(pool)).deposit();
                 }
@@ -98,6 +138,11 @@
         }
     }
 
+    fn observe(&mut self, service: String, took: Duration) {
+        let bounds = self.settings.hedge;
+        self.detectors.entry(service).or_insert_with(|| Detector::new(bounds)).observe(took);
+    }
+
     /// Both pay, or neither.
     fn withdraw(&mut self, account: String, pool: String) -> bool {
         let (account, pool) = (Payer::Account(account), Payer::Pool(pool));
@@ -112,6 +157,7 @@
     }
 
     fn budget(&mut self, payer: Payer) -> &mut Budget {
-        self.budgets.entry(payer).or_insert_with(|| Budget::new(RETRY_RATIO, RETRY_CAPACITY))
+        let Settings { retry_ratio, retry_capacity, .. } = self.settings;
+        self.budgets.entry(payer).or_insert_with(|| Budget::new(retry_ratio, retry_capacity))
     }
 }
--- /dev/null
+++ b/quetzaltiller/src/placement/mod.rs
@@ -0,0 +1,17 @@
+//! Chooses upstreams for forwarded requests and bounds what each is given.
+//!
+//! [`Table`] decides, without I/O. It answers the load of long prompts on engines whose reports
+//! are late: each entry VM owns a part of its zone's engines, knows exactly what it gave them, and
+//! turns to the engines of others only where its own are busier than a collision would cost.
+//! [`Placer`] is the handle to the task that owns a table; a [`Permit`] holds a place until it is
+//! dropped.
+
+mod demand;
+mod state;
+mod table;
+mod task;
+
+pub use demand::{Demand, Run};
+pub use state::State;
+pub use table::{Choice, Pick, Table};
+pub use task::{Permit, Placement, Placer};
--- /dev/null
+++ b/quetzaltiller/src/placement/state.rs
@@ -0,0 +1,101 @@
+//! What this entry VM knows of one upstream from its own requests.
+
+use crate::fleet::Upstream;
+use serde::Serialize;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// First time for which a failed upstream is avoided; doubles with each failure in a row.
+const FIRST_SUSPICION: Duration = Duration::from_millis(300);
+/// An engine restarts in a second or two; longer suspicion would waste it.
+const MAX_SUSPICION: Duration = Duration::from_millis(2_400);
+/// Weight of the newest outcome in the failure rate.
+const FAILURE_GAIN: f64 = 0.15;
+/// Time in which evidence of failures fades to a third, so that an upstream is tried again.
+const FAILURE_FADES: Duration = Duration::from_secs(4);
+
+/// State of an upstream.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct State {
+    /// The upstream.
+    #[serde(skip)]
+    pub upstream: Arc<Upstream>,
+    /// Requests of this entry VM.
+    pub in_flight: u32,
+    /// Tokens that those hold, or will hold.
+    pub held_tokens: u32,
+    /// Tokens that copies of other engines' runs hold, or will hold.
+    pub copied_tokens: u32,
+    /// End of the prefill that this entry VM gave it.
+    pub prefill_until: Duration,
+    /// Chosen only for want of another until then.
+    pub suspect_until: Duration,
+    failures: u32,
+    failure_rate: f64,
+    judged_at: Duration,
+}
+
+impl State {
+    /// Nothing known.
+    pub fn new(upstream: Arc<Upstream>) -> Self {
+        Self {
+            upstream,
+            in_flight: 0,
+            held_tokens: 0,
+            copied_tokens: 0,
+            prefill_until: Duration::ZERO,
+            suspect_until: Duration::ZERO,
+            failures: 0,
+            failure_rate: 0.0,
+            judged_at: Duration::ZERO,
+        }
+    }
+
+    /// Whether it failed lately.
+    pub fn is_suspect(&self, now: Duration) -> bool {
+        now < self.suspect_until
+    }
+
+    /// Share of lately failed requests; evidence fades with time.
+    pub fn failure_rate(&self, now: Duration) -> f64 {
+        let age_s = now.saturating_sub(self.judged_at).as_secs_f64();
+        self.failure_rate * (-age_s / FAILURE_FADES.as_secs_f64()).exp()
+    }
+
+    /// Notes an answer.
+    pub fn succeed(&mut self, now: Duration) {
+        self.failures = 0;
+        self.suspect_until = Duration::ZERO;
+        self.judge(now, 0.0);
+    }
+
+    /// Notes that it could not be reached, or went silent.
+    pub fn fail(&mut self, now: Duration) {
+        let suspicion = FIRST_SUSPICION * 2u32.pow(self.failures.min(8));
+        self.failures += 1;
+        self.suspect_until = now + suspicion.min(MAX_SUSPICION);
+        self.judge(now, 1.0);
+    }
+
+    /// Notes a request that it failed while it could be reached.
+    pub fn disappoint(&mut self, now: Duration) {
+        self.judge(now, 1.0);
+    }
+
+    fn judge(&mut self, now: Duration, outcome: f64) {
+        let rate = self.failure_rate(now);
+        self.failure_rate = rate + FAILURE_GAIN * (outcome - rate);
+        self.judged_at = now;
+    }
+
+    /// Time until the prefill it was given is done.
+    pub fn backlog(&self, now: Duration) -> Duration {
+        self.prefill_until.saturating_sub(now)
+    }
+
+    /// Tokens that its memory holds or will hold for this entry VM.
+    pub fn memory(&self) -> u32 {
+        self.held_tokens + self.copied_tokens
+    }
+}
--- /dev/null
+++ b/quetzaltiller/src/placement/table.rs
@@ -0,0 +1,262 @@
+//! The choice among upstreams.
+//!
+//! Costs are milliseconds until the next event of the request at hand, with what a choice costs
+//! others added as if it were its own delay.
+
+use super::demand::{Demand, Run};
+use super::state::State;
+use crate::fleet::{Directory, Upstream};
+use crate::routes;
+use coordination::rendezvous::score;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Prompt tokens that an engine reads in a millisecond (users' sheet of engines).
+const PREFILL_TOKENS_PER_MS: f64 = 8.0;
+/// Slowdown of the others in a batch by one more run, over the length of a run: 0.15 ms of about
+/// 5 ms a step (users' sheet of engines), 4 s a run.
+const NEIGHBOUR_MS: f64 = 120.0;
+/// Chance that another entry VM's prefill is under way at an engine that it owns, times its length.
+const FOREIGN_MS: f64 = 250.0;
+/// Worth of the bytes of a generation that cross zones, as a delay.
+const OTHER_ZONE_MS: f64 = 100.0;
+/// Weight of an upstream's failure rate, as a delay.
+const FAILURE_MS: f64 = 4_000.0;
+/// Requests in flight at which another zone's replica is as good as the own zone's.
+const ZONE_REQUESTS: f64 = 4.0;
+/// Weight of a replica's failure rate, as requests in flight.
+const FAILURE_REQUESTS: f64 = 20.0;
+/// Share of an engine's memory that one entry VM counts on, as others use it too.
+const MEMORY_SHARE: f64 = 0.8;
+
+/// Tokens to read at an engine that holds a copy: what had not arrived there.
+const RESTORED_TOKENS: u32 = 200;
+
+/// Result of a choice.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Choice {
+    /// These upstreams.
+    Found(Pick),
+    /// All that could serve it are full.
+    Full,
+    /// There is none.
+    Nowhere,
+}
+
+/// Chosen upstreams.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pick {
+    /// Where the request goes.
+    pub upstream: Arc<Upstream>,
+    /// Where copies of its memory go.
+    pub backup: Option<Arc<Upstream>>,
+    /// The upstream holds a copy of the run's memory.
+    pub restores: bool,
+}
+
+/// States of all upstreams.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    states: BTreeMap<String, State>,
+    routes: Arc<routes::Table>,
+    own_name: String,
+    own_zone: String,
+    /// Entry VMs of the own zone that are alive, without this one.
+    neighbours: Vec<String>,
+}
+
+impl Table {
+    /// Table of the entry VM `own_name` in `own_zone`.
+    pub fn new(own_name: &str, own_zone: &str) -> Self {
+        Self { own_name: own_name.to_owned(), own_zone: own_zone.to_owned(), ..Self::default() }
+    }
+
+    /// Puts a configuration in force.
+    pub fn configure(&mut self, routes: Arc<routes::Table>) {
+        self.routes = routes;
+    }
+
+    /// Tells which entry VMs of the own zone share its engines.
+    pub fn set_neighbours(&mut self, neighbours: Vec<String>) {
+        self.neighbours = neighbours;
+    }
+
+    /// Takes the upstreams of a directory. What was known of an earlier incarnation is forgotten.
+    pub fn set_upstreams(&mut self, directory: &Directory) {
+        for upstream in directory.upstreams() {
+            match self.states.get_mut(&upstream.id) {
+                Some(state) if state.upstream.incarnation == upstream.incarnation => {
+                    state.upstream = upstream.clone();
+                }
+                _ => {
+                    self.states.insert(upstream.id.clone(), State::new(upstream.clone()));
+                }
+            }
+        }
+        self.states.retain(|id, _| directory.upstream(id).is_some());
+    }
+
+    /// States by upstream.
+    pub fn states(&self) -> &BTreeMap<String, State> {
+        &self.states
+    }
+
+    /// State of one upstream, while it is known.
+    pub fn state_mut(&mut self, id: &str) -> Option<&mut State> {
+        self.states.get_mut(id)
+    }
+
+    /// Chooses for `demand` at `now`.
+    pub fn choose(&self, now: Duration, demand: &Demand) -> Choice {
+        let able: Vec<_> = self
+            .states
+            .values()
+            .filter(|state| state.upstream.service == demand.service && !state.upstream.leaving)
+            .collect();
+        let preferred: Vec<_> = able
+            .iter()
+            .copied()
+            .filter(|state| !demand.avoid.contains(&state.upstream.id) && !state.is_suspect(now))
+            .collect();
+        let fallback = || able.iter().copied().filter(|s| !demand.avoid.contains(&s.upstream.id));
+        let candidates = if preferred.is_empty() { fallback().collect() } else { preferred };
+        if candidates.is_empty() {
+            return Choice::Nowhere;
+        }
+        match &demand.run {
+            Some(run) => self.choose_engine(now, &candidates, &demand.service, run),
+            None => self.choose_replica(now, &candidates),
+        }
+    }
+
+    /// Notes a request begun.
+    pub fn begin(&mut self, now: Duration, pick: &Pick, run: Option<&Run>) {
+        if let Some(state) = self.states.get_mut(&pick.upstream.id) {
+            state.in_flight += 1;
+            if let Some(run) = run {
+                state.held_tokens += run.footprint;
+                let tokens = if pick.restores { RESTORED_TOKENS } else { run.prompt_tokens };
+                state.prefill_until = state.prefill_until.max(now) + prefill(tokens);
+            }
+        }
+        if let (Some(backup), Some(run)) = (&pick.backup, run)
+            && let Some(state) = self.states.get_mut(&backup.id)
+        {
+            state.copied_tokens += run.footprint;
+        }
+    }
+
+    /// Notes a request ended.
+    pub fn end(&mut self, pick: &Pick, run: Option<&Run>) {
+        let footprint = run.map_or(0, |run| run.footprint);
+        if let Some(state) = self.known(&pick.upstream) {
+            state.in_flight = state.in_flight.saturating_sub(1);
+            state.held_tokens = state.held_tokens.saturating_sub(footprint);
+        }
+        if let Some(state) = pick.backup.as_ref().and_then(|backup| self.known(backup)) {
+            state.copied_tokens = state.copied_tokens.saturating_sub(footprint);
+        }
+    }
+
+    fn known(&mut self, upstream: &Upstream) -> Option<&mut State> {
+        let state = self.states.get_mut(&upstream.id)?;
+        (state.upstream.incarnation == upstream.incarnation).then_some(state)
+    }
+
+    fn choose_replica(&self, now: Duration, candidates: &[&State]) -> Choice {
+        let least_failing =
+            candidates.iter().map(|state| state.failure_rate(now)).fold(1.0, f64::min);
+        let cost = |state: &State| {
+            let slots = f64::from(state.upstream.slots.max(1));
+            let zone = if state.upstream.zone == self.own_zone { 0.0 } else { ZONE_REQUESTS };
+            let failing = state.failure_rate(now) - least_failing;
+            (f64::from(state.in_flight) + zone) * ZONE_REQUESTS.max(1.0) / slots
+                + failing * FAILURE_REQUESTS
+        };
+        let best = candidates.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
+        best.map_or(Choice::Nowhere, |state| {
+            Choice::Found(Pick { upstream: state.upstream.clone(), backup: None, restores: false })
+        })
+    }
+
+    fn choose_engine(
+        &self,
+        now: Duration,
+        candidates: &[&State],
+        service: &str,
+        run: &Run,
+    ) -> Choice {
+        let engine = self.routes.service(service).and_then(|service| service.engine.clone());
+        let engine = engine.unwrap_or_default();
+        let room = |state: &State| {
+            let memory = f64::from(state.memory() + run.footprint);
+            let limit = f64::from(engine.memory_tokens) * MEMORY_SHARE;
+            engine.memory_tokens == 0 || memory <= limit || state.memory() == 0
+        };
+        let slots = |state: &State| state.in_flight < state.upstream.slots.max(1);
+        let open: Vec<_> = candidates.iter().copied().filter(|s| room(s) && slots(s)).collect();
+        let cost = |state: &&&State| self.engine_cost(now, state, run);
+        let Some(best) = open.iter().min_by(|a, b| cost(a).total_cmp(&cost(b))) else {
+            return Choice::Full;
+        };
+        let backup = if run.wants_backup && engine.backups {
+            self.choose_backup(&open, &best.upstream, run)
+        } else {
+            None
+        };
+        let restores = run.copy.as_ref() == Some(&best.upstream.id);
+        Choice::Found(Pick { upstream: best.upstream.clone(), backup, restores })
+    }
+
+    fn engine_cost(&self, now: Duration, state: &State, run: &Run) -> f64 {
+        let backlog_ms = state.backlog(now).as_secs_f64() * 1_000.0;
+        let holds_copy = run.copy.as_ref() == Some(&state.upstream.id);
+        let tokens = if holds_copy { RESTORED_TOKENS } else { run.prompt_tokens };
+        let prefill_ms = prefill(tokens).as_secs_f64() * 1_000.0;
+        let zone = if state.upstream.zone != self.own_zone {
+            FOREIGN_MS + OTHER_ZONE_MS
+        } else if self.owns(&state.upstream.id) {
+            0.0
+        } else {
+            FOREIGN_MS
+        };
+        // Equal costs are told apart alike by all entry VMs, so that a repeated request finds
+        // what its engine has cached.
+        let tie = score(&state.upstream.id, &run.affinity.to_string()) as f64 / u64::MAX as f64;
+        backlog_ms
+            + prefill_ms
+            + zone
+            + f64::from(state.in_flight) * NEIGHBOUR_MS
+            + state.failure_rate(now) * FAILURE_MS
+            + tie * NEIGHBOUR_MS / 2.0
+    }
+
+    /// Engine in another zone that holds least.
+    fn choose_backup(
+        &self,
+        open: &[&State],
+        chosen: &Upstream,
+        run: &Run,
+    ) -> Option<Arc<Upstream>> {
+        let others: Vec<_> = open.iter().filter(|state| state.upstream.id != chosen.id).collect();
+        let away: Vec<_> =
+            others.iter().filter(|state| state.upstream.zone != chosen.zone).collect();
+        let zones: BTreeSet<_> = away.iter().map(|state| &state.upstream.zone).collect();
+        let from = if zones.is_empty() { others.iter().collect() } else { away };
+        let key = run.affinity.to_string();
+        from.into_iter()
+            .min_by_key(|state| (state.memory(), score(&state.upstream.id, &key)))
+            .map(|state| state.upstream.clone())
+    }
+
+    /// Whether this entry VM ranks first for an upstream among those of its zone.
+    fn owns(&self, upstream: &str) -> bool {
+        let own = score(&self.own_name, upstream);
+        self.neighbours.iter().all(|neighbour| score(neighbour, upstream) < own)
+    }
+}
+
+fn prefill(tokens: u32) -> Duration {
+    Duration::from_secs_f64(f64::from(tokens) / PREFILL_TOKENS_PER_MS / 1_000.0)
+}
--- /dev/null
+++ b/quetzaltiller/src/proxy/mod.rs
@@ -0,0 +1,108 @@
+//! Forwards callers' requests to upstreams.
+//!
+//! A request finds its route and account in the configuration in force. [`call`] carries lookups
+//! and actions, [`stream`] carries generations from one engine to the next. Both choose upstreams
+//! by [`crate::placement`] and end no later than the caller's patience and the route's timeout.
+
+mod call;
+mod event;
+mod plan;
+mod reader;
+mod reply;
+mod request;
+mod stream;
+
+pub use event::Codec;
+pub use plan::Plan;
+pub use reply::{Answer, Chunk, Reply, Stream};
+pub use request::{Part, Prompt, Request};
+
+use crate::clock::Clock;
+use crate::drain::Drain;
+use crate::follower::Follower;
+use crate::members::Own;
+use crate::metrics::{Counter, Metrics};
+use crate::pacer::Pacer;
+use crate::placement::Placer;
+use crate::prelude::*;
+use crate::routes::Kind;
+use crate::scope::Scope;
+use crate::upstream::Client;
+
+/// Time that a generation takes at most times, for the last moment to begin one.
+const GENERATION: Duration = Duration::from_millis(6_000);
+/// The same for a call of a plain service.
+const CALL: Duration = Duration::from_millis(1_000);
+
+/// What requests share.
+#[derive(Clone)]
+pub struct Context {
+    /// Clock.
+    pub clock: Clock,
+    /// Configuration and upstreams.
+    pub follower: Follower,
+    /// Choice of upstreams.
+    pub placer: Placer,
+    /// Hedging delays and retry budgets.
+    pub pacer: Pacer,
+    /// Upstreams.
+    pub client: Arc<dyn Client>,
+    /// What may still be begun.
+    pub drain: Drain,
+    /// This process.
+    pub own: Arc<Own>,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+    /// Tasks of this process.
+    pub scope: Scope,
+}
+
+/// Forwards requests.
+#[derive(Clone)]
+pub struct Proxy {
+    context: Context,
+}
+
+impl Proxy {
+    /// Forwards with `context`.
+    pub fn new(context: Context) -> Self {
+        Self { context }
+    }
+
+    /// Serves a request. Dropping the call cancels it.
+    pub async fn handle(&self, request: Request) -> Reply {
+        let entered = self.context.own.enter();
+        let began = self.context.clock.now();
+        let request = Arc::new(request);
+        let plan = match self.plan(&request) {
+            Ok(plan) => plan,
+            Err(refusal) => {
+                self.context.metrics.count(Counter::Refused);
+                info!("request_refused", kv: {
+                    request = request.id, host = request.host, path = request.path,
+                    code:? = refusal.code, number = self.context.follower.routes().number(),
+                });
+                return Reply::Refused(refusal);
+            }
+        };
+        self.context.pacer.requested(&plan.service);
+        match plan.route.kind {
+            Kind::Lookup | Kind::Action => call::run(&self.context, &request, &plan, began).await,
+            Kind::Generation { .. } => {
+                stream::run(self.context.clone(), request, plan, entered).await
+            }
+        }
+    }
+
+    fn plan(&self, request: &Request) -> Result<Plan, Refusal> {
+        let plan = Plan::new(&self.context.follower.routes(), self.context.clock.now(), request)?;
+        let expected = match plan.route.kind {
+            Kind::Generation { .. } => GENERATION,
+            Kind::Lookup | Kind::Action => CALL,
+        };
+        if self.context.drain.admits(expected) {
+            return Ok(plan);
+        }
+        Err(Refusal::not_run(Code::Leaving, "this entry VM is leaving; use another"))
+    }
+}
--- /dev/null
+++ b/quetzaltiller/src/proxy/reader.rs
@@ -0,0 +1,139 @@
+//! Reads one connection to an engine.
+
+use super::event::{Codec, Event};
+use super::{Answer, Plan, Request};
+use crate::engine;
+use crate::fleet::Upstream;
+use crate::prelude::*;
+use crate::upstream::{Call, Client, Copy, Error, Response};
+use futures::{StreamExt as _, TryStreamExt as _};
+use hyper::{HeaderMap, StatusCode};
+use std::io;
+use tokio::sync::mpsc;
+use tokio_util::codec::FramedRead;
+use tokio_util::io::StreamReader;
+
+/// Beginning of an answer.
+#[derive(Clone, Debug)]
+pub struct Head {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+}
+
+/// What came of a connection.
+#[derive(Debug)]
+pub enum Notice {
+    /// The engine answers with a stream.
+    Opened(u32, Head),
+    /// An event.
+    Event(u32, Event),
+    /// The stream ended well.
+    Ended(u32),
+    /// The engine answers with something else.
+    Answered(u32, Answer),
+    /// The connection failed.
+    Failed(u32, engine::Error),
+    /// The engine accepts connections.
+    Alive(u32),
+}
+
+/// One connection to an engine.
+pub struct Reader {
+    /// Number that notices refer to.
+    pub conn: u32,
+    /// Upstreams.
+    pub client: Arc<dyn Client>,
+    /// Engine.
+    pub upstream: Arc<Upstream>,
+    /// Engine that gets copies of the run's memory.
+    pub backup: Option<Arc<Upstream>>,
+    /// The engine holds a copy of the run's memory.
+    pub restores: bool,
+    /// Last event that was passed on.
+    pub last_event: Option<u64>,
+    /// Work at stake goes first.
+    pub urgency: u8,
+    /// Time until the answer is of no use.
+    pub deadline: Duration,
+    /// Caller's request.
+    pub request: Arc<Request>,
+    /// What the configuration makes of it.
+    pub plan: Arc<Plan>,
+    /// Told of what comes.
+    pub notices: mpsc::Sender<Notice>,
+}
+
+impl Reader {
+    /// Sends the request and passes on what comes.
+    pub async fn run(self) {
+        let call = Call {
+            upstream: &self.upstream,
+            request: &self.request,
+            deadline: self.deadline,
+            account: self.plan.account.as_deref(),
+            urgency: Some(self.urgency),
+            backup: self.backup.as_ref().map(|backup| backup.address),
+            copy: self.restores.then_some(Copy { holder: self.upstream.address }),
+            last_event: self.last_event,
+            fresh: true,
+        };
+        let last = match self.client.send(call).await {
+            Ok(response) => self.read(response).await,
+            Err(error) => Notice::Failed(self.conn, translate(error)),
+        };
+        self.tell(last).await;
+    }
+
+    /// Only connects.
+    pub async fn check(self, limit: Duration) {
+        let alive = self.client.check(self.upstream.address, limit).await;
+        let failed = Notice::Failed(self.conn, engine::Error::Refused);
+        self.tell(if alive { Notice::Alive(self.conn) } else { failed }).await;
+    }
+
+    async fn read(&self, response: Response) -> Notice {
+        let Response { status, headers, not_run, body } = response;
+        if not_run {
+            return Notice::Failed(self.conn, engine::Error::Busy);
+        }
+        if !status.is_success() {
+            return match body.try_collect::<Vec<_>>().await {
+                Ok(chunks) => {
+                    let body = chunks.concat().into();
+                    Notice::Answered(self.conn, Answer { status, headers, body })
+                }
+                Err(error) => Notice::Failed(self.conn, translate(error)),
+            };
+        }
+        if !self.tell(Notice::Opened(self.conn, Head { status, headers })).await {
+            return Notice::Failed(self.conn, engine::Error::Reset);
+        }
+        let bytes = StreamReader::new(body.map_err(io::Error::other));
+        let mut events = FramedRead::new(bytes, Codec::default());
+        loop {
+            match events.next().await {
+                Some(Ok(event)) => {
+                    if !self.tell(Notice::Event(self.conn, event)).await {
+                        return Notice::Failed(self.conn, engine::Error::Reset);
+                    }
+                }
+                Some(Err(_)) => return Notice::Failed(self.conn, engine::Error::Reset),
+                None => return Notice::Ended(self.conn),
+            }
+        }
+    }
+
+    async fn tell(&self, notice: Notice) -> bool {
+        self.notices.send(notice).await.is_ok()
+    }
+}
+
+fn translate(error: Error) -> engine::Error {
+    match error {
+        Error::Unsent => engine::Error::Refused,
+        Error::Broken => engine::Error::Reset,
+        Error::Foreign => engine::Error::Protocol("answer of another request".into()),
+    }
+}
--- /dev/null
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -0,0 +1,445 @@
+//! Generations: carries a stream of events from one engine to the next.
+//!
+//! The task owns the generation's [`Machine`], performs its effects and passes on each event that
+//! the machine admits, with its bytes unchanged. The head is that of the engine which sent the
+//! first event. A stream that can't go on is cut, so that it does not look whole.
+
+use super::event::Event;
+use super::reader::{Head, Notice, Reader};
+use super::reply::{Chunk, Reply, Stream};
+use super::{Answer, Context, Plan, Request};
+use crate::engine;
+use crate::generation::{
+    Answer as _, Effect, Input, Machine, Opening, Outcome, Piece, Place, Probe, Sequence, Settings,
+    Start,
+};
+use crate::members::Entered;
+use crate::metrics::Counter;
+use crate::placement::{Demand, Permit, Placement, Run};
+use crate::prelude::*;
+use crate::routes::Kind;
+use coordination::detector::Bounds;
+use coordination::patience::Patience;
+use std::collections::BTreeMap;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+/// Events that wait for a slow caller; the engine is not read meanwhile.
+const EVENT_QUEUE: usize = 32;
+/// Notices that wait for the task.
+const NOTICE_QUEUE: usize = 32;
+/// Silence that is worth a check: an event takes 30 ms alone and 180 ms beside one prefill (users'
+/// sheet of engines).
+const SILENCE: Bounds = Bounds { min: Duration::from_millis(120), max: Duration::from_millis(300) };
+/// Prompt tokens that an engine reads in a second (users' sheet of engines).
+const PREFILL_TOKENS_PER_S: f64 = 8_000.0;
+/// Weight of waiting: a run that can't go on from a copy is given twice its prefill.
+const WAIT_WEIGHT: f64 = 0.5;
+/// Longest wait for an engine that accepts connections and sends nothing.
+const MAX_WAIT: Duration = Duration::from_millis(2_500);
+/// Wait that a refused caller is told, about half the prefill of a prompt.
+const RETRY_AFTER_MS: u64 = 500;
+/// Urgency of work at stake, and of new work of the highest rank.
+const RESUMED_URGENCY: u8 = 1;
+const NEW_URGENCY: u8 = 4;
+const LAST_URGENCY: u8 = 9;
+
+/// Serves a generation.
+pub async fn run(context: Context, request: Arc<Request>, plan: Plan, entered: Entered) -> Reply {
+    let (reply, answer) = oneshot::channel();
+    let (notices, received) = mpsc::channel(NOTICE_QUEUE);
+    let scope = context.scope.clone();
+    let (task, effects) = Task::new(context, request, plan, entered, reply, notices);
+    scope.spawn(task.run(effects, received));
+    answer.await.unwrap_or_else(|_| {
+        Reply::Refused(Refusal::new(Code::UpstreamFailed, Ran::Unknown, "the process is ending"))
+    })
+}
+
+/// The caller's side: a reply that is due, or events that are.
+enum Caller {
+    Waiting(oneshot::Sender<Reply>),
+    Reading(mpsc::Sender<Chunk>),
+    Served,
+}
+
+struct Task {
+    context: Context,
+    request: Arc<Request>,
+    plan: Arc<Plan>,
+    machine: Machine<Sequence>,
+    caller: Caller,
+    head: Option<Head>,
+    failure: Option<Answer>,
+    placed: BTreeMap<String, Placement>,
+    permit: Option<Permit>,
+    connections: BTreeMap<u32, AbortHandle>,
+    sent: u32,
+    events: u32,
+    began: Duration,
+    outcome: Option<Outcome>,
+    placing: mpsc::UnboundedSender<Result<Placement, Code>>,
+    placements: Option<mpsc::UnboundedReceiver<Result<Placement, Code>>>,
+    notices: mpsc::Sender<Notice>,
+    _entered: Entered,
+}
+
+impl Task {
+    fn new(
+        context: Context,
+        request: Arc<Request>,
+        plan: Plan,
+        entered: Entered,
+        reply: oneshot::Sender<Reply>,
+        notices: mpsc::Sender<Notice>,
+    ) -> (Self, Vec<Effect>) {
+        let now = context.clock.now();
+        let prompt_tokens = request.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
+        let settings = Settings {
+            patience: Patience { weight: WAIT_WEIGHT, max: MAX_WAIT },
+            prefill_tokens_per_s: PREFILL_TOKENS_PER_S,
+            prompt_tokens,
+            open_timeout: MAX_WAIT,
+            deadline: plan.until.saturating_sub(now),
+            silence: SILENCE,
+            probe: Probe::Connect,
+            pause: plan.route.pause_ms.map(Duration::from_millis),
+            resumable: plan.route.kind == Kind::Generation { resumable: true },
+        };
+        let next = request.last_event.map(|last| last as u32 + 1);
+        let (machine, effects) = Machine::new(now, Sequence::new(next), settings, Start::Fresh);
+        let (placing, placements) = mpsc::unbounded_channel();
+        let task = Self {
+            context,
+            request,
+            plan: Arc::new(plan),
+            machine,
+            caller: Caller::Waiting(reply),
+            head: None,
+            failure: None,
+            placed: BTreeMap::new(),
+            permit: None,
+            connections: BTreeMap::new(),
+            sent: 0,
+            events: 0,
+            began: now,
+            outcome: None,
+            placing,
+            placements: Some(placements),
+            notices,
+            _entered: entered,
+        };
+        (task, effects)
+    }
+
+    async fn run(mut self, effects: Vec<Effect>, mut notices: mpsc::Receiver<Notice>) {
+        let Some(mut placements) = self.placements.take() else {
+            return;
+        };
+        self.perform(effects);
+        while self.outcome.is_none() {
+            let clock = self.context.clock;
+            let wake = self.machine.wake_at();
+            let until = self.plan.until;
+            tokio::select! {
+                biased;
+                Some(placed) = placements.recv() => self.placed(placed),
+                Some(notice) = notices.recv() => self.notice(notice).await,
+                () = gone(&mut self.caller) => self.leave(),
+                () = clock.sleep_until(until) => self.time_out(),
+                () = clock.sleep_until(wake.unwrap_or_default()), if wake.is_some() => {
+                    self.input(Input::Tick);
+                }
+            }
+        }
+        self.end().await;
+    }
+
+    fn input(&mut self, input: Input<Piece>) {
+        let before = self.machine.stats();
+        let effects = self.machine.on(self.context.clock.now(), input);
+        let after = self.machine.stats();
+        let metrics = &self.context.metrics;
+        metrics.add(Counter::Redispatched, u64::from(after.redispatched - before.redispatched));
+        let false_suspicions = after.false_suspicions - before.false_suspicions;
+        metrics.add(Counter::FalseSuspicion, u64::from(false_suspicions));
+        self.perform(effects);
+    }
+
+    fn perform(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Place { avoid, copy, resumed } => self.place(avoid, copy, resumed),
+                Effect::Open { conn, opening, upstream } => self.open(conn, opening, &upstream),
+                Effect::Close(conn) => {
+                    if let Some(reader) = self.connections.remove(&conn) {
+                        reader.abort();
+                    }
+                }
+                // The engine drops a run with its connection.
+                Effect::Cancel { .. } => {}
+                Effect::Finish(outcome) => self.outcome = Some(outcome),
+            }
+        }
+    }
+
+    fn place(&mut self, avoid: Vec<String>, copy: Option<String>, resumed: bool) {
+        self.permit = None;
+        if let Some(failed) = avoid.last().map(String::as_str) {
+            info!("generation_moves", kv: {
+                request = self.request.id, failed, copy:? = copy,
+                next = self.machine.splice().next(), sent = self.sent
+            });
+        }
+        let prompt = self.request.prompt.as_ref();
+        let run = Run {
+            copy,
+            prompt_tokens: prompt.map_or(0, |prompt| prompt.tokens),
+            footprint: prompt.map_or(0, |prompt| prompt.footprint()),
+            affinity: prompt.map_or(0, |prompt| prompt.own_part()),
+            resumed,
+            wants_backup: self.plan.route.kind == Kind::Generation { resumable: true },
+        };
+        let demand = Demand {
+            service: self.plan.service.clone(),
+            account: self.plan.account.clone().unwrap_or_default(),
+            avoid,
+            run: Some(run),
+        };
+        let (placer, pacer) = (self.context.placer.clone(), self.context.pacer.clone());
+        let (placing, service) = (self.placing.clone(), self.plan.service.clone());
+        let repeats = self.sent > 0;
+        let spent = self.sent >= self.plan.route.attempts;
+        self.context.scope.spawn(async move {
+            let allowed = !spent && (!repeats || pacer.may_repeat(&service).await);
+            let placed =
+                if allowed { placer.place(demand).await } else { Err(Code::UpstreamFailed) };
+            let _ = placing.send(placed);
+        });
+    }
+
+    fn placed(&mut self, placed: Result<Placement, Code>) {
+        match placed {
+            Err(code) => self.input(Input::Unplaced(code)),
+            Ok(placement) => {
+                let id = placement.upstream.id.clone();
+                let place = Place {
+                    upstream: id.clone(),
+                    version: String::new(),
+                    restores: placement.restores,
+                    backup: placement.backup.as_ref().map(|backup| backup.id.clone()),
+                };
+                debug!("generation_placed", kv: {
+                    request = self.request.id, upstream = id, zone = placement.upstream.zone,
+                    backup:? = place.backup, restores = place.restores
+                });
+                self.placed.insert(id, placement);
+                self.input(Input::Placed(place));
+            }
+        }
+    }
+
+    fn open(&mut self, conn: u32, opening: Opening, upstream: &str) {
+        let Some(placement) = self.placed.get(upstream) else {
+            return;
+        };
+        let checks = opening == Opening::Check;
+        let reader = Reader {
+            conn,
+            client: self.context.client.clone(),
+            upstream: placement.upstream.clone(),
+            backup: placement.backup.clone(),
+            restores: opening == Opening::Restore,
+            last_event: self.last_event(),
+            urgency: self.urgency(),
+            deadline: self.plan.until.saturating_sub(self.context.clock.now()),
+            request: self.request.clone(),
+            plan: self.plan.clone(),
+            notices: self.notices.clone(),
+        };
+        if !checks {
+            self.sent += 1;
+        }
+        let task = async move {
+            if checks { reader.check(CHECK_LIMIT).await } else { reader.run().await }
+        };
+        self.connections.insert(conn, tokio::spawn(task).abort_handle());
+    }
+
+    fn last_event(&self) -> Option<u64> {
+        if self.events == 0 {
+            return self.request.last_event;
+        }
+        Some(u64::from(self.machine.splice().next()) - 1)
+    }
+
+    fn urgency(&self) -> u8 {
+        if self.sent > 0 || self.request.last_event.is_some() {
+            return RESUMED_URGENCY;
+        }
+        NEW_URGENCY.saturating_add(self.plan.priority).min(LAST_URGENCY)
+    }
+
+    async fn notice(&mut self, notice: Notice) {
+        match notice {
+            Notice::Opened(conn, head) => {
+                if self.events == 0 {
+                    self.head = Some(head);
+                }
+                self.input(Input::Opened(conn));
+            }
+            Notice::Alive(conn) => self.input(Input::Opened(conn)),
+            Notice::Event(conn, event) => self.event(conn, event).await,
+            Notice::Ended(conn) => self.input(Input::Chunk(conn, Piece::End)),
+            Notice::Answered(conn, answer) => {
+                let final_answer = answer.status.is_client_error();
+                self.failure = Some(answer);
+                let error = if final_answer {
+                    engine::Error::Rejected(String::new())
+                } else {
+                    engine::Error::Reset
+                };
+                self.failed(conn, error);
+            }
+            Notice::Failed(conn, error) => self.failed(conn, error),
+        }
+    }
+
+    fn failed(&mut self, conn: u32, error: engine::Error) {
+        let Some(upstream) = self.machine.upstream().map(str::to_owned) else {
+            return;
+        };
+        if !self.connections.contains_key(&conn) {
+            return;
+        }
+        info!("engine_failed", kv: {
+            request = self.request.id, upstream, reason:? = error.to_string(),
+            silent_ms = self.machine.silence(self.context.clock.now()).as_millis() as u64
+        });
+        match error {
+            engine::Error::Busy => self.context.placer.failed(&upstream),
+            _ => self.context.placer.unreachable(&upstream),
+        }
+        if error == engine::Error::Refused {
+            self.sent = self.sent.saturating_sub(1);
+        }
+        self.input(Input::Failed(conn, error));
+    }
+
+    async fn event(&mut self, conn: u32, event: Event) {
+        let before = self.machine.splice().next();
+        let Some(number) = event.number else {
+            self.failed(conn, engine::Error::Protocol("event without a number".into()));
+            return;
+        };
+        let known = self.events > 0;
+        self.input(Input::Chunk(conn, Piece::Numbered(number)));
+        let admitted = self.machine.splice().next() > before || !known && number == 0;
+        if !admitted || !self.connections.contains_key(&conn) {
+            return;
+        }
+        self.events += 1;
+        if !known && let Some(upstream) = self.machine.upstream() {
+            self.context.placer.answered(upstream);
+        }
+        self.pass(Chunk::Events(event.bytes)).await;
+    }
+
+    /// Passes on a part of the stream, after the head if that is still due.
+    async fn pass(&mut self, chunk: Chunk) {
+        self.send_head();
+        let Caller::Reading(sender) = &self.caller else {
+            return;
+        };
+        let left = self.plan.until.saturating_sub(self.context.clock.now());
+        if !matches!(timeout(left, sender.send(chunk)).await, Ok(Ok(()))) {
+            self.caller = Caller::Served;
+        }
+    }
+
+    fn send_head(&mut self) {
+        if !matches!(self.caller, Caller::Waiting(_)) {
+            return;
+        }
+        let Some(Head { status, headers }) = self.head.take() else {
+            return;
+        };
+        let (sender, events) = mpsc::channel(EVENT_QUEUE);
+        let waiting = std::mem::replace(&mut self.caller, Caller::Reading(sender));
+        if let Caller::Waiting(reply) = waiting {
+            let _ = reply.send(Reply::Streaming(Stream { status, headers, events }));
+        }
+    }
+
+    fn leave(&mut self) {
+        info!("caller_left", kv: {
+            request = self.request.id, events = self.events,
+            upstream:? = self.machine.upstream()
+        });
+        self.caller = Caller::Served;
+        self.input(Input::Cancel);
+    }
+
+    fn time_out(&mut self) {
+        self.perform_end();
+        self.outcome = Some(Outcome::Failed(Code::OutcomeUnknown));
+    }
+
+    fn perform_end(&mut self) {
+        for reader in std::mem::take(&mut self.connections).into_values() {
+            reader.abort();
+        }
+    }
+
+    async fn end(&mut self) {
+        self.perform_end();
+        let outcome = self.outcome.unwrap_or(Outcome::Cancelled);
+        let counter = match outcome {
+            Outcome::Whole => Counter::GenerationWhole,
+            _ => Counter::GenerationFailed,
+        };
+        self.context.metrics.count(counter);
+        let took = self.context.clock.now().saturating_sub(self.began);
+        info!("generation_ended", kv: {
+            request = self.request.id, route = self.plan.route.name, outcome:? = outcome,
+            events = self.events, sent = self.sent, took_ms = took.as_millis() as u64
+        });
+        if outcome == Outcome::Whole {
+            self.pass(Chunk::End).await;
+        }
+        let caller = std::mem::replace(&mut self.caller, Caller::Served);
+        if let Caller::Waiting(reply) = caller {
+            let _ = reply.send(self.refusal(outcome));
+        }
+    }
+
+    fn refusal(&mut self, outcome: Outcome) -> Reply {
+        if let Some(answer) = self.failure.take() {
+            return Reply::Answered(answer);
+        }
+        self.context.metrics.count(Counter::Refused);
+        let code = match outcome {
+            Outcome::Failed(code) => code,
+            _ => Code::UpstreamFailed,
+        };
+        let refusal = if self.sent > 0 {
+            Refusal::new(code, Ran::Unknown, "no engine could complete the request")
+        } else {
+            Refusal::not_run(code, "no engine takes the request now")
+        };
+        Reply::Refused(Refusal { retry_after_ms: RETRY_AFTER_MS, ..refusal })
+    }
+}
+
+/// Limit of a check; a round trip between zones many times over.
+const CHECK_LIMIT: Duration = Duration::from_millis(100);
+
+/// Completes when the caller has gone away.
+async fn gone(caller: &mut Caller) {
+    match caller {
+        Caller::Waiting(reply) => reply.closed().await,
+        Caller::Reading(events) => events.closed().await,
+        Caller::Served => std::future::pending().await,
+    }
+}
--- a/quetzaltiller/src/router/builder.rs
+++ b/quetzaltiller/src/router/builder.rs
@@ -1,6 +1,7 @@
 //! Puts a router together.
 
 use super::Router;
+use super::host::{RouterHost, list_vms};
 use crate::actions::{Actions, Ledger};
 use crate::catalog::Catalog;
 use crate::clock::Clock;
@@ -11,7 +12,7 @@
 use crate::lookups::Lookups;
 use crate::members::{self, Members, Own};
 use crate::metrics::Metrics;
-use crate::pacer::Pacer;
+use crate::pacer::{self, Pacer};
 use crate::peer::Link;
 use crate::platform::Store;
 use crate::prelude::*;
@@ -22,6 +23,7 @@
 use coordination::claim::Owner;
 use coordination::detector::Bounds;
 use coordination::journal::Journal;
+use coordination::membership::Heartbeat;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha12Rng;
 use std::sync::Mutex;
@@ -89,22 +91,40 @@
     fn new(config: Config, ports: Ports, incarnation: u64, rng: ChaCha12Rng) -> Self {
         let (clock, scope) = (Clock::default(), Scope::default());
         let metrics = Arc::new(Metrics::new(config.metrics_address.as_deref()));
-        let own = Arc::new(Own::new(&config, incarnation));
+        let own = Arc::new(Own::new(Heartbeat {
+            name: config.name.clone(),
+            incarnation,
+            zone: config.zone.clone(),
+            caller_address: config.caller_address.clone(),
+            peer_address: config.peer_address.clone(),
+            ready: true,
+            ..Heartbeat::default()
+        }));
         let catalog = Catalog::start(&scope, ports.store.clone(), metrics.clone());
         let dispatch = Dispatch::start(&scope, clock, &config.name);
+        let host = RouterHost {
+            catalog: catalog.clone(),
+            dispatch: dispatch.clone(),
+            link: ports.link.clone(),
+            scope: scope.clone(),
+            leaving: Mutex::default(),
+        };
         let members = Members::start(
             &scope,
             members::Parts {
-                config: &config,
+                seeds: config.peers.clone(),
+                timing: members::Timing {
+                    period: config.timing.heartbeat,
+                    timeout: config.timing.peer_timeout,
+                },
                 own: own.clone(),
                 clock,
-                store: ports.store.clone(),
                 link: ports.link.clone(),
-                catalog: catalog.clone(),
-                dispatch: dispatch.clone(),
+                host: Arc::new(host),
                 metrics: metrics.clone(),
             },
         );
+        scope.spawn(list_vms(ports.store.clone(), metrics.clone(), members.clone()));
         let journal = Journal::new(config.timing.journal_retention, config.limits.journal_bytes);
         let keeper = Keeper::start(&scope, clock, journal);
         let registry = Registry::start(&scope);
@@ -124,7 +144,7 @@
         let lookups = Lookups {
             services: ports.services.clone(),
             dispatch: dispatch.clone(),
-            pacer: Pacer::start(&scope, hedge),
+            pacer: Pacer::start(&scope, pacer::Settings::hedging(hedge)),
             metrics: metrics.clone(),
         };
         let (closed, rng) = (AtomicBool::new(false), Mutex::new(rng));
--- a/quetzaltiller/src/router/mod.rs
+++ b/quetzaltiller/src/router/mod.rs
@@ -4,6 +4,7 @@
 //! over fakes in tests and benchmarks.
 
 mod builder;
+mod host;
 mod takeover;
 mod view;
 
@@ -348,6 +349,7 @@
                 wire::Reply::Cancelled(wire::Cancelled { found })
             }
             wire::Ask::Pull(pull) => wire::Reply::Accepted(self.catalog.pull(pull.number)),
+            wire::Ask::Upstreams(_) => wire::Reply::Upstreams(wire::Accepted::default()),
         }
     }
 }
--- /dev/null
+++ b/quetzaltiller/src/routes/mod.rs
@@ -0,0 +1,14 @@
+//! What the configuration says of requests: routes, services and client accounts.
+//!
+//! A [`Table`] is one accepted configuration, whole and immutable. A request finds its route by
+//! host and longest path prefix, and its account by the digest of its key.
+
+mod account;
+mod route;
+mod service;
+mod table;
+
+pub use account::Account;
+pub use route::{Kind, Route, Target};
+pub use service::{Engine, Service};
+pub use table::{Content, Limits, Table};
--- a/quetzaltiller/src/session/replicator.rs
+++ b/quetzaltiller/src/session/replicator.rs
@@ -4,7 +4,7 @@
 //! with the round trip. A keeper that does not confirm in time is left for the next in rank, and
 //! emission goes on without waiting until that one has caught up.
 
-use crate::generation::Splice;
+use crate::generation::{Answer as _, Splice};
 use crate::members::View;
 use crate::wire;
 use coordination::journal::Origin;
--- a/quetzaltiller/src/session/settings.rs
+++ b/quetzaltiller/src/session/settings.rs
@@ -2,7 +2,7 @@
 
 use crate::config::Timing;
 use crate::dispatch::{Demand, Placement};
-use crate::generation::{Request, Settings};
+use crate::generation::{Probe, Request, Settings};
 use crate::objects::Labels;
 use coordination::detector::Bounds;
 use coordination::patience::Patience;
@@ -41,6 +41,9 @@
         open_timeout: timing.open_timeout,
         deadline,
         silence: Bounds { min: timing.min_silence, max: timing.max_silence },
+        probe: Probe::Reattach,
+        pause: None,
+        resumable: true,
     }
 }
 
--- a/quetzaltiller/src/session/task.rs
+++ b/quetzaltiller/src/session/task.rs
@@ -7,7 +7,9 @@
 use super::settings::{demand, initial_settings, pool_settings};
 use crate::dispatch::{Demand, Permit, Placement};
 use crate::engine::{self, Attempt, Submission, blocks};
-use crate::generation::{Effect, Input, Machine, Opening, Outcome, Request, Splice};
+use crate::generation::{
+    Answer as _, Effect, Input, Machine, Opening, Outcome, Place, Request, Splice,
+};
 use crate::members::Entered;
 use crate::metrics::Counter;
 use crate::prelude::*;
@@ -288,7 +290,7 @@
         self.machine.configure(settings);
         self.address = Some(placement.upstream.address);
         self.permit = Some(placement.permit);
-        self.input(Input::Placed(upstream, version));
+        self.input(Input::Placed(Place { upstream, version, ..Place::default() }));
     }
 
     fn input(&mut self, input: Input) {
@@ -306,7 +308,7 @@
     fn perform(&mut self, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
-                Effect::Place { avoid, resumed } => self.place(avoid, resumed),
+                Effect::Place { avoid, resumed, .. } => self.place(avoid, resumed),
                 Effect::Open { conn, opening, upstream } => self.open(conn, opening, &upstream),
                 Effect::Close(conn) => {
                     if let Some(token) = self.connections.remove(&conn) {
--- a/quetzaltiller/src/settings.rs
+++ b/quetzaltiller/src/settings.rs
@@ -2,7 +2,7 @@
 
 use crate::objects::Fault;
 use serde_json::{Map, Value};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -144,6 +144,51 @@
         Duration::from_millis(self.number(key, default, min, max))
     }
 
+    /// A time in seconds within `min..=max`.
+    pub fn seconds(&mut self, key: &str, default: f64, min: f64, max: f64) -> Duration {
+        Duration::from_secs_f64(self.fraction(key, default, min, max))
+    }
+
+    /// A number within `min..=max`.
+    pub fn fraction(&mut self, key: &str, default: f64, min: f64, max: f64) -> f64 {
+        let Some(value) = self.take(key) else {
+            return default;
+        };
+        match value.as_f64().filter(|number| (min..=max).contains(number)) {
+            Some(number) => number,
+            None => {
+                self.fault(key, &value, format!("a number from {min} to {max}"));
+                default
+            }
+        }
+    }
+
+    /// True or false.
+    pub fn flag(&mut self, key: &str, default: bool) -> bool {
+        match self.take(key) {
+            None => default,
+            Some(Value::Bool(flag)) => flag,
+            Some(other) => {
+                self.fault(key, &other, "true or false");
+                default
+            }
+        }
+    }
+
+    /// An object of texts, empty when absent.
+    pub fn texts(&mut self, key: &str) -> BTreeMap<String, String> {
+        let Some(value) = self.take(key) else {
+            return BTreeMap::new();
+        };
+        match serde_json::from_value(value.clone()) {
+            Ok(texts) => texts,
+            Err(_) => {
+                self.fault(key, &value, "an object of texts");
+                BTreeMap::new()
+            }
+        }
+    }
+
     /// Passes `value` on if there was no fault and no unknown key.
     pub fn finish<T>(self, value: T) -> Result<T, Faults> {
         let faults = self.into_faults();
--- /dev/null
+++ b/quetzaltiller/src/upstream.rs
@@ -0,0 +1,82 @@
+//! Port to upstreams: forwards requests and returns answers as they come.
+
+use crate::fleet::Upstream;
+use crate::proxy::Request;
+use async_trait::async_trait;
+use bytes::Bytes;
+use futures::stream::BoxStream;
+use hyper::{HeaderMap, StatusCode};
+use quick_error::quick_error;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+quick_error! {
+    /// Why there is no answer.
+    #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+    pub enum Error {
+        /// Nothing was sent: the request has not run.
+        Unsent {
+            display("nothing was sent")
+        }
+        /// It was sent, and the connection broke; it may have run.
+        Broken {
+            display("connection broke")
+        }
+        /// What came belongs to another request, or is not understood; this one may have run.
+        Foreign {
+            display("answer of another request")
+        }
+    }
+}
+
+/// Memory of a run to go on from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Copy {
+    /// Engine that holds the copy, or the stopped run.
+    pub holder: SocketAddr,
+}
+
+/// How a request is sent.
+#[derive(Clone, Debug)]
+pub struct Call<'a> {
+    /// Upstream.
+    pub upstream: &'a Upstream,
+    /// The caller's request.
+    pub request: &'a Request,
+    /// Time until the answer is of no use.
+    pub deadline: Duration,
+    /// Account that asks.
+    pub account: Option<&'a str>,
+    /// Urgency among requests at an engine, 0 first.
+    pub urgency: Option<u8>,
+    /// Engine that gets copies of the run's memory.
+    pub backup: Option<SocketAddr>,
+    /// Memory to go on from.
+    pub copy: Option<Copy>,
+    /// Last event that the caller has.
+    pub last_event: Option<u64>,
+    /// Use a connection that has carried nothing before.
+    pub fresh: bool,
+}
+
+/// Answer of an upstream.
+pub struct Response {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers for the caller.
+    pub headers: HeaderMap,
+    /// The upstream states that it did not run the request.
+    pub not_run: bool,
+    /// Body as it comes; ends with an error where it was cut.
+    pub body: BoxStream<'static, Result<Bytes, Error>>,
+}
+
+/// Access to upstreams. Dropping a call or a body closes its connection.
+#[async_trait]
+pub trait Client: Send + Sync {
+    /// Sends a request; returns when the head of the answer is there.
+    async fn send(&self, call: Call<'_>) -> Result<Response, Error>;
+
+    /// Whether an upstream accepts a connection within `limit`.
+    async fn check(&self, address: SocketAddr, limit: Duration) -> bool;
+}
--- a/quetzaltiller/src/wire.rs
+++ b/quetzaltiller/src/wire.rs
@@ -10,7 +10,7 @@
     #[prost(uint64, tag = "1")]
     pub sequence: u64,
     /// Content.
-    #[prost(oneof = "Ask", tags = "2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "Ask", tags = "2, 3, 4, 5, 6, 7, 8")]
     pub ask: Option<Ask>,
 }
 
@@ -35,6 +35,9 @@
     /// Stop a generation that you serve.
     #[prost(message, tag = "7")]
     Cancel(Cancel),
+    /// Send the upstreams.
+    #[prost(message, tag = "8")]
+    Upstreams(Pull),
 }
 
 /// Answer to a request.
@@ -44,7 +47,7 @@
     #[prost(uint64, tag = "1")]
     pub sequence: u64,
     /// Content.
-    #[prost(oneof = "Reply", tags = "2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "Reply", tags = "2, 3, 4, 5, 6, 7, 8")]
     pub reply: Option<Reply>,
 }
 
@@ -69,6 +72,9 @@
     /// Result of a cancel.
     #[prost(message, tag = "7")]
     Cancelled(Cancelled),
+    /// The upstreams; the number is the store's revision.
+    #[prost(message, tag = "8")]
+    Upstreams(Accepted),
 }
 
 /// State of a member.
@@ -96,6 +102,12 @@
     /// What the member uses of the accounts' limits.
     #[prost(message, repeated, tag = "10")]
     pub usage: Vec<Usage>,
+    /// Takes callers' requests.
+    #[prost(bool, tag = "11")]
+    pub ready: bool,
+    /// Revision of the upstreams that the member knows.
+    #[prost(uint64, tag = "12")]
+    pub revision: u64,
 }
 
 /// Use of one account's limit.
@@ -120,6 +132,8 @@
             open: beat.open,
             leaving_upstreams: Vec::new(),
             usage: Vec::new(),
+            ready: beat.ready,
+            revision: 0,
         }
     }
 }
@@ -135,6 +149,7 @@
             leaving: beat.leaving,
             number: beat.number,
             open: beat.open,
+            ready: beat.ready,
         }
     }
 }
@@ -276,7 +291,8 @@
 pub struct Accepted {
     #[prost(uint64, tag = "1")]
     pub number: u64,
-    /// JSON of [`crate::objects::Accepted`], empty when the asker's is as new.
+    /// JSON, empty when the asker's is as new: [`crate::objects::Accepted`] between routers,
+    /// [`crate::routes::Table`] or [`crate::fleet::Listing`] between entry VMs that forward.
     #[prost(string, tag = "2")]
     pub json: String,
 }
--- a/quetzaltiller/tests/machine.rs
+++ b/quetzaltiller/tests/machine.rs
@@ -5,7 +5,7 @@
 use quetzaltiller::digest::Checksum;
 use quetzaltiller::engine::{Body, Chunk, Error};
 use quetzaltiller::generation::{
-    Effect, Input, Machine, Opening, Outcome, Settings, Splice, Start,
+    Answer as _, Effect, Input, Machine, Opening, Outcome, Place, Probe, Settings, Splice, Start,
 };
 use quetzaltiller::refusal::Code;
 use rstest::rstest;
@@ -22,6 +22,9 @@
         open_timeout: Duration::from_millis(1_000),
         deadline: Duration::from_secs(30),
         silence: SILENCE,
+        probe: Probe::Reattach,
+        pause: None,
+        resumable: true,
     }
 }
 
@@ -50,7 +53,11 @@
     }
 
     fn place(&mut self, upstream: &str, conn: u32) {
-        let effects = self.on(Input::Placed(upstream.into(), "v1".into()));
+        let effects = self.on(Input::Placed(Place {
+            upstream: upstream.into(),
+            version: "v1".into(),
+            ..Place::default()
+        }));
         let open = Effect::Open { conn, opening: Opening::Submit, upstream: upstream.into() };
         assert_eq!(effects, [open]);
     }
--- a/quetzaltiller/tests/splice.rs
+++ b/quetzaltiller/tests/splice.rs
@@ -5,7 +5,7 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use quetzaltiller::digest::Checksum;
 use quetzaltiller::engine::{Body, Chunk};
-use quetzaltiller::generation::{Splice, Verdict};
+use quetzaltiller::generation::{Answer as _, Splice, Verdict};
 
 const LENGTH: usize = 12;
 const CASES: u32 = 2_000;
