Verify lost engines, tell peers of them, and make no copies there

Ruled out: waiting less (a replaced prefill begins anew). Change: a broken connection is followed by a connect check; what fails it is lost until it proves its identity or its entry changes; heartbeats carry losses, verified by the hearer; zones with two fresh losses are doubted; a run without a copy waits for four times its prefill.

--- a/quetzaltiller/src/entry.rs
+++ b/quetzaltiller/src/entry.rs
@@ -23,7 +23,7 @@
 use coordination::detector::Bounds;
 use coordination::membership::Heartbeat;
 use serde::Serialize;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 
 /// Between heartbeats to a peer. Configuration is in force everywhere in a few of them.
@@ -42,6 +42,8 @@
 const ANNOUNCE: Duration = Duration::from_millis(2_000);
 /// Part of the retry budget that is used, as requests that arrive count late.
 const BUDGET_SHARE: f64 = 0.8;
+/// Losses are gathered for so long before peers are told, as a zone's engines go together.
+const GATHER_LOSSES: Duration = Duration::from_millis(15);
 /// Pause between announcements that the store does not take.
 const ANNOUNCE_RETRY: Duration = Duration::from_millis(1_000);
 
@@ -132,7 +134,7 @@
         let own = Arc::new(Own::new(heartbeat(&config)));
         let follower = Follower::start(&scope, clock, ports.store.clone(), metrics.clone());
         let table = Table::new(&config.name, &config.zone);
-        let placer = Placer::start(&scope, clock, table);
+        let placer = Placer::start(&scope, clock, table, ports.client.clone());
         scope.spawn(keep_placer(placer.clone(), follower.clone()));
         let host = EntryHost {
             zone: config.zone.clone(),
@@ -152,6 +154,7 @@
             metrics: metrics.clone(),
         };
         let members = Members::start(&scope, parts);
+        scope.spawn(spread_losses(placer.clone(), members.clone()));
         scope.spawn(announce(ports.store, config.clone(), members.clone()));
         let budget = pacer::Settings {
             hedge: HEDGE,
@@ -305,6 +308,20 @@
     }
 }
 
+/// Tells the other entry VMs at once of upstreams that are gone.
+async fn spread_losses(placer: Placer, members: Members) {
+    let mut lost = placer.lost();
+    let mut known = BTreeSet::new();
+    while lost.changed().await.is_ok() {
+        tokio::time::sleep(GATHER_LOSSES).await;
+        let now = BTreeSet::from_iter(lost.borrow_and_update().iter().cloned());
+        if !now.is_subset(&known) {
+            members.beat_now();
+        }
+        known = now;
+    }
+}
+
 /// Announces this entry VM in the store and learns of the others from there.
 async fn announce(store: Arc<dyn Store>, config: Config, members: Members) {
     while let Err(reason) = store.announce(&config.name, &config.peer_address).await {
@@ -337,9 +354,11 @@
         beat.number = self.follower.routes().number();
         beat.revision = self.follower.directory().revision();
         beat.ready = beat.number > 0 && !self.follower.directory().is_empty();
+        beat.lost_upstreams = self.placer.lost().borrow().as_ref().clone();
     }
 
     fn heard(&self, beat: &wire::Heartbeat) {
+        beat.lost_upstreams.iter().for_each(|id| self.placer.reported_gone(id));
         let is_newer = beat.number > self.follower.routes().number()
             || beat.revision > self.follower.directory().revision();
         if !is_newer || self.pulls.swap(true, Ordering::Relaxed) {
--- a/quetzaltiller/src/generation/machine.rs
+++ b/quetzaltiller/src/generation/machine.rs
@@ -58,6 +58,8 @@
     avoid: Vec<String>,
     /// Engine that holds a copy of the run's memory.
     copy: Option<String>,
+    /// Engine that holds a copy of the run before, while the run at hand has not begun.
+    older_copy: Option<String>,
     current: Option<u32>,
     probe: Option<Pending>,
     probe_at: Option<Duration>,
@@ -85,6 +87,7 @@
             version: None,
             avoid: Vec::new(),
             copy: None,
+            older_copy: None,
             current: None,
             probe: None,
             probe_at: None,
@@ -192,7 +195,8 @@
     fn place(&mut self) -> Vec<Effect> {
         self.phase = Phase::Placing;
         let resumed = self.splice.next() > 0 || self.splice.attempt() > 1;
-        let copy = self.copy.take();
+        self.older_copy = self.copy.take();
+        let copy = self.older_copy.clone();
         vec![Effect::Place { avoid: self.avoid.clone(), copy, resumed }]
     }
 
@@ -204,6 +208,9 @@
         self.phase = Phase::Submitting;
         self.upstream = Some(upstream.clone());
         self.version.get_or_insert(version);
+        if restores {
+            self.older_copy = None;
+        }
         self.copy = backup;
         self.last_life = now;
         self.flowing = false;
@@ -356,7 +363,13 @@
         }
     }
 
+    /// The engine did not begin: what copies the run was to make don't exist.
     fn replace_unused_engine(&mut self) -> Vec<Effect> {
+        self.copy = self.older_copy.take();
+        self.begin_elsewhere()
+    }
+
+    fn begin_elsewhere(&mut self) -> Vec<Effect> {
         let failed = self.upstream.take();
         self.avoid.extend(failed);
         let mut effects = self.close_all();
@@ -374,7 +387,7 @@
         self.stats.redispatched += 1;
         self.suspected = false;
         self.fruitless = 0;
-        let mut effects = self.replace_unused_engine();
+        let mut effects = self.begin_elsewhere();
         effects.extend(cancel);
         effects
     }
--- a/quetzaltiller/src/members.rs
+++ b/quetzaltiller/src/members.rs
@@ -16,7 +16,7 @@
 use serde::Serialize;
 use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
 /// A silent member is forgotten after this many timeouts.
 const FORGET_TIMEOUTS: u32 = 60;
@@ -132,6 +132,7 @@
     host: Arc<dyn Host>,
     mailbox: Mailbox<Message>,
     view: watch::Receiver<Arc<View>>,
+    hurry: Arc<Notify>,
 }
 
 /// Times of heartbeats.
@@ -168,7 +169,13 @@
         let (sender, view) = watch::channel(Arc::default());
         let (targets_sender, targets) =
             watch::channel(BTreeSet::from_iter(parts.seeds.iter().cloned()));
-        let members = Self { own: parts.own, host: parts.host, mailbox: mailbox.clone(), view };
+        let members = Self {
+            own: parts.own,
+            host: parts.host,
+            mailbox: mailbox.clone(),
+            view,
+            hurry: Arc::default(),
+        };
         let task = Task {
             clock: parts.clock,
             own: members.own.clone(),
@@ -203,6 +210,11 @@
         self.mailbox.tell(Message::Found(addresses));
     }
 
+    /// Sends heartbeats without waiting for the next period.
+    pub fn beat_now(&self) {
+        self.hurry.notify_one();
+    }
+
     /// Notices of changed members.
     pub fn watch(&self) -> watch::Receiver<Arc<View>> {
         self.view.clone()
@@ -342,7 +354,11 @@
     async fn run(self, targets: watch::Receiver<BTreeSet<String>>) {
         let mut period = tokio::time::interval(self.period);
         loop {
-            period.tick().await;
+            tokio::select! {
+                biased;
+                () = self.members.hurry.notified() => {}
+                _ = period.tick() => {}
+            }
             let addresses = targets.borrow().clone();
             for address in addresses {
                 self.scope.spawn(self.beat(address));
--- a/quetzaltiller/src/placement/state.rs
+++ b/quetzaltiller/src/placement/state.rs
@@ -9,6 +9,8 @@
 const FIRST_SUSPICION: Duration = Duration::from_millis(300);
 /// An engine restarts in a second or two; longer suspicion would waste it.
 const MAX_SUSPICION: Duration = Duration::from_millis(2_400);
+/// An upstream that is gone stays listed for three of its heartbeats of 1.2 s (users' settings).
+const LOSS: Duration = Duration::from_millis(4_000);
 /// Weight of the newest outcome in the failure rate.
 const FAILURE_GAIN: f64 = 0.15;
 /// Time in which evidence of failures fades to a third, so that an upstream is tried again.
@@ -31,6 +33,10 @@
     pub prefill_until: Duration,
     /// Chosen only for want of another until then.
     pub suspect_until: Duration,
+    /// When it was last seen alive.
+    pub alive_at: Duration,
+    /// When it was found to be gone, while it has not answered since.
+    lost_at: Option<Duration>,
     failures: u32,
     failure_rate: f64,
     judged_at: Duration,
@@ -46,6 +52,8 @@
             copied_tokens: 0,
             prefill_until: Duration::ZERO,
             suspect_until: Duration::ZERO,
+            alive_at: Duration::ZERO,
+            lost_at: None,
             failures: 0,
             failure_rate: 0.0,
             judged_at: Duration::ZERO,
@@ -54,7 +62,30 @@
 
     /// Whether it failed lately.
     pub fn is_suspect(&self, now: Duration) -> bool {
-        now < self.suspect_until
+        now < self.suspect_until || self.is_lost(now)
+    }
+
+    /// Whether it was found to be gone within `LOSS`.
+    pub fn is_lost(&self, now: Duration) -> bool {
+        self.lost_within(now, LOSS)
+    }
+
+    /// Whether it was found to be gone within `age`.
+    pub fn lost_within(&self, now: Duration, age: Duration) -> bool {
+        self.lost_at.is_some_and(|lost_at| now < lost_at + age)
+    }
+
+    /// Notes that it is gone; true when that is news.
+    pub fn lose(&mut self, now: Duration) -> bool {
+        let news = !self.is_lost(now);
+        self.lost_at = Some(now);
+        news
+    }
+
+    /// Notes a sign of life.
+    pub fn show_life(&mut self, now: Duration) {
+        self.alive_at = now;
+        self.lost_at = None;
     }
 
     /// Share of lately failed requests; evidence fades with time.
@@ -66,11 +97,12 @@
     /// Notes an answer.
     pub fn succeed(&mut self, now: Duration) {
         self.failures = 0;
+        self.show_life(now);
         self.suspect_until = Duration::ZERO;
         self.judge(now, 0.0);
     }
 
-    /// Notes that it could not be reached, or went silent.
+    /// Notes that a connection to it broke.
     pub fn fail(&mut self, now: Duration) {
         let suspicion = FIRST_SUSPICION * 2u32.pow(self.failures.min(8));
         self.failures += 1;
--- a/quetzaltiller/src/placement/table.rs
+++ b/quetzaltiller/src/placement/table.rs
@@ -27,6 +27,12 @@
 const ZONE_REQUESTS: f64 = 4.0;
 /// Weight of a replica's failure rate, as requests in flight.
 const FAILURE_REQUESTS: f64 = 20.0;
+/// Engines of a zone that could not be reached lately, from which on the zone is doubted.
+const DOUBTFUL_ENGINES: usize = 2;
+/// Time for which a zone is doubted: about that in which engines restart.
+const DOUBT: Duration = Duration::from_millis(1_000);
+/// Cost of an engine in a doubted zone: it would have to be connected to in vain.
+const DOUBT_MS: f64 = 1_500.0;
 /// Share of an engine's memory that one entry VM counts on, as others use it too.
 const MEMORY_SHARE: f64 = 0.8;
 
@@ -97,6 +103,11 @@
         self.states.retain(|id, _| directory.upstream(id).is_some());
     }
 
+    /// Path of a service's health check.
+    pub fn health_path(&self, service: &str) -> String {
+        self.routes.service(service).map(|service| service.health_path.clone()).unwrap_or_default()
+    }
+
     /// States by upstream.
     pub fn states(&self) -> &BTreeMap<String, State> {
         &self.states
@@ -196,12 +207,17 @@
         };
         let slots = |state: &State| state.in_flight < state.upstream.slots.max(1);
         let open: Vec<_> = candidates.iter().copied().filter(|s| room(s) && slots(s)).collect();
-        let cost = |state: &&&State| self.engine_cost(now, state, run);
+        let doubted = self.doubted_zones(now, service);
+        let cost = |state: &&&State| {
+            let doubt = if doubted.contains(&state.upstream.zone) { DOUBT_MS } else { 0.0 };
+            self.engine_cost(now, state, run) + doubt
+        };
         let Some(best) = open.iter().min_by(|a, b| cost(a).total_cmp(&cost(b))) else {
             return Choice::Full;
         };
         let backup = if run.wants_backup && engine.backups {
-            self.choose_backup(&open, &best.upstream, run)
+            let sound = open.iter().filter(|state| !doubted.contains(&state.upstream.zone));
+            self.choose_backup(&sound.copied().collect::<Vec<_>>(), &best.upstream, run)
         } else {
             None
         };
@@ -232,6 +248,18 @@
             + tie * NEIGHBOUR_MS / 2.0
     }
 
+    /// Zones in which several engines became unreachable lately: probably all of it.
+    fn doubted_zones(&self, now: Duration, service: &str) -> BTreeSet<String> {
+        let mut lost: BTreeMap<&str, usize> = BTreeMap::new();
+        for state in self.states.values() {
+            if state.lost_within(now, DOUBT) && state.upstream.service == service {
+                *lost.entry(&state.upstream.zone).or_default() += 1;
+            }
+        }
+        let doubted = lost.into_iter().filter(|(_, count)| *count >= DOUBTFUL_ENGINES);
+        doubted.map(|(zone, _)| zone.to_owned()).collect()
+    }
+
     /// Engine in another zone that holds least.
     fn choose_backup(
         &self,
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -5,12 +5,13 @@
 use super::table::{Choice, Pick, Table};
 use crate::clock::Clock;
 use crate::fleet::{Directory, Upstream};
+use crate::upstream::Client;
 use crate::mailbox::Mailbox;
 use crate::prelude::*;
 use crate::routes;
 use crate::scope::Scope;
 use std::collections::BTreeMap;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 /// Chosen upstreams, with the place held at them.
 #[derive(Debug)]
@@ -53,24 +54,46 @@
 
 #[derive(Clone, Copy, Debug)]
 enum Outcome {
+    /// It answered, or sent an event.
     Answered,
+    Alive,
+    /// It failed a request and can be reached.
     Failed,
-    Unreachable,
+    /// A connection broke or fell silent.
+    Broken,
+    /// It does not accept connections, or another process has its address.
+    Gone,
+    /// A peer found it gone.
+    Reported,
 }
 
+/// Limit of a check whether an upstream accepts connections: a round trip between zones many
+/// times over.
+const CHECK_LIMIT: Duration = Duration::from_millis(80);
+/// Signs of life that outweigh a peer's word.
+const FRESH_LIFE: Duration = Duration::from_millis(60);
+/// Times after a loss at which an upstream is asked whether it is back; engines restart in 1 to 2 s.
+const RECHECKS: [Duration; 3] =
+    [Duration::from_millis(700), Duration::from_millis(1_000), Duration::from_millis(1_200)];
+
 /// Handle to the task.
 #[derive(Clone, Debug)]
 pub struct Placer {
     mailbox: Mailbox<Message>,
+    lost: watch::Receiver<Arc<Vec<String>>>,
 }
 
 impl Placer {
     /// Starts the task in `scope`.
-    pub fn start(scope: &Scope, clock: Clock, table: Table) -> Self {
+    pub fn start(scope: &Scope, clock: Clock, table: Table, client: Arc<dyn Client>) -> Self {
         let (mailbox, messages) = Mailbox::new();
-        let task = Task { clock, table, mailbox: mailbox.clone() };
+        let lost = watch::Sender::default();
+        let watched = lost.subscribe();
+        let scope_of_checks = scope.clone();
+        let task =
+            Task { clock, table, client, lost, scope: scope_of_checks, mailbox: mailbox.clone() };
         scope.spawn(task.run(messages));
-        Self { mailbox }
+        Self { mailbox, lost: watched }
     }
 
     /// Chooses upstreams.
@@ -89,9 +112,29 @@
         self.tell(id, Outcome::Failed);
     }
 
-    /// Notes that an upstream can't be reached or is silent.
-    pub fn unreachable(&self, id: &str) {
-        self.tell(id, Outcome::Unreachable);
+    /// Notes that a connection to an upstream broke or fell silent.
+    pub fn broken(&self, id: &str) {
+        self.tell(id, Outcome::Broken);
+    }
+
+    /// Notes that an upstream does not accept connections, or that another has its address.
+    pub fn gone(&self, id: &str) {
+        self.tell(id, Outcome::Gone);
+    }
+
+    /// Notes that an upstream sent something.
+    pub fn alive(&self, id: &str) {
+        self.tell(id, Outcome::Alive);
+    }
+
+    /// Notes that a peer found an upstream gone.
+    pub fn reported_gone(&self, id: &str) {
+        self.tell(id, Outcome::Reported);
+    }
+
+    /// Upstreams that this entry VM found gone, and notices of others.
+    pub fn lost(&self) -> watch::Receiver<Arc<Vec<String>>> {
+        self.lost.clone()
     }
 
     /// Puts a configuration in force.
@@ -122,6 +165,9 @@
 struct Task {
     clock: Clock,
     table: Table,
+    client: Arc<dyn Client>,
+    lost: watch::Sender<Arc<Vec<String>>>,
+    scope: Scope,
     mailbox: Mailbox<Message>,
 }
 
@@ -140,14 +186,7 @@
             }
             Message::Release { pick, run } => self.table.end(&pick, run.as_ref()),
             Message::Outcome { id, outcome } => {
-                let Some(state) = self.table.state_mut(&id) else {
-                    return;
-                };
-                match outcome {
-                    Outcome::Answered => state.succeed(now),
-                    Outcome::Failed => state.disappoint(now),
-                    Outcome::Unreachable => state.fail(now),
-                }
+                self.judge(now, &id, outcome);
             }
             Message::Configure(routes) => self.table.configure(routes),
             Message::Upstreams(directory) => self.table.set_upstreams(&directory),
@@ -158,6 +197,81 @@
         }
     }
 
+    fn judge(&mut self, now: Duration, id: &str, outcome: Outcome) {
+        let Some(state) = self.table.state_mut(id) else {
+            return;
+        };
+        match outcome {
+            Outcome::Answered => state.succeed(now),
+            Outcome::Alive => state.show_life(now),
+            Outcome::Failed => state.disappoint(now),
+            Outcome::Broken => {
+                state.fail(now);
+                let upstream = state.upstream.clone();
+                self.check(upstream);
+            }
+            Outcome::Reported => {
+                if !state.is_lost(now) && now > state.alive_at + FRESH_LIFE {
+                    let upstream = state.upstream.clone();
+                    self.check(upstream);
+                }
+            }
+            Outcome::Gone => {
+                if state.lose(now) {
+                    let upstream = state.upstream.clone();
+                    info!("upstream_lost", kv: {
+                        upstream = upstream.id, zone = upstream.zone,
+                        alive_ago_ms = now.saturating_sub(state.alive_at).as_millis() as u64
+                    });
+                    self.recheck(upstream);
+                }
+            }
+        }
+        self.publish_lost(now);
+    }
+
+    /// Asks whether an upstream still accepts connections.
+    fn check(&self, upstream: Arc<Upstream>) {
+        let (client, mailbox) = (self.client.clone(), self.mailbox.clone());
+        self.scope.spawn(async move {
+            let alive = client.check(upstream.address, CHECK_LIMIT).await;
+            let outcome = if alive { Outcome::Alive } else { Outcome::Gone };
+            mailbox.tell(Message::Outcome { id: upstream.id.clone(), outcome });
+        });
+    }
+
+    /// Asks from time to time whether a lost upstream is back as the same process.
+    fn recheck(&self, upstream: Arc<Upstream>) {
+        let (client, mailbox) = (self.client.clone(), self.mailbox.clone());
+        let path = self.table.health_path(&upstream.service);
+        self.scope.spawn(async move {
+            for pause in RECHECKS {
+                tokio::time::sleep(pause).await;
+                match client.identify(upstream.address, &path, CHECK_LIMIT).await {
+                    Some(id) if id == upstream.id => {
+                        let outcome = Outcome::Alive;
+                        mailbox.tell(Message::Outcome { id, outcome });
+                        return;
+                    }
+                    Some(_) => return,
+                    None => {}
+                }
+            }
+        });
+    }
+
+    fn publish_lost(&self, now: Duration) {
+        let lost = self.table.states().values().filter(|state| state.is_lost(now));
+        let lost: Vec<_> = lost.map(|state| state.upstream.id.clone()).collect();
+        self.lost.send_if_modified(|known| {
+            let changed = **known != lost;
+            if changed {
+                *known = Arc::new(lost);
+            }
+            changed
+        });
+    }
+
     fn place(&mut self, now: Duration, demand: &Demand) -> Result<Placement, Code> {
         let pick = match self.table.choose(now, demand) {
             Choice::Found(pick) => pick,
--- a/quetzaltiller/src/proxy/call.rs
+++ b/quetzaltiller/src/proxy/call.rs
@@ -169,13 +169,13 @@
                 "rejected"
             }
             Tried::Unsent => {
-                placer.unreachable(&id);
+                placer.gone(&id);
                 self.sent -= 1;
                 self.unsent += 1;
                 "unreachable"
             }
             Tried::Unknown => {
-                placer.failed(&id);
+                placer.broken(&id);
                 self.may_have_run = true;
                 "no_answer"
             }
--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -34,12 +34,15 @@
 const SILENCE: Bounds = Bounds { min: Duration::from_millis(120), max: Duration::from_millis(300) };
 /// Prompt tokens that an engine reads in a second (users' sheet of engines).
 const PREFILL_TOKENS_PER_S: f64 = 8_000.0;
-/// Weight of waiting: a run that can't go on from a copy is given twice its prefill.
-const WAIT_WEIGHT: f64 = 0.5;
+/// Weight of waiting: a run that can't go on from a copy is given four times its prefill, as
+/// others' prefills may go before.
+const WAIT_WEIGHT: f64 = 0.25;
 /// Longest wait for an engine that accepts connections and sends nothing.
 const MAX_WAIT: Duration = Duration::from_millis(2_500);
 /// Wait that a refused caller is told, about half the prefill of a prompt.
 const RETRY_AFTER_MS: u64 = 500;
+/// How often a stream tells that its engine lives.
+const LIFE_PERIOD: Duration = Duration::from_millis(100);
 /// Urgency of work at stake, and of new work of the highest rank.
 const RESUMED_URGENCY: u8 = 1;
 const NEW_URGENCY: u8 = 4;
@@ -78,6 +81,10 @@
     sent: u32,
     events: u32,
     began: Duration,
+    first_at: Option<Duration>,
+    last_at: Duration,
+    longest_pause: Duration,
+    life_told: Duration,
     outcome: Option<Outcome>,
     placing: mpsc::UnboundedSender<Result<Placement, Code>>,
     placements: Option<mpsc::UnboundedReceiver<Result<Placement, Code>>>,
@@ -124,6 +131,10 @@
             sent: 0,
             events: 0,
             began: now,
+            first_at: None,
+            last_at: now,
+            longest_pause: Duration::ZERO,
+            life_told: Duration::ZERO,
             outcome: None,
             placing,
             placements: Some(placements),
@@ -230,7 +241,7 @@
                     restores: placement.restores,
                     backup: placement.backup.as_ref().map(|backup| backup.id.clone()),
                 };
-                debug!("generation_placed", kv: {
+                info!("generation_placed", kv: {
                     request = self.request.id, upstream = id, zone = placement.upstream.zone,
                     backup:? = place.backup, restores = place.restores
                 });
@@ -314,12 +325,14 @@
             return;
         }
         info!("engine_failed", kv: {
-            request = self.request.id, upstream, reason:? = error.to_string(),
+            request = self.request.id, upstream, conn, reason:? = error.to_string(),
             silent_ms = self.machine.silence(self.context.clock.now()).as_millis() as u64
         });
         match error {
-            engine::Error::Busy => self.context.placer.failed(&upstream),
-            _ => self.context.placer.unreachable(&upstream),
+            // A copy that does not exist, or no room.
+            engine::Error::Busy => {}
+            engine::Error::Refused => self.context.placer.gone(&upstream),
+            _ => self.context.placer.broken(&upstream),
         }
         if error == engine::Error::Refused {
             self.sent = self.sent.saturating_sub(1);
@@ -340,12 +353,28 @@
             return;
         }
         self.events += 1;
+        self.measure_pause();
         if !known && let Some(upstream) = self.machine.upstream() {
             self.context.placer.answered(upstream);
         }
         self.pass(Chunk::Events(event.bytes)).await;
     }
 
+    fn measure_pause(&mut self) {
+        let now = self.context.clock.now();
+        if self.first_at.is_some() {
+            self.longest_pause = self.longest_pause.max(now.saturating_sub(self.last_at));
+        }
+        self.first_at.get_or_insert(now);
+        self.last_at = now;
+        if now >= self.life_told + LIFE_PERIOD
+            && let Some(upstream) = self.machine.upstream()
+        {
+            self.life_told = now;
+            self.context.placer.alive(upstream);
+        }
+    }
+
     /// Passes on a part of the stream, after the head if that is still due.
     async fn pass(&mut self, chunk: Chunk) {
         self.send_head();
@@ -401,9 +430,12 @@
         };
         self.context.metrics.count(counter);
         let took = self.context.clock.now().saturating_sub(self.began);
+        let first = self.first_at.map(|at| at.saturating_sub(self.began));
         info!("generation_ended", kv: {
             request = self.request.id, route = self.plan.route.name, outcome:? = outcome,
-            events = self.events, sent = self.sent, took_ms = took.as_millis() as u64
+            events = self.events, sent = self.sent, took_ms = took.as_millis() as u64,
+            first_ms:? = first.map(|first| first.as_millis() as u64),
+            longest_pause_ms = self.longest_pause.as_millis() as u64
         });
         if outcome == Outcome::Whole {
             self.pass(Chunk::End).await;
--- a/quetzaltiller/src/upstream.rs
+++ b/quetzaltiller/src/upstream.rs
@@ -79,4 +79,7 @@
 
     /// Whether an upstream accepts a connection within `limit`.
     async fn check(&self, address: SocketAddr, limit: Duration) -> bool;
+
+    /// Id of the process at an address, by its health check; none without an answer in time.
+    async fn identify(&self, address: SocketAddr, path: &str, limit: Duration) -> Option<String>;
 }
--- a/quetzaltiller/src/wire.rs
+++ b/quetzaltiller/src/wire.rs
@@ -108,6 +108,9 @@
     /// Revision of the upstreams that the member knows.
     #[prost(uint64, tag = "12")]
     pub revision: u64,
+    /// Upstreams that the member found gone lately.
+    #[prost(string, repeated, tag = "13")]
+    pub lost_upstreams: Vec<String>,
 }
 
 /// Use of one account's limit.
@@ -134,6 +137,7 @@
             usage: Vec::new(),
             ready: beat.ready,
             revision: 0,
+            lost_upstreams: Vec::new(),
         }
     }
 }
