--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -37,7 +37,8 @@
 /// Weight of waiting: a run that can't go on from a copy is given four times its prefill, as
 /// others' prefills may go before.
 const WAIT_WEIGHT: f64 = 0.25;
-/// Longest wait for an engine that accepts connections and sends nothing.
+/// Longest wait for an engine that accepts connections and sends nothing, unless the prefill alone
+/// takes half of it.
 const MAX_WAIT: Duration = Duration::from_millis(2_500);
 /// Wait that a refused caller is told, about half the prefill of a prompt.
 const RETRY_AFTER_MS: u64 = 500;
@@ -103,8 +104,9 @@
     ) -> (Self, Vec<Effect>) {
         let now = context.clock.now();
         let prompt_tokens = request.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
+        let prefill = Duration::from_secs_f64(f64::from(prompt_tokens) / PREFILL_TOKENS_PER_S);
         let settings = Settings {
-            patience: Patience { weight: WAIT_WEIGHT, max: MAX_WAIT },
+            patience: Patience { weight: WAIT_WEIGHT, max: MAX_WAIT.max(prefill * 2) },
             prefill_tokens_per_s: PREFILL_TOKENS_PER_S,
             prompt_tokens,
             open_timeout: MAX_WAIT,
