Find the successors of lost engines at their addresses

Ruled out: waiting for the store; trusting any process at the address (it may belong to another service after reuse_after_s). Change: a lost engine's address is asked who has it; a new id is used when the address can't have changed hands yet, or when the process serves models and only one service has engines; peers are told. A run that generated nothing is not looked for at its copy; 421 counts as not sent.

--- a/quetzaltiller/src/entry.rs
+++ b/quetzaltiller/src/entry.rs
@@ -6,13 +6,13 @@
 use crate::clock::Clock;
 use crate::control::Store;
 use crate::drain::{self, Drain, Phase};
-use crate::fleet::Listing;
+use crate::fleet::{Listing, Upstream};
 use crate::follower::Follower;
 use crate::members::{self, Host, Members, Own, View};
 use crate::metrics::Metrics;
 use crate::pacer::{self, Pacer};
 use crate::peer::{Handler, Link};
-use crate::placement::{Placer, State, Table};
+use crate::placement::{self, Placer, State, Successor, Table};
 use crate::prelude::*;
 use crate::proxy::{Context, Proxy};
 use crate::routes;
@@ -25,6 +25,7 @@
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
+use tokio::sync::mpsc;
 
 /// Between heartbeats to a peer. Configuration is in force everywhere in a few of them.
 const HEARTBEAT: Duration = Duration::from_millis(400);
@@ -66,6 +67,8 @@
     pub grace: Duration,
     /// Longest time that callers keep an answer of which entry VMs to use.
     pub entries_lifetime: Duration,
+    /// An address stays with its service for so long after an upstream has ended.
+    pub reuse_after: Duration,
     /// Retries for each request, over all entry VMs.
     pub retry_ratio: f64,
     /// Retries beyond the ratio, over all entry VMs.
@@ -134,7 +137,16 @@
         let own = Arc::new(Own::new(heartbeat(&config)));
         let follower = Follower::start(&scope, clock, ports.store.clone(), metrics.clone());
         let table = Table::new(&config.name, &config.zone);
-        let placer = Placer::start(&scope, clock, table, ports.client.clone());
+        let (successors, found) = mpsc::unbounded_channel();
+        let parts = placement::Parts {
+            clock,
+            table,
+            client: ports.client.clone(),
+            reuse_after: config.reuse_after,
+            successors,
+        };
+        let placer = Placer::start(&scope, parts);
+        scope.spawn(take_successors(found, follower.clone()));
         scope.spawn(keep_placer(placer.clone(), follower.clone()));
         let host = EntryHost {
             zone: config.zone.clone(),
@@ -160,7 +172,7 @@
             hedge: HEDGE,
             retry_ratio: config.retry_ratio * BUDGET_SHARE,
             retry_capacity: config.retry_slack * BUDGET_SHARE
-                / (config.peer_seeds.len() as f64 + 1.0),
+                / (config.peer_seeds.len() as f64).max(1.0),
         };
         let drain = Drain::new(clock, drain::Timing { grace: config.grace, announce: ANNOUNCE });
         let proxy = Proxy::new(Context {
@@ -308,6 +320,12 @@
     }
 }
 
+async fn take_successors(mut found: mpsc::UnboundedReceiver<Successor>, follower: Follower) {
+    while let Some(successor) = found.recv().await {
+        follower.succeed(successor);
+    }
+}
+
 /// Tells the other entry VMs at once of upstreams that are gone.
 async fn spread_losses(placer: Placer, members: Members) {
     let mut lost = placer.lost();
@@ -355,10 +373,22 @@
         beat.revision = self.follower.directory().revision();
         beat.ready = beat.number > 0 && !self.follower.directory().is_empty();
         beat.lost_upstreams = self.placer.lost().borrow().as_ref().clone();
+        let tell = |successor: &Successor| wire::Successor {
+            lost: successor.lost.clone(),
+            id: successor.upstream.id.clone(),
+        };
+        beat.successors = self.follower.successors().iter().map(tell).collect();
     }
 
     fn heard(&self, beat: &wire::Heartbeat) {
         beat.lost_upstreams.iter().for_each(|id| self.placer.reported_gone(id));
+        let directory = self.follower.directory();
+        for told in &beat.successors {
+            if let Some(lost) = directory.upstream(&told.lost) {
+                let upstream = Upstream { id: told.id.clone(), incarnation: 0, ..(**lost).clone() };
+                self.follower.succeed(Successor { lost: told.lost.clone(), upstream });
+            }
+        }
         let is_newer = beat.number > self.follower.routes().number()
             || beat.revision > self.follower.directory().revision();
         if !is_newer || self.pulls.swap(true, Ordering::Relaxed) {
--- a/quetzaltiller/src/fleet/directory.rs
+++ b/quetzaltiller/src/fleet/directory.rs
@@ -73,6 +73,12 @@
         }
     }
 
+    /// Puts an upstream that is not listed yet in the place of one that is lost.
+    pub fn succeed(&mut self, lost: &str, upstream: Upstream) {
+        self.upstreams.remove(lost);
+        self.upstreams.insert(upstream.id.clone(), Arc::new(upstream));
+    }
+
     /// Takes a listing that is newer; tells whether it was taken.
     pub fn replace(&mut self, listing: Listing) -> bool {
         if listing.revision <= self.revision {
--- a/quetzaltiller/src/follower.rs
+++ b/quetzaltiller/src/follower.rs
@@ -6,12 +6,17 @@
 //! While the store was away it may have dropped upstreams that live. They are kept for
 //! [`LAPSE_GRACE`] after its return, in which those that live are listed again. An outage may pass
 //! unnoticed while a watch waits, so upstreams are also kept when half of a service vanishes at once.
+//!
+//! A service starts a new process where one was lost. Whoever asks at the address knows it before
+//! the store does, and while the store is away nobody else tells: such successors are used until
+//! the store lists them, or for [`SUCCESSOR_TERM`] where it could have.
 
 use crate::clock::Clock;
 use crate::control::{Changes, Configuration, Error, Store};
 use crate::fleet::{Directory, Listing, Upstream};
 use crate::mailbox::Mailbox;
 use crate::metrics::{Counter, Metrics};
+use crate::placement::Successor;
 use crate::prelude::*;
 use crate::routes::Table;
 use crate::scope::Scope;
@@ -31,12 +36,16 @@
 /// The same when an outage was not noticed: less, as the upstreams may be leaving.
 const VANISH_GRACE: Duration = Duration::from_millis(1_200);
 
+/// A new upstream is listed with its first heartbeat, of 1.2 s (users' settings), and its lag.
+const SUCCESSOR_TERM: Duration = Duration::from_millis(3_000);
+
 #[derive(Debug)]
 enum Message {
     Configured(Configuration),
     Offered(Table),
     Listed(Listing),
     Changed(Changes),
+    Succeeded(Successor),
     Lost,
     Regained,
 }
@@ -47,6 +56,7 @@
     mailbox: Mailbox<Message>,
     routes: watch::Receiver<Arc<Table>>,
     directory: watch::Receiver<Arc<Directory>>,
+    successors: watch::Receiver<Arc<Vec<Successor>>>,
 }
 
 impl Follower {
@@ -60,21 +70,24 @@
         let (mailbox, messages) = Mailbox::new();
         let (routes_sender, routes) = watch::channel(Arc::default());
         let (directory_sender, directory) = watch::channel(Arc::default());
+        let (successors_sender, successors) = watch::channel(Arc::default());
         let task = Task {
             clock,
             feed: Feed::default(),
             directory: Directory::default(),
             lapsed: BTreeMap::new(),
+            successors: BTreeMap::new(),
             away: false,
             grace_until: Duration::ZERO,
             routes: routes_sender,
             published: directory_sender,
+            told: successors_sender,
         };
         scope.spawn(task.run(messages));
         let source = Source { store, metrics, mailbox: mailbox.clone() };
         scope.spawn(source.clone().follow_routes());
         scope.spawn(source.follow_upstreams());
-        Self { mailbox, routes, directory }
+        Self { mailbox, routes, directory, successors }
     }
 
     /// Configuration in force.
@@ -102,6 +115,16 @@
         self.mailbox.tell(Message::Offered(table));
     }
 
+    /// Takes the successor of a lost upstream.
+    pub fn succeed(&self, successor: Successor) {
+        self.mailbox.tell(Message::Succeeded(successor));
+    }
+
+    /// Successors that the store does not list yet.
+    pub fn successors(&self) -> Vec<Successor> {
+        self.successors.borrow().as_ref().clone()
+    }
+
     /// Takes a peer's upstreams, if they are newer.
     pub fn offer_upstreams(&self, listing: Listing) {
         self.mailbox.tell(Message::Listed(listing));
@@ -114,16 +137,22 @@
     directory: Directory,
     /// Upstreams that vanished with the store, and until when they are kept.
     lapsed: BTreeMap<String, (Arc<Upstream>, Duration)>,
+    /// Successors by id, and until when they are used without being listed; none while the store
+    /// is away.
+    successors: BTreeMap<String, (Successor, Option<Duration>)>,
     away: bool,
     grace_until: Duration,
     routes: watch::Sender<Arc<Table>>,
     published: watch::Sender<Arc<Directory>>,
+    told: watch::Sender<Arc<Vec<Successor>>>,
 }
 
 impl Task {
     async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>) {
         loop {
-            let expiry = self.lapsed.values().map(|(_, until)| *until).min();
+            let lapses = self.lapsed.values().map(|(_, until)| *until);
+            let terms = self.successors.values().filter_map(|(_, until)| *until);
+            let expiry = lapses.chain(terms).min();
             let clock = self.clock;
             tokio::select! {
                 biased;
@@ -157,10 +186,17 @@
                     self.publish(&before);
                 }
             }
-            Message::Lost => self.away = true,
+            Message::Succeeded(successor) => self.succeed(successor),
+            Message::Lost => {
+                self.away = true;
+                self.successors.values_mut().for_each(|(_, until)| *until = None);
+            }
             Message::Regained => {
+                let now = self.clock.now();
                 self.away = false;
-                self.grace_until = self.clock.now() + LAPSE_GRACE;
+                self.grace_until = now + LAPSE_GRACE;
+                let until = Some(now + SUCCESSOR_TERM);
+                self.successors.values_mut().for_each(|(_, term)| *term = until);
             }
         }
     }
@@ -192,6 +228,7 @@
         }
         for upstream in self.directory.upstreams() {
             self.lapsed.remove(&upstream.id);
+            self.successors.remove(&upstream.id);
             let known = before.upstream(&upstream.id);
             if known.is_none_or(|known| known.leaving != upstream.leaving) {
                 info!("upstream_listed", kv: {
@@ -204,6 +241,20 @@
         self.send();
     }
 
+    fn succeed(&mut self, successor: Successor) {
+        let id = successor.upstream.id.clone();
+        let known = self.directory.upstream(&id).is_some() || self.successors.contains_key(&id);
+        if known || self.directory.upstream(&successor.lost).is_none() {
+            return;
+        }
+        info!("upstream_succeeded", kv: {
+            upstream = id, lost = successor.lost, address:? = successor.upstream.address
+        });
+        let until = (!self.away).then(|| self.clock.now() + SUCCESSOR_TERM);
+        self.successors.insert(id, (successor, until));
+        self.send();
+    }
+
     /// Whether half of a service's upstreams, two at least, are missing that were listed before.
     fn half_vanished(&self, before: &Directory, service: &str) -> bool {
         let of_service = || before.upstreams().filter(|upstream| upstream.service == service);
@@ -214,13 +265,19 @@
     fn expire(&mut self) {
         let now = self.clock.now();
         self.lapsed.retain(|_, (_, until)| *until > now);
+        self.successors.retain(|_, (_, until)| until.is_none_or(|until| until > now));
         self.send();
     }
 
     fn send(&self) {
         let mut directory = self.directory.clone();
         directory.keep(self.lapsed.values().map(|(upstream, _)| upstream.clone()));
+        for (successor, _) in self.successors.values() {
+            directory.succeed(&successor.lost, successor.upstream.clone());
+        }
         self.published.send_replace(Arc::new(directory));
+        let successors = self.successors.values().map(|(successor, _)| successor.clone());
+        self.told.send_replace(Arc::new(successors.collect()));
     }
 }
 
--- a/quetzaltiller/src/generation/machine.rs
+++ b/quetzaltiller/src/generation/machine.rs
@@ -195,7 +195,10 @@
     fn place(&mut self) -> Vec<Effect> {
         self.phase = Phase::Placing;
         let resumed = self.splice.next() > 0 || self.splice.attempt() > 1;
-        self.older_copy = self.copy.take();
+        // Engines copy what a run has generated, so a run without a piece has left nothing.
+        if self.flowing {
+            self.older_copy = self.copy.take();
+        }
         let copy = self.older_copy.clone();
         vec![Effect::Place { avoid: self.avoid.clone(), copy, resumed }]
     }
@@ -363,13 +366,7 @@
         }
     }
 
-    /// The engine did not begin: what copies the run was to make don't exist.
     fn replace_unused_engine(&mut self) -> Vec<Effect> {
-        self.copy = self.older_copy.take();
-        self.begin_elsewhere()
-    }
-
-    fn begin_elsewhere(&mut self) -> Vec<Effect> {
         let failed = self.upstream.take();
         self.avoid.extend(failed);
         let mut effects = self.close_all();
@@ -387,7 +384,7 @@
         self.stats.redispatched += 1;
         self.suspected = false;
         self.fruitless = 0;
-        let mut effects = self.begin_elsewhere();
+        let mut effects = self.replace_unused_engine();
         effects.extend(cancel);
         effects
     }
--- a/quetzaltiller/src/placement/mod.rs
+++ b/quetzaltiller/src/placement/mod.rs
@@ -14,4 +14,4 @@
 pub use demand::{Demand, Run};
 pub use state::State;
 pub use table::{Choice, Pick, Table};
-pub use task::{Permit, Placement, Placer};
+pub use task::{Parts, Permit, Placement, Placer, Successor};
--- a/quetzaltiller/src/placement/table.rs
+++ b/quetzaltiller/src/placement/table.rs
@@ -108,6 +108,12 @@
         self.routes.service(service).map(|service| service.health_path.clone()).unwrap_or_default()
     }
 
+    /// Whether whatever serves models belongs to this service.
+    pub fn is_only_engine_service(&self, service: &str) -> bool {
+        let mut engines = self.routes.services().iter().filter(|known| known.engine.is_some());
+        engines.next().is_some_and(|first| first.name == service) && engines.next().is_none()
+    }
+
     /// States by upstream.
     pub fn states(&self) -> &BTreeMap<String, State> {
         &self.states
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -5,11 +5,11 @@
 use super::table::{Choice, Pick, Table};
 use crate::clock::Clock;
 use crate::fleet::{Directory, Upstream};
-use crate::upstream::Client;
 use crate::mailbox::Mailbox;
 use crate::prelude::*;
 use crate::routes;
 use crate::scope::Scope;
+use crate::upstream::Client;
 use std::collections::BTreeMap;
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -72,9 +72,38 @@
 const CHECK_LIMIT: Duration = Duration::from_millis(80);
 /// Signs of life that outweigh a peer's word.
 const FRESH_LIFE: Duration = Duration::from_millis(60);
-/// Times after a loss at which an upstream is asked whether it is back; engines restart in 1 to 2 s.
-const RECHECKS: [Duration; 3] =
-    [Duration::from_millis(700), Duration::from_millis(1_000), Duration::from_millis(1_200)];
+/// Pauses after a loss between questions who has the upstream's address now; engines restart in 1
+/// to 2 s.
+const RECHECKS: [Duration; 5] = [
+    Duration::from_millis(500),
+    Duration::from_millis(750),
+    Duration::from_millis(300),
+    Duration::from_millis(300),
+    Duration::from_millis(1_500),
+];
+
+/// A lost upstream and the one that the same service has started at its address.
+#[derive(Clone, Debug)]
+pub struct Successor {
+    /// Id of the lost one.
+    pub lost: String,
+    /// The new one.
+    pub upstream: Upstream,
+}
+
+/// What the task uses.
+pub struct Parts {
+    /// Clock.
+    pub clock: Clock,
+    /// Upstreams.
+    pub table: Table,
+    /// Access to them, for checks.
+    pub client: Arc<dyn Client>,
+    /// An address stays with its service for so long after an upstream has ended.
+    pub reuse_after: Duration,
+    /// Where successors of lost upstreams go.
+    pub successors: mpsc::UnboundedSender<Successor>,
+}
 
 /// Handle to the task.
 #[derive(Clone, Debug)]
@@ -85,13 +114,20 @@
 
 impl Placer {
     /// Starts the task in `scope`.
-    pub fn start(scope: &Scope, clock: Clock, table: Table, client: Arc<dyn Client>) -> Self {
+    pub fn start(scope: &Scope, parts: Parts) -> Self {
         let (mailbox, messages) = Mailbox::new();
         let lost = watch::Sender::default();
         let watched = lost.subscribe();
-        let scope_of_checks = scope.clone();
-        let task =
-            Task { clock, table, client, lost, scope: scope_of_checks, mailbox: mailbox.clone() };
+        let task = Task {
+            clock: parts.clock,
+            table: parts.table,
+            client: parts.client,
+            reuse_after: parts.reuse_after,
+            successors: parts.successors,
+            lost,
+            scope: scope.clone(),
+            mailbox: mailbox.clone(),
+        };
         scope.spawn(task.run(messages));
         Self { mailbox, lost: watched }
     }
@@ -166,6 +202,8 @@
     clock: Clock,
     table: Table,
     client: Arc<dyn Client>,
+    reuse_after: Duration,
+    successors: mpsc::UnboundedSender<Successor>,
     lost: watch::Sender<Arc<Vec<String>>>,
     scope: Scope,
     mailbox: Mailbox<Message>,
@@ -218,12 +256,13 @@
             }
             Outcome::Gone => {
                 if state.lose(now) {
+                    let alive_at = state.alive_at;
                     let upstream = state.upstream.clone();
                     info!("upstream_lost", kv: {
                         upstream = upstream.id, zone = upstream.zone,
                         alive_ago_ms = now.saturating_sub(state.alive_at).as_millis() as u64
                     });
-                    self.recheck(upstream);
+                    self.recheck(upstream, alive_at);
                 }
             }
         }
@@ -240,22 +279,34 @@
         });
     }
 
-    /// Asks from time to time whether a lost upstream is back as the same process.
-    fn recheck(&self, upstream: Arc<Upstream>) {
+    /// Asks from time to time who has the address of a lost upstream: itself again, or the process
+    /// that its service has started there. Later the address may belong to another service, which
+    /// has no engines where only this one has.
+    fn recheck(&self, lost: Arc<Upstream>, alive_at: Duration) {
         let (client, mailbox) = (self.client.clone(), self.mailbox.clone());
-        let path = self.table.health_path(&upstream.service);
+        let (clock, successors) = (self.clock, self.successors.clone());
+        let path = self.table.health_path(&lost.service);
+        let own_until = alive_at + self.reuse_after;
+        let only_engines = self.table.is_only_engine_service(&lost.service);
         self.scope.spawn(async move {
             for pause in RECHECKS {
                 tokio::time::sleep(pause).await;
-                match client.identify(upstream.address, &path, CHECK_LIMIT).await {
-                    Some(id) if id == upstream.id => {
-                        let outcome = Outcome::Alive;
-                        mailbox.tell(Message::Outcome { id, outcome });
-                        return;
-                    }
-                    Some(_) => return,
-                    None => {}
+                let found = client.identify(lost.address, &path, CHECK_LIMIT).await;
+                let Some(id) = found else {
+                    continue;
+                };
+                let in_time = clock.now() < own_until;
+                let succeeds = id != lost.id
+                    && (in_time
+                        || only_engines && client.is_engine(lost.address, CHECK_LIMIT).await);
+                info!("upstream_rechecked", kv: { upstream = lost.id, found = id, succeeds });
+                if id == lost.id {
+                    mailbox.tell(Message::Outcome { id, outcome: Outcome::Alive });
+                } else if succeeds {
+                    let upstream = Upstream { id, incarnation: 0, ..(*lost).clone() };
+                    let _ = successors.send(Successor { lost: lost.id.clone(), upstream });
                 }
+                return;
             }
         });
     }
--- a/quetzaltiller/src/proxy/call.rs
+++ b/quetzaltiller/src/proxy/call.rs
@@ -29,7 +29,7 @@
     Failed(Answer),
     /// It did not run; the upstream got it.
     Rejected,
-    /// Nothing was sent.
+    /// The upstream did not get it.
     Unsent,
     /// It may have run.
     Unknown,
@@ -236,7 +236,7 @@
     };
     let response = match context.client.send(call).await {
         Ok(response) => response,
-        Err(Error::Unsent) => return Tried::Unsent,
+        Err(Error::Unsent | Error::Misdirected) => return Tried::Unsent,
         Err(Error::Broken | Error::Foreign) => return Tried::Unknown,
     };
     if response.not_run {
--- a/quetzaltiller/src/proxy/reader.rs
+++ b/quetzaltiller/src/proxy/reader.rs
@@ -132,7 +132,7 @@
 
 fn translate(error: Error) -> engine::Error {
     match error {
-        Error::Unsent => engine::Error::Refused,
+        Error::Unsent | Error::Misdirected => engine::Error::Refused,
         Error::Broken => engine::Error::Reset,
         Error::Foreign => engine::Error::Protocol("answer of another request".into()),
     }
--- a/quetzaltiller/src/routes/table.rs
+++ b/quetzaltiller/src/routes/table.rs
@@ -124,6 +124,11 @@
         self.services_by_name.get(name).map(|index| &self.content.services[*index])
     }
 
+    /// Services in the order of the configuration.
+    pub fn services(&self) -> &[Service] {
+        &self.content.services
+    }
+
     /// Routes in the order of the configuration.
     pub fn routes(&self) -> &[Arc<Route>] {
         &self.content.routes
--- a/quetzaltiller/src/upstream.rs
+++ b/quetzaltiller/src/upstream.rs
@@ -18,6 +18,10 @@
         Unsent {
             display("nothing was sent")
         }
+        /// Another upstream has the address; the request has not run.
+        Misdirected {
+            display("another upstream has the address")
+        }
         /// It was sent, and the connection broke; it may have run.
         Broken {
             display("connection broke")
@@ -80,6 +84,9 @@
     /// Whether an upstream accepts a connection within `limit`.
     async fn check(&self, address: SocketAddr, limit: Duration) -> bool;
 
+    /// Whether the process at an address serves models.
+    async fn is_engine(&self, address: SocketAddr, limit: Duration) -> bool;
+
     /// Id of the process at an address, by its health check; none without an answer in time.
     async fn identify(&self, address: SocketAddr, path: &str, limit: Duration) -> Option<String>;
 }
--- a/quetzaltiller/src/wire.rs
+++ b/quetzaltiller/src/wire.rs
@@ -111,6 +111,20 @@
     /// Upstreams that the member found gone lately.
     #[prost(string, repeated, tag = "13")]
     pub lost_upstreams: Vec<String>,
+    /// Upstreams that the store does not list yet.
+    #[prost(message, repeated, tag = "14")]
+    pub successors: Vec<Successor>,
+}
+
+/// An upstream that took the place of a lost one.
+#[derive(Clone, Message, PartialEq)]
+pub struct Successor {
+    /// Id of the lost one.
+    #[prost(string, tag = "1")]
+    pub lost: String,
+    /// Id of the new one.
+    #[prost(string, tag = "2")]
+    pub id: String,
 }
 
 /// Use of one account's limit.
@@ -138,6 +152,7 @@
             ready: beat.ready,
             revision: 0,
             lost_upstreams: Vec::new(),
+            successors: Vec::new(),
         }
     }
 }
