Tell peers what was given to engines

Cause: four entry VMs place prompts without knowledge of each other; two prefills at one engine take twice as long, and after a zone loss first events came later than 4.5 s. Change: heartbeats carry requests, backlog and tokens for each engine; costs count those of others.

--- a/quetzaltiller/src/entry.rs
+++ b/quetzaltiller/src/entry.rs
@@ -12,7 +12,7 @@
 use crate::metrics::Metrics;
 use crate::pacer::{self, Pacer};
 use crate::peer::{Handler, Link};
-use crate::placement::{self, Placer, State, Successor, Table};
+use crate::placement::{self, Load, Placer, State, Successor, Table};
 use crate::prelude::*;
 use crate::proxy::{Context, Proxy};
 use crate::routes;
@@ -373,6 +373,13 @@
         beat.revision = self.follower.directory().revision();
         beat.ready = beat.number > 0 && !self.follower.directory().is_empty();
         beat.lost_upstreams = self.placer.lost().borrow().as_ref().clone();
+        let load = |(upstream, load): (String, Load)| wire::Load {
+            upstream,
+            in_flight: load.in_flight,
+            backlog_ms: load.backlog.as_millis() as u32,
+            tokens: load.tokens,
+        };
+        beat.loads = self.placer.loads().into_iter().map(load).collect();
         let tell = |successor: &Successor| wire::Successor {
             lost: successor.lost.clone(),
             id: successor.upstream.id.clone(),
@@ -382,6 +389,12 @@
 
     fn heard(&self, beat: &wire::Heartbeat) {
         beat.lost_upstreams.iter().for_each(|id| self.placer.reported_gone(id));
+        let load = |load: &wire::Load| {
+            let backlog = Duration::from_millis(u64::from(load.backlog_ms));
+            let known = Load { in_flight: load.in_flight, backlog, tokens: load.tokens };
+            (load.upstream.clone(), known)
+        };
+        self.placer.hear(&beat.name, beat.loads.iter().map(load).collect());
         let directory = self.follower.directory();
         for told in &beat.successors {
             if let Some(lost) = directory.upstream(&told.lost) {
@@ -404,8 +417,12 @@
     }
 
     fn changed(&self, _known: Vec<String>, view: &View) {
-        let neighbours = view.alive.iter().filter(|beat| beat.zone == self.zone && !beat.leaving);
-        self.placer.set_neighbours(neighbours.map(|beat| beat.name.clone()).collect());
+        let names = |beats: &mut dyn Iterator<Item = &Heartbeat>| {
+            beats.map(|beat| beat.name.clone()).collect::<Vec<_>>()
+        };
+        let all = names(&mut view.alive.iter());
+        let of_zone = view.alive.iter().filter(|beat| beat.zone == self.zone && !beat.leaving);
+        self.placer.set_neighbours(all, names(&mut of_zone.into_iter()));
     }
 }
 
--- a/quetzaltiller/src/placement/mod.rs
+++ b/quetzaltiller/src/placement/mod.rs
@@ -12,6 +12,6 @@
 mod task;
 
 pub use demand::{Demand, Run};
-pub use state::State;
+pub use state::{Load, State};
 pub use table::{Choice, Pick, Table};
 pub use task::{Parts, Permit, Placement, Placer, Successor};
--- a/quetzaltiller/src/placement/state.rs
+++ b/quetzaltiller/src/placement/state.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet::Upstream;
 use serde::Serialize;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,6 +17,18 @@
 /// Time in which evidence of failures fades to a third, so that an upstream is tried again.
 const FAILURE_FADES: Duration = Duration::from_secs(4);
 
+/// What another entry VM has given to an upstream.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Load {
+    /// Requests.
+    pub in_flight: u32,
+    /// Time until the prefill is done, when it was told.
+    pub backlog: Duration,
+    /// Tokens held, copies of other engines' runs included.
+    pub tokens: u32,
+}
+
 /// State of an upstream.
 #[derive(Clone, Debug, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -37,6 +50,8 @@
     pub alive_at: Duration,
     /// When it was found to be gone, while it has not answered since.
     lost_at: Option<Duration>,
+    /// What other entry VMs told that they have given to it, and when.
+    others: BTreeMap<String, (Load, Duration)>,
     failures: u32,
     failure_rate: f64,
     judged_at: Duration,
@@ -54,6 +69,7 @@
             suspect_until: Duration::ZERO,
             alive_at: Duration::ZERO,
             lost_at: None,
+            others: BTreeMap::new(),
             failures: 0,
             failure_rate: 0.0,
             judged_at: Duration::ZERO,
@@ -121,13 +137,51 @@
         self.judged_at = now;
     }
 
-    /// Time until the prefill it was given is done.
+    /// Time until the prefill it was given is done, that of other entry VMs included: engines read
+    /// one prompt after the other.
     pub fn backlog(&self, now: Duration) -> Duration {
+        let told = self
+            .others
+            .values()
+            .map(|(load, told_at)| load.backlog.saturating_sub(now.saturating_sub(*told_at)));
+        self.own_backlog(now) + told.sum::<Duration>()
+    }
+
+    /// Time until the prefill that this entry VM gave it is done.
+    pub fn own_backlog(&self, now: Duration) -> Duration {
         self.prefill_until.saturating_sub(now)
     }
 
-    /// Tokens that its memory holds or will hold for this entry VM.
+    /// Requests of all entry VMs.
+    pub fn total_in_flight(&self) -> u32 {
+        self.in_flight + self.others.values().map(|(load, _)| load.in_flight).sum::<u32>()
+    }
+
+    /// Tokens that its memory holds or will hold.
     pub fn memory(&self) -> u32 {
+        let others = self.others.values().map(|(load, _)| load.tokens).sum::<u32>();
+        self.own_memory() + others
+    }
+
+    /// Tokens that its memory holds or will hold for this entry VM.
+    pub fn own_memory(&self) -> u32 {
         self.held_tokens + self.copied_tokens
     }
+
+    /// Takes what another entry VM has given to it; nothing where that is over.
+    pub fn hear(&mut self, now: Duration, member: &str, load: Option<Load>) {
+        match load {
+            Some(load) => {
+                self.others.insert(member.to_owned(), (load, now));
+            }
+            None => {
+                self.others.remove(member);
+            }
+        }
+    }
+
+    /// Forgets what entry VMs have given to it that are not `alive`.
+    pub fn retain_members(&mut self, alive: &[String]) {
+        self.others.retain(|member, _| alive.contains(member));
+    }
 }
--- a/quetzaltiller/src/placement/table.rs
+++ b/quetzaltiller/src/placement/table.rs
@@ -4,7 +4,7 @@
 //! others added as if it were its own delay.
 
 use super::demand::{Demand, Run};
-use super::state::State;
+use super::state::{Load, State};
 use crate::fleet::{Directory, Upstream};
 use crate::routes;
 use coordination::rendezvous::score;
@@ -17,8 +17,9 @@
 /// Slowdown of the others in a batch by one more run, over the length of a run: 0.15 ms of about
 /// 5 ms a step (users' sheet of engines), 4 s a run.
 const NEIGHBOUR_MS: f64 = 120.0;
-/// Chance that another entry VM's prefill is under way at an engine that it owns, times its length.
-const FOREIGN_MS: f64 = 250.0;
+/// Chance that another entry VM has begun a prefill at an engine that it owns and has not told yet,
+/// times its length.
+const FOREIGN_MS: f64 = 150.0;
 /// Worth of the bytes of a generation that cross zones, as a delay.
 const OTHER_ZONE_MS: f64 = 100.0;
 /// Weight of an upstream's failure rate, as a delay.
@@ -88,6 +89,29 @@
         self.neighbours = neighbours;
     }
 
+    /// Takes what another entry VM has given to upstreams.
+    pub fn hear(&mut self, now: Duration, member: &str, loads: &BTreeMap<String, Load>) {
+        for (id, state) in &mut self.states {
+            state.hear(now, member, loads.get(id).copied());
+        }
+    }
+
+    /// What this entry VM has given to upstreams.
+    pub fn loads(&self, now: Duration) -> BTreeMap<String, Load> {
+        let used = self.states.iter().filter(|(_, state)| state.own_memory() > 0);
+        let load = |state: &State| Load {
+            in_flight: state.in_flight,
+            backlog: state.own_backlog(now),
+            tokens: state.own_memory(),
+        };
+        used.map(|(id, state)| (id.clone(), load(state))).collect()
+    }
+
+    /// Forgets what entry VMs told that are not `alive`.
+    pub fn retain_members(&mut self, alive: &[String]) {
+        self.states.values_mut().for_each(|state| state.retain_members(alive));
+    }
+
     /// Takes the upstreams of a directory. What was known of an earlier incarnation is forgotten.
     pub fn set_upstreams(&mut self, directory: &Directory) {
         for upstream in directory.upstreams() {
@@ -211,7 +235,7 @@
             let limit = f64::from(engine.memory_tokens) * MEMORY_SHARE;
             engine.memory_tokens == 0 || memory <= limit || state.memory() == 0
         };
-        let slots = |state: &State| state.in_flight < state.upstream.slots.max(1);
+        let slots = |state: &State| state.total_in_flight() < state.upstream.slots.max(1);
         let open: Vec<_> = candidates.iter().copied().filter(|s| room(s) && slots(s)).collect();
         let doubted = self.doubted_zones(now, service);
         let cost = |state: &&&State| {
@@ -249,7 +273,7 @@
         backlog_ms
             + prefill_ms
             + zone
-            + f64::from(state.in_flight) * NEIGHBOUR_MS
+            + f64::from(state.total_in_flight()) * NEIGHBOUR_MS
             + state.failure_rate(now) * FAILURE_MS
             + tie * NEIGHBOUR_MS / 2.0
     }
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -1,7 +1,7 @@
 //! The task that owns the table.
 
 use super::demand::{Demand, Run};
-use super::state::State;
+use super::state::{Load, State};
 use super::table::{Choice, Pick, Table};
 use crate::clock::Clock;
 use crate::fleet::{Directory, Upstream};
@@ -12,6 +12,7 @@
 use crate::upstream::Client;
 use std::collections::BTreeMap;
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::MissedTickBehavior;
 
 /// Chosen upstreams, with the place held at them.
 #[derive(Debug)]
@@ -48,7 +49,8 @@
     Outcome { id: String, outcome: Outcome },
     Configure(Arc<routes::Table>),
     Upstreams(Arc<Directory>),
-    Neighbours(Vec<String>),
+    Neighbours { all: Vec<String>, of_zone: Vec<String> },
+    Heard { member: String, loads: BTreeMap<String, Load> },
     Dump(oneshot::Sender<BTreeMap<String, State>>),
 }
 
@@ -82,6 +84,9 @@
     Duration::from_millis(1_500),
 ];
 
+/// How often the own load is summed up for peers.
+const LOAD_PERIOD: Duration = Duration::from_millis(100);
+
 /// A lost upstream and the one that the same service has started at its address.
 #[derive(Clone, Debug)]
 pub struct Successor {
@@ -110,6 +115,7 @@
 pub struct Placer {
     mailbox: Mailbox<Message>,
     lost: watch::Receiver<Arc<Vec<String>>>,
+    loads: watch::Receiver<BTreeMap<String, Load>>,
 }
 
 impl Placer {
@@ -118,6 +124,8 @@
         let (mailbox, messages) = Mailbox::new();
         let lost = watch::Sender::default();
         let watched = lost.subscribe();
+        let loads = watch::Sender::default();
+        let told = loads.subscribe();
         let task = Task {
             clock: parts.clock,
             table: parts.table,
@@ -125,11 +133,12 @@
             reuse_after: parts.reuse_after,
             successors: parts.successors,
             lost,
+            loads,
             scope: scope.clone(),
             mailbox: mailbox.clone(),
         };
         scope.spawn(task.run(messages));
-        Self { mailbox, lost: watched }
+        Self { mailbox, lost: watched, loads: told }
     }
 
     /// Chooses upstreams.
@@ -183,9 +192,19 @@
         self.mailbox.tell(Message::Upstreams(directory));
     }
 
-    /// Tells which entry VMs of the own zone are alive.
-    pub fn set_neighbours(&self, neighbours: Vec<String>) {
-        self.mailbox.tell(Message::Neighbours(neighbours));
+    /// Tells which other entry VMs are alive, and which of these are in the own zone.
+    pub fn set_neighbours(&self, all: Vec<String>, of_zone: Vec<String>) {
+        self.mailbox.tell(Message::Neighbours { all, of_zone });
+    }
+
+    /// Takes what another entry VM has given to upstreams.
+    pub fn hear(&self, member: &str, loads: BTreeMap<String, Load>) {
+        self.mailbox.tell(Message::Heard { member: member.to_owned(), loads });
+    }
+
+    /// What this entry VM has given to upstreams.
+    pub fn loads(&self) -> BTreeMap<String, Load> {
+        self.loads.borrow().clone()
     }
 
     /// States by upstream.
@@ -205,14 +224,26 @@
     reuse_after: Duration,
     successors: mpsc::UnboundedSender<Successor>,
     lost: watch::Sender<Arc<Vec<String>>>,
+    loads: watch::Sender<BTreeMap<String, Load>>,
     scope: Scope,
     mailbox: Mailbox<Message>,
 }
 
 impl Task {
     async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>) {
-        while let Some(message) = messages.recv().await {
-            self.take(message);
+        let mut publishing = tokio::time::interval(LOAD_PERIOD);
+        publishing.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                biased;
+                message = messages.recv() => match message {
+                    Some(message) => self.take(message),
+                    None => return,
+                },
+                _ = publishing.tick() => {
+                    self.loads.send_replace(self.table.loads(self.clock.now()));
+                }
+            }
         }
     }
 
@@ -228,7 +259,11 @@
             }
             Message::Configure(routes) => self.table.configure(routes),
             Message::Upstreams(directory) => self.table.set_upstreams(&directory),
-            Message::Neighbours(neighbours) => self.table.set_neighbours(neighbours),
+            Message::Neighbours { all, of_zone } => {
+                self.table.retain_members(&all);
+                self.table.set_neighbours(of_zone);
+            }
+            Message::Heard { member, loads } => self.table.hear(now, &member, &loads),
             Message::Dump(reply) => {
                 let _ = reply.send(self.table.states().clone());
             }
--- a/quetzaltiller/src/wire.rs
+++ b/quetzaltiller/src/wire.rs
@@ -114,6 +114,26 @@
     /// Upstreams that the store does not list yet.
     #[prost(message, repeated, tag = "14")]
     pub successors: Vec<Successor>,
+    /// What the member has given to upstreams.
+    #[prost(message, repeated, tag = "15")]
+    pub loads: Vec<Load>,
+}
+
+/// What one member has given to an upstream.
+#[derive(Clone, Message, PartialEq)]
+pub struct Load {
+    /// Id of the upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Requests.
+    #[prost(uint32, tag = "2")]
+    pub in_flight: u32,
+    /// Time until the prefill is done, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub backlog_ms: u32,
+    /// Tokens held, copies of other engines' runs included.
+    #[prost(uint32, tag = "4")]
+    pub tokens: u32,
 }
 
 /// An upstream that took the place of a lost one.
@@ -153,6 +173,7 @@
             revision: 0,
             lost_upstreams: Vec::new(),
             successors: Vec::new(),
+            loads: Vec::new(),
         }
     }
 }
