Choose the holder of a copy whatever waits there; drop processes that a later one replaced

A run cut by a reset did not go back to its engine, where its prompt is cached. Change: no backlog for holders; entries with a later process at their address are dropped; broken runs without a copy ask whether the engine lives and go back; runs that are silent before their first event are asked for in the engine's report instead of being moved.

--- a/quetzaltiller/src/fleet/directory.rs
+++ b/quetzaltiller/src/fleet/directory.rs
@@ -6,6 +6,7 @@
 use super::Upstream;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// All upstreams at a revision.
@@ -66,6 +67,16 @@
         Listing { revision: self.revision, upstreams }
     }
 
+    /// Drops upstreams whose address a later process has: they are gone, whatever the listing says.
+    pub fn drop_superseded(&mut self) {
+        let mut latest: BTreeMap<SocketAddr, u64> = BTreeMap::new();
+        for upstream in self.upstreams.values() {
+            let known = latest.entry(upstream.address).or_default();
+            *known = upstream.incarnation.max(*known);
+        }
+        self.upstreams.retain(|_, upstream| upstream.incarnation >= latest[&upstream.address]);
+    }
+
     /// Adds upstreams that are not listed now.
     pub fn keep(&mut self, upstreams: impl Iterator<Item = Arc<Upstream>>) {
         for upstream in upstreams {
--- a/quetzaltiller/src/follower.rs
+++ b/quetzaltiller/src/follower.rs
@@ -271,6 +271,7 @@
 
     fn send(&self) {
         let mut directory = self.directory.clone();
+        directory.drop_superseded();
         directory.keep(self.lapsed.values().map(|(upstream, _)| upstream.clone()));
         for (successor, _) in self.successors.values() {
             directory.succeed(&successor.lost, successor.upstream.clone());
--- a/quetzaltiller/src/generation/machine.rs
+++ b/quetzaltiller/src/generation/machine.rs
@@ -60,6 +60,8 @@
     copy: Option<String>,
     /// Engine that holds a copy of the run before, while the run at hand has not begun.
     older_copy: Option<String>,
+    /// Engine that has read the prompt and was not found dead since.
+    cached: Option<String>,
     current: Option<u32>,
     probe: Option<Pending>,
     probe_at: Option<Duration>,
@@ -70,6 +72,10 @@
     /// A piece of the current run has come.
     flowing: bool,
     suspected: bool,
+    /// The engine was asked and has the run; silence counts from then.
+    excused_at: Duration,
+    /// The probe asks for the run.
+    inspecting: bool,
     backoff: u32,
     fruitless: u32,
     stats: Stats,
@@ -88,6 +94,7 @@
             avoid: Vec::new(),
             copy: None,
             older_copy: None,
+            cached: None,
             current: None,
             probe: None,
             probe_at: None,
@@ -96,6 +103,8 @@
             last_progress: now,
             flowing: false,
             suspected: false,
+            excused_at: Duration::ZERO,
+            inspecting: false,
             backoff: 1,
             fruitless: 0,
             stats: Stats::default(),
@@ -170,7 +179,8 @@
                     (None, Some(at)) => at,
                     (None, None) => self.silent_at(),
                 };
-                Some(due.min(self.expires_at()).min(self.stuck_at()))
+                let due = due.min(self.expires_at());
+                Some(if self.inspecting { due } else { due.min(self.stuck_at()) })
             }
         }
     }
@@ -200,7 +210,8 @@
             self.older_copy = self.copy.take();
         }
         let copy = self.older_copy.clone();
-        vec![Effect::Place { avoid: self.avoid.clone(), copy, resumed }]
+        let (avoid, cached) = (self.avoid.clone(), self.cached.clone());
+        vec![Effect::Place { avoid, copy, cached, resumed }]
     }
 
     fn submit(&mut self, now: Duration, place: Place) -> Vec<Effect> {
@@ -239,10 +250,7 @@
 
     fn switch_to_probe(&mut self, now: Duration, conn: u32) -> Vec<Effect> {
         if self.settings.probe == Probe::Connect {
-            self.probe = None;
-            self.probe_at = Some(now + PROBE_PAUSE * self.backoff);
-            self.backoff = (self.backoff * 2).min(MAX_CHECK_BACKOFF);
-            return vec![Effect::Close(conn)];
+            return self.engine_lives(now, conn);
         }
         let old = self.current.replace(conn);
         self.probe = None;
@@ -252,6 +260,22 @@
         old.map(Effect::Close).into_iter().collect()
     }
 
+    /// The engine accepts connections, or has the run.
+    fn engine_lives(&mut self, now: Duration, conn: u32) -> Vec<Effect> {
+        self.probe = None;
+        let mut effects = vec![Effect::Close(conn)];
+        if self.current.is_none() {
+            effects.extend(self.place_again());
+            return effects;
+        }
+        if std::mem::take(&mut self.inspecting) {
+            self.excused_at = now;
+        }
+        self.probe_at = Some(now + PROBE_PAUSE * self.backoff);
+        self.backoff = (self.backoff * 2).min(MAX_CHECK_BACKOFF);
+        effects
+    }
+
     fn chunk(&mut self, now: Duration, conn: u32, chunk: &A::Piece) -> Vec<Effect> {
         let probing = self.probe.is_some_and(|probe| probe.conn == conn);
         if !probing && self.current != Some(conn) {
@@ -286,6 +310,9 @@
             self.detector.observe(now - self.last_life);
         }
         self.flowing = true;
+        if self.cached != self.upstream {
+            self.cached.clone_from(&self.upstream);
+        }
         self.show_life(now);
         self.phase = Phase::Running;
         self.last_progress = now;
@@ -327,7 +354,10 @@
         self.current = None;
         self.fruitless += 1;
         let mut effects = vec![Effect::Close(conn)];
-        if self.fruitless > MAX_FRUITLESS || self.settings.probe == Probe::Connect {
+        let has_copy = self.flowing && self.copy.is_some();
+        if self.settings.probe == Probe::Connect && has_copy {
+            effects.extend(self.place_again());
+        } else if self.fruitless > MAX_FRUITLESS {
             effects.extend(self.replace_engine());
         } else if self.probe.is_none() {
             effects.extend(self.start_probe(now));
@@ -347,6 +377,7 @@
         self.probe = Some(Pending { conn, since: now });
         let opening = match self.settings.probe {
             Probe::Reattach => Opening::Reattach,
+            Probe::Connect if self.inspecting => Opening::Inspect,
             Probe::Connect => Opening::Check,
         };
         vec![Effect::Open { conn, opening, upstream }]
@@ -375,6 +406,17 @@
         effects
     }
 
+    /// Goes on anywhere, at the same engine too if it lives: the connection broke, not the engine.
+    fn place_again(&mut self) -> Vec<Effect> {
+        self.stats.redispatched += 1;
+        self.upstream = None;
+        self.suspected = false;
+        let mut effects = self.close_all();
+        self.splice.begin_attempt();
+        effects.extend(self.place());
+        effects
+    }
+
     fn replace_engine(&mut self) -> Vec<Effect> {
         let attempt = self.splice.attempt();
         if !self.settings.resumable {
@@ -384,6 +426,10 @@
         self.stats.redispatched += 1;
         self.suspected = false;
         self.fruitless = 0;
+        if self.cached == self.upstream {
+            self.cached = None;
+        }
+        self.inspecting = false;
         let mut effects = self.replace_unused_engine();
         effects.extend(cancel);
         effects
@@ -399,11 +445,26 @@
                 let late = now >= self.last_life + self.settings.open_timeout;
                 if late { self.replace_engine() } else { Vec::new() }
             }
-            _ if now >= self.stuck_at() => self.replace_engine(),
+            _ if now >= self.stuck_at() => self.stuck(now),
             _ => self.tick_running(now),
         }
     }
 
+    /// Silent for too long: replaced where that is cheap, otherwise the engine is asked first.
+    fn stuck(&mut self, now: Duration) -> Vec<Effect> {
+        if self.inspecting && self.probe.is_some() {
+            return self.tick_running(now);
+        }
+        if self.flowing && self.copy.is_some() {
+            return self.replace_engine();
+        }
+        self.inspecting = true;
+        let mut effects: Vec<_> =
+            self.probe.take().map(|probe| Effect::Close(probe.conn)).into_iter().collect();
+        effects.extend(self.start_probe(now));
+        effects
+    }
+
     fn tick_running(&mut self, now: Duration) -> Vec<Effect> {
         if let Some(probe) = self.probe {
             if now < self.probe_ends_at(probe) {
@@ -448,7 +509,7 @@
         }
         match (self.settings.pause, &self.copy) {
             (Some(pause), Some(_)) if self.flowing => self.last_life + pause.mul_f64(PAUSE_SHARE),
-            _ => self.patience_ends_at(),
+            _ => self.patience_ends_at().max(self.excused_at + self.wait()),
         }
     }
 
@@ -462,7 +523,11 @@
     }
 
     fn patience_ends_at(&self) -> Duration {
-        self.last_life + self.settings.patience.wait(self.prefill_s())
+        self.last_life + self.wait()
+    }
+
+    fn wait(&self) -> Duration {
+        self.settings.patience.wait(self.prefill_s())
     }
 
     /// Time that an engine needs to prefill prompt and answer.
--- a/quetzaltiller/src/generation/protocol.rs
+++ b/quetzaltiller/src/generation/protocol.rs
@@ -49,6 +49,8 @@
     Reattach,
     /// Only connects.
     Check,
+    /// Asks whether the engine has the run.
+    Inspect,
 }
 
 /// A chosen upstream.
@@ -96,6 +98,8 @@
         avoid: Vec<String>,
         /// Engine that holds a copy of the run's memory.
         copy: Option<String>,
+        /// Engine that has read the prompt and probably still has it cached.
+        cached: Option<String>,
         /// Tokens or work are at stake already.
         resumed: bool,
     },
--- a/quetzaltiller/src/placement/demand.rs
+++ b/quetzaltiller/src/placement/demand.rs
@@ -18,6 +18,8 @@
 pub struct Run {
     /// Engine that holds a copy of the run's memory.
     pub copy: Option<String>,
+    /// Engine that has read the prompt and probably still has it cached.
+    pub cached: Option<String>,
     /// Tokens to read before the next one is generated.
     pub prompt_tokens: u32,
     /// Tokens held at the end.
--- a/quetzaltiller/src/placement/state.rs
+++ b/quetzaltiller/src/placement/state.rs
@@ -102,6 +102,7 @@
     pub fn show_life(&mut self, now: Duration) {
         self.alive_at = now;
         self.lost_at = None;
+        self.suspect_until = Duration::ZERO;
     }
 
     /// Share of lately failed requests; evidence fades with time.
@@ -114,7 +115,6 @@
     pub fn succeed(&mut self, now: Duration) {
         self.failures = 0;
         self.show_life(now);
-        self.suspect_until = Duration::ZERO;
         self.judge(now, 0.0);
     }
 
--- a/quetzaltiller/src/placement/table.rs
+++ b/quetzaltiller/src/placement/table.rs
@@ -35,9 +35,11 @@
 /// Cost of an engine in a doubted zone: it would have to be connected to in vain.
 const DOUBT_MS: f64 = 1_500.0;
 /// Share of an engine's memory that one entry VM counts on, as others use it too.
-const MEMORY_SHARE: f64 = 0.8;
+const MEMORY_SHARE: f64 = 0.9;
+/// Share up to which copies are made, so that runs find room before them.
+const BACKUP_MEMORY_SHARE: f64 = 0.6;
 
-/// Tokens to read at an engine that holds a copy: what had not arrived there.
+/// Tokens to read at an engine that holds a copy or the prompt: what had not arrived there.
 const RESTORED_TOKENS: u32 = 200;
 
 /// Result of a choice.
@@ -233,7 +235,8 @@
         let room = |state: &State| {
             let memory = f64::from(state.memory() + run.footprint);
             let limit = f64::from(engine.memory_tokens) * MEMORY_SHARE;
-            engine.memory_tokens == 0 || memory <= limit || state.memory() == 0
+            let holds_copy = run.copy.as_ref() == Some(&state.upstream.id);
+            engine.memory_tokens == 0 || memory <= limit || holds_copy || state.memory() == 0
         };
         let slots = |state: &State| state.total_in_flight() < state.upstream.slots.max(1);
         let open: Vec<_> = candidates.iter().copied().filter(|s| room(s) && slots(s)).collect();
@@ -246,7 +249,11 @@
             return Choice::Full;
         };
         let backup = if run.wants_backup && engine.backups {
-            let sound = open.iter().filter(|state| !doubted.contains(&state.upstream.zone));
+            let limit = f64::from(engine.memory_tokens) * BACKUP_MEMORY_SHARE;
+            let sound = open.iter().filter(|state| {
+                let memory = f64::from(state.memory() + run.footprint);
+                !doubted.contains(&state.upstream.zone) && memory <= limit
+            });
             self.choose_backup(&sound.copied().collect::<Vec<_>>(), &best.upstream, run)
         } else {
             None
@@ -256,9 +263,13 @@
     }
 
     fn engine_cost(&self, now: Duration, state: &State, run: &Run) -> f64 {
-        let backlog_ms = state.backlog(now).as_secs_f64() * 1_000.0;
-        let holds_copy = run.copy.as_ref() == Some(&state.upstream.id);
-        let tokens = if holds_copy { RESTORED_TOKENS } else { run.prompt_tokens };
+        // A run that goes on from a copy is admitted before all that wait.
+        let goes_first = run.copy.as_ref() == Some(&state.upstream.id);
+        let backlog = if goes_first { Duration::ZERO } else { state.backlog(now) };
+        let backlog_ms = backlog.as_secs_f64() * 1_000.0;
+        let known = |id: &Option<String>| id.as_ref() == Some(&state.upstream.id);
+        let has_read = known(&run.copy) || known(&run.cached);
+        let tokens = if has_read { RESTORED_TOKENS } else { run.prompt_tokens };
         let prefill_ms = prefill(tokens).as_secs_f64() * 1_000.0;
         let zone = if state.upstream.zone != self.own_zone {
             FOREIGN_MS + OTHER_ZONE_MS
@@ -273,7 +284,7 @@
         backlog_ms
             + prefill_ms
             + zone
-            + f64::from(state.total_in_flight()) * NEIGHBOUR_MS
+            + f64::from(if goes_first { 0 } else { state.total_in_flight() }) * NEIGHBOUR_MS
             + state.failure_rate(now) * FAILURE_MS
             + tie * NEIGHBOUR_MS / 2.0
     }
--- a/quetzaltiller/src/proxy/reader.rs
+++ b/quetzaltiller/src/proxy/reader.rs
@@ -93,6 +93,17 @@
         self.tell(if alive { Notice::Alive(self.conn) } else { failed }).await;
     }
 
+    /// Asks whether the engine has the run.
+    pub async fn inspect(self, limit: Duration) {
+        let address = self.upstream.address;
+        let error = match self.client.has_run(address, &self.request.id, limit).await {
+            Some(true) => return drop(self.tell(Notice::Alive(self.conn)).await),
+            Some(false) => engine::Error::UnknownStream,
+            None => engine::Error::Timeout,
+        };
+        self.tell(Notice::Failed(self.conn, error)).await;
+    }
+
     async fn read(&self, response: Response) -> Notice {
         let Response { status, headers, not_run, body } = response;
         if not_run {
--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -15,7 +15,7 @@
 };
 use crate::members::Entered;
 use crate::metrics::Counter;
-use crate::placement::{Demand, Permit, Placement, Run};
+use crate::placement::{Demand, Placement, Run};
 use crate::prelude::*;
 use crate::routes::Kind;
 use coordination::detector::Bounds;
@@ -77,7 +77,6 @@
     head: Option<Head>,
     failure: Option<Answer>,
     placed: BTreeMap<String, Placement>,
-    permit: Option<Permit>,
     connections: BTreeMap<u32, AbortHandle>,
     sent: u32,
     events: u32,
@@ -128,7 +127,6 @@
             head: None,
             failure: None,
             placed: BTreeMap::new(),
-            permit: None,
             connections: BTreeMap::new(),
             sent: 0,
             events: 0,
@@ -183,7 +181,9 @@
     fn perform(&mut self, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
-                Effect::Place { avoid, copy, resumed } => self.place(avoid, copy, resumed),
+                Effect::Place { avoid, copy, cached, resumed } => {
+                    self.place(avoid, copy, cached, resumed);
+                }
                 Effect::Open { conn, opening, upstream } => self.open(conn, opening, &upstream),
                 Effect::Close(conn) => {
                     if let Some(reader) = self.connections.remove(&conn) {
@@ -197,17 +197,24 @@
         }
     }
 
-    fn place(&mut self, avoid: Vec<String>, copy: Option<String>, resumed: bool) {
-        self.permit = None;
-        if let Some(failed) = avoid.last().map(String::as_str) {
+    fn place(
+        &mut self,
+        avoid: Vec<String>,
+        copy: Option<String>,
+        cached: Option<String>,
+        resumed: bool,
+    ) {
+        if resumed {
             info!("generation_moves", kv: {
-                request = self.request.id, failed, copy:? = copy,
+                request = self.request.id, copy:? = copy, cached:? = cached,
                 next = self.machine.splice().next(), sent = self.sent
             });
         }
+        self.placed.clear();
         let prompt = self.request.prompt.as_ref();
         let run = Run {
             copy,
+            cached,
             prompt_tokens: prompt.map_or(0, |prompt| prompt.tokens),
             footprint: prompt.map_or(0, |prompt| prompt.footprint()),
             affinity: prompt.map_or(0, |prompt| prompt.own_part()),
@@ -257,7 +264,7 @@
         let Some(placement) = self.placed.get(upstream) else {
             return;
         };
-        let checks = opening == Opening::Check;
+        let asks = matches!(opening, Opening::Check | Opening::Inspect);
         let reader = Reader {
             conn,
             client: self.context.client.clone(),
@@ -271,11 +278,15 @@
             plan: self.plan.clone(),
             notices: self.notices.clone(),
         };
-        if !checks {
+        if !asks {
             self.sent += 1;
         }
         let task = async move {
-            if checks { reader.check(CHECK_LIMIT).await } else { reader.run().await }
+            match opening {
+                Opening::Check => reader.check(CHECK_LIMIT).await,
+                Opening::Inspect => reader.inspect(CHECK_LIMIT).await,
+                _ => reader.run().await,
+            }
         };
         self.connections.insert(conn, tokio::spawn(task).abort_handle());
     }
--- a/quetzaltiller/src/upstream.rs
+++ b/quetzaltiller/src/upstream.rs
@@ -84,6 +84,9 @@
     /// Whether an upstream accepts a connection within `limit`.
     async fn check(&self, address: SocketAddr, limit: Duration) -> bool;
 
+    /// Whether an engine has a run, or might have it waiting; none without an answer in time.
+    async fn has_run(&self, address: SocketAddr, request: &str, limit: Duration) -> Option<bool>;
+
     /// Whether the process at an address serves models.
     async fn is_engine(&self, address: SocketAddr, limit: Duration) -> bool;
 
