Copy runs again whose copy is lost; check a doubted zone's engines

Cause: a copy's holder may die before the run does (each zone is lost every 6.5 s); the run went on without a copy and was read again at the next loss, late. Change: a run whose holder is gone is copied to another engine on order, and brought up to date each 2.5 s; engines that leave the directory count as gone; when two engines of a zone are lost, the others are checked by a connection.

--- a/quetzaltiller/src/generation/machine.rs
+++ b/quetzaltiller/src/generation/machine.rs
@@ -62,6 +62,8 @@
     older_copy: Option<String>,
     /// Engine that has read the prompt and was not found dead since.
     cached: Option<String>,
+    /// A copy is being made.
+    copying: bool,
     current: Option<u32>,
     probe: Option<Pending>,
     probe_at: Option<Duration>,
@@ -95,6 +97,7 @@
             copy: None,
             older_copy: None,
             cached: None,
+            copying: false,
             current: None,
             probe: None,
             probe_at: None,
@@ -123,6 +126,11 @@
         self.upstream.as_deref()
     }
 
+    /// Engine that holds a copy of the current run's memory.
+    pub fn copy(&self) -> Option<&str> {
+        self.copy.as_deref()
+    }
+
     /// Version that generated the tokens.
     pub fn version(&self) -> Option<&str> {
         self.version.as_deref()
@@ -159,6 +167,12 @@
             Input::Opened(conn) => self.opened(now, conn),
             Input::Chunk(conn, chunk) => self.chunk(now, conn, &chunk),
             Input::Failed(conn, error) => self.failed(now, conn, error),
+            Input::Gone(upstream) => self.gone(&upstream),
+            Input::Copied(holder) => {
+                self.copying = false;
+                self.copy = Some(holder);
+                Vec::new()
+            }
             Input::Cancel => self.cancel(Outcome::Cancelled),
             Input::Fenced => self.finish(Outcome::Superseded),
             Input::HandOver => self.finish(Outcome::HandedOver),
@@ -228,6 +242,7 @@
         self.copy = backup;
         self.last_life = now;
         self.flowing = false;
+        self.copying = false;
         self.suspected = false;
         self.probe_at = None;
         self.backoff = 1;
@@ -284,7 +299,13 @@
         let mut effects = self.drop_needless_probe(conn);
         match self.splice.take(chunk) {
             Verdict::Nothing => self.show_life(now),
-            Verdict::Admitted(_) => self.progress(now),
+            Verdict::Admitted(_) => {
+                let first = !self.flowing;
+                self.progress(now);
+                if first && self.copy.is_none() {
+                    effects.extend(self.copy_again());
+                }
+            }
             Verdict::Gap => effects.extend(self.broken(now, conn)),
             Verdict::Foreign => effects.extend(self.replace_engine()),
             Verdict::Whole => effects.extend(self.finish(Outcome::Whole)),
@@ -365,6 +386,30 @@
         effects
     }
 
+    /// An engine is gone: what lay there is lost, and copied again while the run still can be.
+    fn gone(&mut self, upstream: &str) -> Vec<Effect> {
+        let is = |known: &Option<String>| known.as_deref() == Some(upstream);
+        if is(&self.cached) {
+            self.cached = None;
+        }
+        if is(&self.older_copy) {
+            self.older_copy = None;
+        }
+        if is(&self.copy) {
+            self.copy = None;
+            return self.copy_again();
+        }
+        Vec::new()
+    }
+
+    fn copy_again(&mut self) -> Vec<Effect> {
+        if !self.flowing || self.copying || self.settings.probe == Probe::Reattach {
+            return Vec::new();
+        }
+        self.copying = true;
+        vec![Effect::Copy]
+    }
+
     fn start_probe(&mut self, now: Duration) -> Vec<Effect> {
         let Some(upstream) = self.upstream.clone() else {
             return self.place();
--- a/quetzaltiller/src/generation/protocol.rs
+++ b/quetzaltiller/src/generation/protocol.rs
@@ -79,6 +79,10 @@
     Chunk(u32, P),
     /// A connection failed.
     Failed(u32, Error),
+    /// An engine is gone.
+    Gone(String),
+    /// An engine holds a copy of the current run's memory.
+    Copied(String),
     /// The caller cancelled, or nobody came back.
     Cancel,
     /// Another entry VM owns the generation now.
@@ -114,6 +118,8 @@
     },
     /// Close a connection.
     Close(u32),
+    /// Copy the memory of the run to some engine.
+    Copy,
     /// Tell an upstream to stop an attempt.
     Cancel {
         /// Upstream.
--- a/quetzaltiller/src/placement/mod.rs
+++ b/quetzaltiller/src/placement/mod.rs
@@ -13,5 +13,5 @@
 
 pub use demand::{Demand, Run};
 pub use state::{Load, State};
-pub use table::{Choice, Pick, Table};
-pub use task::{Parts, Permit, Placement, Placer, Successor};
+pub use table::{Choice, Hold, Pick, Table};
+pub use task::{Copy, Parts, Permit, Placement, Placer, Successor};
--- a/quetzaltiller/src/placement/table.rs
+++ b/quetzaltiller/src/placement/table.rs
@@ -64,6 +64,17 @@
     pub restores: bool,
 }
 
+/// What one request takes of one upstream.
+#[derive(Clone, Debug)]
+pub struct Hold {
+    /// Upstream.
+    pub upstream: Arc<Upstream>,
+    /// Tokens in its memory.
+    pub tokens: u32,
+    /// The request runs there; otherwise a copy of its memory lies there.
+    pub runs: bool,
+}
+
 /// States of all upstreams.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
@@ -114,8 +125,11 @@
         self.states.values_mut().for_each(|state| state.retain_members(alive));
     }
 
-    /// Takes the upstreams of a directory. What was known of an earlier incarnation is forgotten.
-    pub fn set_upstreams(&mut self, directory: &Directory) {
+    /// Takes the upstreams of a directory; returns those that are gone. What was known of an earlier
+    /// incarnation is forgotten.
+    pub fn set_upstreams(&mut self, directory: &Directory) -> Vec<String> {
+        let gone = self.states.keys().filter(|id| directory.upstream(id).is_none());
+        let gone = gone.cloned().collect();
         for upstream in directory.upstreams() {
             match self.states.get_mut(&upstream.id) {
                 Some(state) if state.upstream.incarnation == upstream.incarnation => {
@@ -127,6 +141,7 @@
             }
         }
         self.states.retain(|id, _| directory.upstream(id).is_some());
+        gone
     }
 
     /// Path of a service's health check.
@@ -168,37 +183,66 @@
             return Choice::Nowhere;
         }
         match &demand.run {
-            Some(run) => self.choose_engine(now, &candidates, &demand.service, run),
+            Some(run) => self.choose_engine(now, &candidates, demand, run),
             None => self.choose_replica(now, &candidates),
         }
     }
 
-    /// Notes a request begun.
-    pub fn begin(&mut self, now: Duration, pick: &Pick, run: Option<&Run>) {
-        if let Some(state) = self.states.get_mut(&pick.upstream.id) {
-            state.in_flight += 1;
-            if let Some(run) = run {
-                state.held_tokens += run.footprint;
-                let tokens = if pick.restores { RESTORED_TOKENS } else { run.prompt_tokens };
-                state.prefill_until = state.prefill_until.max(now) + prefill(tokens);
-            }
+    /// Chooses an engine for a copy of a run at `primary`.
+    pub fn choose_copy(
+        &self,
+        now: Duration,
+        demand: &Demand,
+        primary: &Upstream,
+    ) -> Option<Arc<Upstream>> {
+        let run = demand.run.as_ref()?;
+        let engine = self.routes.service(&demand.service)?.engine.as_ref()?;
+        let able: Vec<_> = self
+            .states
+            .values()
+            .filter(|state| state.upstream.service == demand.service && !state.upstream.leaving)
+            .filter(|state| !state.is_suspect(now))
+            .collect();
+        let doubted = self.doubted_zones(now, &demand.service);
+        self.choose_backup(&able, primary, run, engine, &doubted)
+    }
+
+    /// Notes a request begun; returns what it takes.
+    pub fn begin(&mut self, now: Duration, pick: &Pick, run: Option<&Run>) -> Vec<Hold> {
+        let tokens = run.map_or(0, |run| run.footprint);
+        let mut holds = vec![Hold { upstream: pick.upstream.clone(), tokens, runs: true }];
+        if let Some(backup) = &pick.backup {
+            holds.push(Hold { upstream: backup.clone(), tokens, runs: false });
         }
-        if let (Some(backup), Some(run)) = (&pick.backup, run)
-            && let Some(state) = self.states.get_mut(&backup.id)
-        {
-            state.copied_tokens += run.footprint;
+        holds.iter().for_each(|hold| self.take(hold));
+        if let (Some(run), Some(state)) = (run, self.known(&pick.upstream)) {
+            let tokens = if pick.restores { RESTORED_TOKENS } else { run.prompt_tokens };
+            state.prefill_until = state.prefill_until.max(now) + prefill(tokens);
         }
+        holds
     }
 
-    /// Notes a request ended.
-    pub fn end(&mut self, pick: &Pick, run: Option<&Run>) {
-        let footprint = run.map_or(0, |run| run.footprint);
-        if let Some(state) = self.known(&pick.upstream) {
-            state.in_flight = state.in_flight.saturating_sub(1);
-            state.held_tokens = state.held_tokens.saturating_sub(footprint);
+    /// Notes what a request takes.
+    pub fn take(&mut self, hold: &Hold) {
+        if let Some(state) = self.known(&hold.upstream) {
+            if hold.runs {
+                state.in_flight += 1;
+                state.held_tokens += hold.tokens;
+            } else {
+                state.copied_tokens += hold.tokens;
+            }
         }
-        if let Some(state) = pick.backup.as_ref().and_then(|backup| self.known(backup)) {
-            state.copied_tokens = state.copied_tokens.saturating_sub(footprint);
+    }
+
+    /// Notes that a request has ended there.
+    pub fn give_back(&mut self, hold: &Hold) {
+        if let Some(state) = self.known(&hold.upstream) {
+            if hold.runs {
+                state.in_flight = state.in_flight.saturating_sub(1);
+                state.held_tokens = state.held_tokens.saturating_sub(hold.tokens);
+            } else {
+                state.copied_tokens = state.copied_tokens.saturating_sub(hold.tokens);
+            }
         }
     }
 
@@ -227,10 +271,11 @@
         &self,
         now: Duration,
         candidates: &[&State],
-        service: &str,
+        demand: &Demand,
         run: &Run,
     ) -> Choice {
-        let engine = self.routes.service(service).and_then(|service| service.engine.clone());
+        let service = self.routes.service(&demand.service);
+        let engine = service.and_then(|service| service.engine.clone());
         let engine = engine.unwrap_or_default();
         let room = |state: &State| {
             let memory = f64::from(state.memory() + run.footprint);
@@ -240,7 +285,9 @@
         };
         let slots = |state: &State| state.total_in_flight() < state.upstream.slots.max(1);
         let open: Vec<_> = candidates.iter().copied().filter(|s| room(s) && slots(s)).collect();
-        let doubted = self.doubted_zones(now, service);
+        let mut doubted = self.doubted_zones(now, &demand.service);
+        let failed = demand.avoid.iter().filter_map(|id| self.states.get(id));
+        doubted.extend(failed.map(|state| state.upstream.zone.clone()));
         let cost = |state: &&&State| {
             let doubt = if doubted.contains(&state.upstream.zone) { DOUBT_MS } else { 0.0 };
             self.engine_cost(now, state, run) + doubt
@@ -249,12 +296,7 @@
             return Choice::Full;
         };
         let backup = if run.wants_backup && engine.backups {
-            let limit = f64::from(engine.memory_tokens) * BACKUP_MEMORY_SHARE;
-            let sound = open.iter().filter(|state| {
-                let memory = f64::from(state.memory() + run.footprint);
-                !doubted.contains(&state.upstream.zone) && memory <= limit
-            });
-            self.choose_backup(&sound.copied().collect::<Vec<_>>(), &best.upstream, run)
+            self.choose_backup(&open, &best.upstream, run, &engine, &doubted)
         } else {
             None
         };
@@ -289,6 +331,18 @@
             + tie * NEIGHBOUR_MS / 2.0
     }
 
+    /// Engines in doubted zones that have not shown life since `since` and are not known as lost.
+    pub fn unproven(&self, now: Duration, service: &str, since: Duration) -> Vec<Arc<Upstream>> {
+        let doubted = self.doubted_zones(now, service);
+        let unproven = self.states.values().filter(|state| {
+            state.upstream.service == service
+                && doubted.contains(&state.upstream.zone)
+                && state.alive_at < since
+                && !state.is_lost(now)
+        });
+        unproven.map(|state| state.upstream.clone()).collect()
+    }
+
     /// Zones in which several engines became unreachable lately: probably all of it.
     fn doubted_zones(&self, now: Duration, service: &str) -> BTreeSet<String> {
         let mut lost: BTreeMap<&str, usize> = BTreeMap::new();
@@ -304,16 +358,23 @@
     /// Engine in another zone that holds least.
     fn choose_backup(
         &self,
-        open: &[&State],
-        chosen: &Upstream,
+        candidates: &[&State],
+        primary: &Upstream,
         run: &Run,
+        engine: &routes::Engine,
+        doubted: &BTreeSet<String>,
     ) -> Option<Arc<Upstream>> {
-        let others: Vec<_> = open.iter().filter(|state| state.upstream.id != chosen.id).collect();
+        let limit = f64::from(engine.memory_tokens) * BACKUP_MEMORY_SHARE;
+        let sound = candidates.iter().filter(|state| {
+            let memory = f64::from(state.memory() + run.footprint);
+            let zone = &state.upstream.zone;
+            state.upstream.id != primary.id && !doubted.contains(zone) && memory <= limit
+        });
+        let sound: Vec<_> = sound.collect();
         let away: Vec<_> =
-            others.iter().filter(|state| state.upstream.zone != chosen.zone).collect();
-        let zones: BTreeSet<_> = away.iter().map(|state| &state.upstream.zone).collect();
-        let from = if zones.is_empty() { others.iter().collect() } else { away };
+            sound.iter().copied().filter(|s| s.upstream.zone != primary.zone).collect();
         let key = run.affinity.to_string();
+        let from = if away.is_empty() { sound } else { away };
         from.into_iter()
             .min_by_key(|state| (state.memory(), score(&state.upstream.id, &key)))
             .map(|state| state.upstream.clone())
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -1,8 +1,8 @@
 //! The task that owns the table.
 
-use super::demand::{Demand, Run};
+use super::demand::Demand;
 use super::state::{Load, State};
-use super::table::{Choice, Pick, Table};
+use super::table::{Choice, Hold, Pick, Table};
 use crate::clock::Clock;
 use crate::fleet::{Directory, Upstream};
 use crate::mailbox::Mailbox;
@@ -10,7 +10,7 @@
 use crate::routes;
 use crate::scope::Scope;
 use crate::upstream::Client;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::MissedTickBehavior;
 
@@ -27,25 +27,32 @@
     pub permit: Permit,
 }
 
+/// Engine for a copy of a run's memory, with the place held there.
+#[derive(Debug)]
+pub struct Copy {
+    /// Engine.
+    pub upstream: Arc<Upstream>,
+    _permit: Permit,
+}
+
 /// A place at an upstream, given back when dropped.
 #[derive(Debug)]
 pub struct Permit {
-    pick: Pick,
-    run: Option<Run>,
+    holds: Vec<Hold>,
     mailbox: Mailbox<Message>,
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        let release = Message::Release { pick: self.pick.clone(), run: self.run.clone() };
-        self.mailbox.tell(release);
+        self.mailbox.tell(Message::Release(std::mem::take(&mut self.holds)));
     }
 }
 
 #[derive(Debug)]
 enum Message {
     Place { demand: Demand, reply: oneshot::Sender<Result<Placement, Code>> },
-    Release { pick: Pick, run: Option<Run> },
+    PlaceCopy { demand: Demand, primary: Arc<Upstream>, reply: oneshot::Sender<Option<Copy>> },
+    Release(Vec<Hold>),
     Outcome { id: String, outcome: Outcome },
     Configure(Arc<routes::Table>),
     Upstreams(Arc<Directory>),
@@ -72,6 +79,8 @@
 /// Limit of a check whether an upstream accepts connections: a round trip between zones many
 /// times over.
 const CHECK_LIMIT: Duration = Duration::from_millis(80);
+/// Signs of life that spare an engine a check when its zone is doubted.
+const RECENT_LIFE: Duration = Duration::from_millis(150);
 /// Signs of life that outweigh a peer's word.
 const FRESH_LIFE: Duration = Duration::from_millis(60);
 /// Pauses after a loss between questions who has the upstream's address now; engines restart in 1
@@ -132,6 +141,8 @@
             client: parts.client,
             reuse_after: parts.reuse_after,
             successors: parts.successors,
+            departed: Vec::new(),
+            checking: BTreeSet::new(),
             lost,
             loads,
             scope: scope.clone(),
@@ -147,6 +158,11 @@
         answer.unwrap_or(Err(Code::Leaving))
     }
 
+    /// Chooses an engine for a copy of a run at `primary`.
+    pub async fn place_copy(&self, demand: Demand, primary: Arc<Upstream>) -> Option<Copy> {
+        self.mailbox.ask(|reply| Message::PlaceCopy { demand, primary, reply }).await?
+    }
+
     /// Notes that an upstream answered.
     pub fn answered(&self, id: &str) {
         self.tell(id, Outcome::Answered);
@@ -223,6 +239,10 @@
     client: Arc<dyn Client>,
     reuse_after: Duration,
     successors: mpsc::UnboundedSender<Successor>,
+    /// Upstreams that the last directory no longer had.
+    departed: Vec<String>,
+    /// Upstreams of doubted zones that are being checked.
+    checking: BTreeSet<String>,
     lost: watch::Sender<Arc<Vec<String>>>,
     loads: watch::Sender<BTreeMap<String, Load>>,
     scope: Scope,
@@ -253,12 +273,18 @@
             Message::Place { demand, reply } => {
                 let _ = reply.send(self.place(now, &demand));
             }
-            Message::Release { pick, run } => self.table.end(&pick, run.as_ref()),
+            Message::PlaceCopy { demand, primary, reply } => {
+                let _ = reply.send(self.place_copy(now, &demand, &primary));
+            }
+            Message::Release(holds) => holds.iter().for_each(|hold| self.table.give_back(hold)),
             Message::Outcome { id, outcome } => {
                 self.judge(now, &id, outcome);
             }
             Message::Configure(routes) => self.table.configure(routes),
-            Message::Upstreams(directory) => self.table.set_upstreams(&directory),
+            Message::Upstreams(directory) => {
+                self.departed = self.table.set_upstreams(&directory);
+                self.publish_lost(now);
+            }
             Message::Neighbours { all, of_zone } => {
                 self.table.retain_members(&all);
                 self.table.set_neighbours(of_zone);
@@ -271,6 +297,7 @@
     }
 
     fn judge(&mut self, now: Duration, id: &str, outcome: Outcome) {
+        self.checking.remove(id);
         let Some(state) = self.table.state_mut(id) else {
             return;
         };
@@ -297,7 +324,9 @@
                         upstream = upstream.id, zone = upstream.zone,
                         alive_ago_ms = now.saturating_sub(state.alive_at).as_millis() as u64
                     });
+                    let service = upstream.service.clone();
                     self.recheck(upstream, alive_at);
+                    self.check_zone(now, &service);
                 }
             }
         }
@@ -346,9 +375,19 @@
         });
     }
 
+    /// Checks the other engines of a zone that has lost some.
+    fn check_zone(&mut self, now: Duration, service: &str) {
+        for upstream in self.table.unproven(now, service, now.saturating_sub(RECENT_LIFE)) {
+            if self.checking.insert(upstream.id.clone()) {
+                self.check(upstream);
+            }
+        }
+    }
+
     fn publish_lost(&self, now: Duration) {
         let lost = self.table.states().values().filter(|state| state.is_lost(now));
-        let lost: Vec<_> = lost.map(|state| state.upstream.id.clone()).collect();
+        let lost = lost.map(|state| state.upstream.id.clone());
+        let lost: Vec<_> = lost.chain(self.departed.iter().cloned()).collect();
         self.lost.send_if_modified(|known| {
             let changed = **known != lost;
             if changed {
@@ -364,9 +403,17 @@
             Choice::Full => return Err(Code::Overloaded),
             Choice::Nowhere => return Err(Code::NoUpstream),
         };
-        self.table.begin(now, &pick, demand.run.as_ref());
-        let Pick { upstream, backup, restores } = pick.clone();
-        let permit = Permit { pick, run: demand.run.clone(), mailbox: self.mailbox.clone() };
+        let holds = self.table.begin(now, &pick, demand.run.as_ref());
+        let Pick { upstream, backup, restores } = pick;
+        let permit = Permit { holds, mailbox: self.mailbox.clone() };
         Ok(Placement { upstream, backup, restores, permit })
     }
+
+    fn place_copy(&mut self, now: Duration, demand: &Demand, primary: &Upstream) -> Option<Copy> {
+        let upstream = self.table.choose_copy(now, demand, primary)?;
+        let tokens = demand.run.as_ref().map_or(0, |run| run.footprint);
+        let hold = Hold { upstream: upstream.clone(), tokens, runs: false };
+        self.table.take(&hold);
+        Some(Copy { upstream, _permit: Permit { holds: vec![hold], mailbox: self.mailbox.clone() } })
+    }
 }
--- a/quetzaltiller/src/proxy/reader.rs
+++ b/quetzaltiller/src/proxy/reader.rs
@@ -49,8 +49,8 @@
     pub upstream: Arc<Upstream>,
     /// Engine that gets copies of the run's memory.
     pub backup: Option<Arc<Upstream>>,
-    /// The engine holds a copy of the run's memory.
-    pub restores: bool,
+    /// Memory to go on from.
+    pub copy: Option<Copy>,
     /// Last event that was passed on.
     pub last_event: Option<u64>,
     /// Work at stake goes first.
@@ -75,7 +75,7 @@
             account: self.plan.account.as_deref(),
             urgency: Some(self.urgency),
             backup: self.backup.as_ref().map(|backup| backup.address),
-            copy: self.restores.then_some(Copy { holder: self.upstream.address }),
+            copy: self.copy.as_ref(),
             last_event: self.last_event,
             fresh: true,
         };
@@ -97,11 +97,12 @@
     pub async fn inspect(self, limit: Duration) {
         let address = self.upstream.address;
         let error = match self.client.has_run(address, &self.request.id, limit).await {
-            Some(true) => return drop(self.tell(Notice::Alive(self.conn)).await),
-            Some(false) => engine::Error::UnknownStream,
-            None => engine::Error::Timeout,
+            Some(true) => None,
+            Some(false) => Some(engine::Error::UnknownStream),
+            None => Some(engine::Error::Timeout),
         };
-        self.tell(Notice::Failed(self.conn, error)).await;
+        let alive = Notice::Alive(self.conn);
+        self.tell(error.map_or(alive, |error| Notice::Failed(self.conn, error))).await;
     }
 
     async fn read(&self, response: Response) -> Notice {
--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -15,9 +15,10 @@
 };
 use crate::members::Entered;
 use crate::metrics::Counter;
-use crate::placement::{Demand, Placement, Run};
+use crate::placement::{self, Demand, Placement, Run};
 use crate::prelude::*;
 use crate::routes::Kind;
+use crate::upstream;
 use coordination::detector::Bounds;
 use coordination::patience::Patience;
 use std::collections::BTreeMap;
@@ -49,6 +50,15 @@
 const NEW_URGENCY: u8 = 4;
 const LAST_URGENCY: u8 = 9;
 
+/// A copy of a run's memory, and the place held for it.
+struct Held {
+    place: Option<placement::Copy>,
+    copy: upstream::Copy,
+}
+
+/// A copy that was made: the engine it was made of, the place of it, and its name.
+type Made = (String, placement::Copy, upstream::Copy);
+
 /// Serves a generation.
 pub async fn run(context: Context, request: Arc<Request>, plan: Plan, entered: Entered) -> Reply {
     let (reply, answer) = oneshot::channel();
@@ -77,6 +87,10 @@
     head: Option<Head>,
     failure: Option<Answer>,
     placed: BTreeMap<String, Placement>,
+    copies: BTreeMap<String, Held>,
+    copied_at: Option<Duration>,
+    copied: mpsc::UnboundedSender<Made>,
+    made: Option<mpsc::UnboundedReceiver<Made>>,
     connections: BTreeMap<u32, AbortHandle>,
     sent: u32,
     events: u32,
@@ -118,6 +132,7 @@
         let next = request.last_event.map(|last| last as u32 + 1);
         let (machine, effects) = Machine::new(now, Sequence::new(next), settings, Start::Fresh);
         let (placing, placements) = mpsc::unbounded_channel();
+        let (copied, made) = mpsc::unbounded_channel();
         let task = Self {
             context,
             request,
@@ -127,6 +142,10 @@
             head: None,
             failure: None,
             placed: BTreeMap::new(),
+            copies: BTreeMap::new(),
+            copied_at: None,
+            copied,
+            made: Some(made),
             connections: BTreeMap::new(),
             sent: 0,
             events: 0,
@@ -145,20 +164,32 @@
     }
 
     async fn run(mut self, effects: Vec<Effect>, mut notices: mpsc::Receiver<Notice>) {
-        let Some(mut placements) = self.placements.take() else {
+        let (Some(mut placements), Some(mut made)) = (self.placements.take(), self.made.take())
+        else {
             return;
         };
+        let mut lost = self.context.placer.lost();
+        lost.mark_unchanged();
         self.perform(effects);
         while self.outcome.is_none() {
             let clock = self.context.clock;
             let wake = self.machine.wake_at();
             let until = self.plan.until;
+            let renewal = self.copied_at.map(|at| at + COPY_PERIOD);
             tokio::select! {
                 biased;
                 Some(placed) = placements.recv() => self.placed(placed),
                 Some(notice) = notices.recv() => self.notice(notice).await,
+                Some((of, place, copy)) = made.recv() => self.take_copy(&of, place, copy),
+                Ok(()) = lost.changed() => {
+                    let lost = lost.borrow_and_update().clone();
+                    lost.iter().for_each(|id| self.input(Input::Gone(id.clone())));
+                }
                 () = gone(&mut self.caller) => self.leave(),
                 () = clock.sleep_until(until) => self.time_out(),
+                () = clock.sleep_until(renewal.unwrap_or_default()), if renewal.is_some() => {
+                    self.renew_copy();
+                }
                 () = clock.sleep_until(wake.unwrap_or_default()), if wake.is_some() => {
                     self.input(Input::Tick);
                 }
@@ -190,6 +221,7 @@
                         reader.abort();
                     }
                 }
+                Effect::Copy => self.copy(),
                 // The engine drops a run with its connection.
                 Effect::Cancel { .. } => {}
                 Effect::Finish(outcome) => self.outcome = Some(outcome),
@@ -211,6 +243,26 @@
             });
         }
         self.placed.clear();
+        let demand = self.demand(avoid, copy, cached, resumed);
+        let (placer, pacer) = (self.context.placer.clone(), self.context.pacer.clone());
+        let (placing, service) = (self.placing.clone(), self.plan.service.clone());
+        let repeats = self.sent > 0;
+        let spent = self.sent >= self.plan.route.attempts;
+        self.context.scope.spawn(async move {
+            let allowed = !spent && (!repeats || pacer.may_repeat(&service).await);
+            let placed =
+                if allowed { placer.place(demand).await } else { Err(Code::UpstreamFailed) };
+            let _ = placing.send(placed);
+        });
+    }
+
+    fn demand(
+        &self,
+        avoid: Vec<String>,
+        copy: Option<String>,
+        cached: Option<String>,
+        resumed: bool,
+    ) -> Demand {
         let prompt = self.request.prompt.as_ref();
         let run = Run {
             copy,
@@ -221,24 +273,61 @@
             resumed,
             wants_backup: self.plan.route.kind == Kind::Generation { resumable: true },
         };
-        let demand = Demand {
+        Demand {
             service: self.plan.service.clone(),
             account: self.plan.account.clone().unwrap_or_default(),
             avoid,
             run: Some(run),
+        }
+    }
+
+    /// Copies the run's memory to an engine of the placer's choice.
+    fn copy(&mut self) {
+        let Some(primary) = self.machine.upstream().and_then(|id| self.placed.get(id)) else {
+            return;
         };
-        let (placer, pacer) = (self.context.placer.clone(), self.context.pacer.clone());
-        let (placing, service) = (self.placing.clone(), self.plan.service.clone());
-        let repeats = self.sent > 0;
-        let spent = self.sent >= self.plan.route.attempts;
+        let primary = primary.upstream.clone();
+        let demand = self.demand(Vec::new(), None, None, true);
+        let (placer, client) = (self.context.placer.clone(), self.context.client.clone());
+        let (request, copied) = (self.request.clone(), self.copied.clone());
         self.context.scope.spawn(async move {
-            let allowed = !spent && (!repeats || pacer.may_repeat(&service).await);
-            let placed =
-                if allowed { placer.place(demand).await } else { Err(Code::UpstreamFailed) };
-            let _ = placing.send(placed);
+            let Some(place) = placer.place_copy(demand, primary.clone()).await else {
+                return;
+            };
+            let (from, to) = (primary.address, place.upstream.address);
+            if let Some(copy) = client.copy_run(from, &request.id, to, COPY_LIMIT).await {
+                let _ = copied.send((primary.id.clone(), place, copy));
+            }
         });
     }
 
+    /// Brings a copy up to date that the engine does not by itself, before it is forgotten.
+    fn renew_copy(&mut self) {
+        self.copied_at = None;
+        let primary = self.machine.upstream().and_then(|id| self.placed.get(id));
+        let holder = self.machine.copy().and_then(|id| self.copies.get_mut(id));
+        let (Some(primary), Some(Held { place: Some(place), .. })) = (primary, holder) else {
+            return;
+        };
+        let (from, to) = (primary.upstream.address, place.upstream.address);
+        let (client, request) = (self.context.client.clone(), self.request.clone());
+        self.context.scope.spawn(async move {
+            let _ = client.copy_run(from, &request.id, to, COPY_LIMIT).await;
+        });
+        self.copied_at = Some(self.context.clock.now());
+    }
+
+    fn take_copy(&mut self, of: &str, place: placement::Copy, copy: upstream::Copy) {
+        if self.machine.upstream() != Some(of) {
+            return;
+        }
+        let holder = place.upstream.id.clone();
+        info!("run_copied", kv: { request = self.request.id, of, holder });
+        self.copies.insert(holder.clone(), Held { place: Some(place), copy });
+        self.copied_at = Some(self.context.clock.now());
+        self.input(Input::Copied(holder));
+    }
+
     fn placed(&mut self, placed: Result<Placement, Code>) {
         match placed {
             Err(code) => self.input(Input::Unplaced(code)),
@@ -254,6 +343,11 @@
                     request = self.request.id, upstream = id, zone = placement.upstream.zone,
                     backup:? = place.backup, restores = place.restores
                 });
+                if let Some(backup) = &placement.backup {
+                    let name = self.request.id.clone();
+                    let copy = upstream::Copy { origin: backup.address, name };
+                    self.copies.insert(backup.id.clone(), Held { place: None, copy });
+                }
                 self.placed.insert(id, placement);
                 self.input(Input::Placed(place));
             }
@@ -270,7 +364,9 @@
             client: self.context.client.clone(),
             upstream: placement.upstream.clone(),
             backup: placement.backup.clone(),
-            restores: opening == Opening::Restore,
+            copy: (opening == Opening::Restore)
+                .then(|| self.copies.get(upstream).map(|held| held.copy.clone()))
+                .flatten(),
             last_event: self.last_event(),
             urgency: self.urgency(),
             deadline: self.plan.until.saturating_sub(self.context.clock.now()),
@@ -477,6 +573,10 @@
     }
 }
 
+/// Limit of a copy of a run's memory, which takes 10 ms and waits for others on the links.
+const COPY_LIMIT: Duration = Duration::from_millis(1_000);
+/// How often a copy is brought up to date; engines forget copies after 4 s (users' configuration).
+const COPY_PERIOD: Duration = Duration::from_millis(2_500);
 /// Limit of a check; a round trip between zones many times over.
 const CHECK_LIMIT: Duration = Duration::from_millis(100);
 
--- a/quetzaltiller/src/session/task.rs
+++ b/quetzaltiller/src/session/task.rs
@@ -315,6 +315,8 @@
                         token.cancel();
                     }
                 }
+                // The engine itself goes on with a run that is reattached to.
+                Effect::Copy => {}
                 Effect::Cancel { upstream, attempt } => self.cancel(&upstream, attempt),
                 Effect::Finish(outcome) => self.finish(outcome),
             }
--- a/quetzaltiller/src/upstream.rs
+++ b/quetzaltiller/src/upstream.rs
@@ -34,10 +34,12 @@
 }
 
 /// Memory of a run to go on from.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Copy {
-    /// Engine that holds the copy, or the stopped run.
-    pub holder: SocketAddr,
+    /// Engine that gave the copy its name.
+    pub origin: SocketAddr,
+    /// Name of the copy there.
+    pub name: String,
 }
 
 /// How a request is sent.
@@ -56,7 +58,7 @@
     /// Engine that gets copies of the run's memory.
     pub backup: Option<SocketAddr>,
     /// Memory to go on from.
-    pub copy: Option<Copy>,
+    pub copy: Option<&'a Copy>,
     /// Last event that the caller has.
     pub last_event: Option<u64>,
     /// Use a connection that has carried nothing before.
@@ -84,6 +86,11 @@
     /// Whether an upstream accepts a connection within `limit`.
     async fn check(&self, address: SocketAddr, limit: Duration) -> bool;
 
+    /// Copies the memory of a run from one engine to another while the run goes on; a later call
+    /// copies what is new. None where it was not done within `limit`.
+    async fn copy_run(&self, from: SocketAddr, request: &str, to: SocketAddr, limit: Duration)
+    -> Option<Copy>;
+
     /// Whether an engine has a run, or might have it waiting; none without an answer in time.
     async fn has_run(&self, address: SocketAddr, request: &str, limit: Duration) -> Option<bool>;
 
