--- a/coordination/src/membership.rs
+++ b/coordination/src/membership.rs
@@ -52,6 +52,8 @@
     pub beat: Heartbeat,
     /// When it was heard.
     pub heard: Duration,
+    /// It is alive for so long after that.
+    pub timeout: Duration,
 }
 
 /// Members known to one process.
@@ -69,6 +71,11 @@
 
     /// Takes a heartbeat; false when a newer incarnation is known.
     pub fn hear(&mut self, now: Duration, beat: Heartbeat) -> bool {
+        self.hear_for(now, beat, self.timeout)
+    }
+
+    /// Takes a heartbeat of a member whose next one is due within `timeout`.
+    pub fn hear_for(&mut self, now: Duration, beat: Heartbeat, timeout: Duration) -> bool {
         if let Some(known) = self.members.get_mut(&beat.name) {
             if beat.incarnation < known.beat.incarnation {
                 return false;
@@ -77,9 +84,10 @@
             let leaving = beat.leaving || (same && known.beat.leaving);
             known.beat = Heartbeat { leaving, ..beat };
             known.heard = now;
+            known.timeout = timeout;
             return true;
         }
-        self.members.insert(beat.name.clone(), Member { beat, heard: now });
+        self.members.insert(beat.name.clone(), Member { beat, heard: now, timeout });
         true
     }
 
@@ -97,8 +105,7 @@
 
     /// Members heard within the timeout, leaving or not, by name.
     pub fn alive(&self, now: Duration) -> impl Iterator<Item = &Member> {
-        let timeout = self.timeout;
-        self.members.values().filter(move |member| member.heard + timeout >= now)
+        self.members.values().filter(move |member| member.heard + member.timeout >= now)
     }
 
     /// All members known, by name.
--- a/quetzaltiller/src/drain.rs
+++ b/quetzaltiller/src/drain.rs
@@ -43,7 +43,7 @@
 #[derive(Clone, Debug)]
 pub struct Drain {
     clock: Clock,
-    timing: Timing,
+    timing: watch::Sender<Timing>,
     phase: watch::Sender<Phase>,
     began: watch::Sender<Option<Duration>>,
 }
@@ -52,7 +52,12 @@
     /// An entry VM that serves.
     pub fn new(clock: Clock, timing: Timing) -> Self {
         let (phase, began) = (watch::Sender::default(), watch::Sender::default());
-        Self { clock, timing, phase, began }
+        Self { clock, timing: watch::Sender::new(timing), phase, began }
+    }
+
+    /// Changes the time from the signal until the process is killed.
+    pub fn set_grace(&self, grace: Duration) {
+        self.timing.send_modify(|timing| timing.grace = grace);
     }
 
     /// Step.
@@ -68,18 +73,21 @@
     /// Whether a request that lasts so long can end before the process is killed.
     pub fn admits(&self, expected: Duration) -> bool {
         let began = *self.began.borrow();
-        began.is_none_or(|began| self.clock.now() + expected + MARGIN < began + self.timing.grace)
+        began.is_none_or(|began| {
+            self.clock.now() + expected + MARGIN < began + self.timing.borrow().grace
+        })
     }
 
     /// Leaves; returns when nothing is open or the time is over.
     pub async fn run(&self, own: &Own) {
         let began = self.clock.now();
+        let timing = *self.timing.borrow();
         self.began.send_replace(Some(began));
         own.leave();
         self.enter(Phase::Leaving, own);
-        self.clock.sleep_until(began + self.timing.announce).await;
+        self.clock.sleep_until(began + timing.announce).await;
         self.enter(Phase::Closing, own);
-        let end = (began + self.timing.grace).saturating_sub(MARGIN);
+        let end = (began + timing.grace).saturating_sub(MARGIN);
         while own.open() > 0 && self.clock.now() < end {
             tokio::time::sleep(CHECK).await;
         }
--- a/quetzaltiller/src/entry.rs
+++ b/quetzaltiller/src/entry.rs
@@ -24,8 +24,8 @@
 use coordination::membership::Heartbeat;
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::atomic::{AtomicBool, Ordering};
-use tokio::sync::mpsc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use tokio::sync::{mpsc, watch};
 
 /// Between heartbeats to a peer. Configuration is in force everywhere in a few of them.
 const HEARTBEAT: Duration = Duration::from_millis(400);
@@ -43,6 +43,10 @@
 const ANNOUNCE: Duration = Duration::from_millis(2_000);
 /// Part of the retry budget that is used, as requests that arrive count late.
 const BUDGET_SHARE: f64 = 0.8;
+/// Up to so many other entry VMs, all hear of everything; more share loads and losses by zone.
+const SMALL: usize = 8;
+/// Entry VMs of the callers' zone that suffice for them: fewer could all fail them at once.
+const ENOUGH_ENTRIES: usize = 3;
 /// Losses are gathered for so long before peers are told, as a zone's engines go together.
 const GATHER_LOSSES: Duration = Duration::from_millis(15);
 /// Pause between announcements that the store does not take.
@@ -63,10 +67,8 @@
     pub peer_seeds: Vec<String>,
     /// Number of this start of the process; must rise with each.
     pub incarnation: u64,
-    /// Time from SIGTERM to SIGKILL.
-    pub grace: Duration,
-    /// Longest time that callers keep an answer of which entry VMs to use.
-    pub entries_lifetime: Duration,
+    /// What may change while the process runs.
+    pub tunables: Tunables,
     /// An address stays with its service for so long after an upstream has ended.
     pub reuse_after: Duration,
     /// Retries for each request, over all entry VMs.
@@ -75,6 +77,15 @@
     pub retry_slack: f64,
 }
 
+/// Settings that may change while the process runs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Tunables {
+    /// Time from SIGTERM to SIGKILL.
+    pub grace: Duration,
+    /// Longest time that callers keep an answer of which entry VMs to use.
+    pub entries_lifetime: Duration,
+}
+
 /// Outside systems.
 pub struct Ports {
     /// Store.
@@ -119,6 +130,7 @@
 /// Entry VM.
 pub struct Entry {
     config: Config,
+    tunables: watch::Sender<Tunables>,
     own: Arc<Own>,
     follower: Follower,
     placer: Placer,
@@ -155,6 +167,7 @@
             link: ports.link.clone(),
             scope: scope.clone(),
             pulls: Arc::default(),
+            members: AtomicUsize::new(0),
         };
         let parts = members::Parts {
             seeds: config.peer_seeds.clone(),
@@ -174,7 +187,8 @@
             retry_capacity: config.retry_slack * BUDGET_SHARE
                 / (config.peer_seeds.len() as f64).max(1.0),
         };
-        let drain = Drain::new(clock, drain::Timing { grace: config.grace, announce: ANNOUNCE });
+        let grace = config.tunables.grace;
+        let drain = Drain::new(clock, drain::Timing { grace, announce: ANNOUNCE });
         let proxy = Proxy::new(Context {
             clock,
             follower: follower.clone(),
@@ -189,7 +203,19 @@
         info!("entry_started", kv: {
             name = config.name, zone = config.zone, incarnation = config.incarnation
         });
-        Arc::new(Self { config, own, follower, placer, members, drain, proxy, scope, metrics })
+        let tunables = watch::Sender::new(config.tunables);
+        Arc::new(Self {
+            config,
+            tunables,
+            own,
+            follower,
+            placer,
+            members,
+            drain,
+            proxy,
+            scope,
+            metrics,
+        })
     }
 
     /// Forwards requests.
@@ -218,18 +244,31 @@
         knows && !self.own.is_leaving()
     }
 
-    /// Entry VMs that callers in `zone` should use.
-    pub fn entries(&self, _zone: Option<&str>) -> Entries {
+    /// Entry VMs that callers in `zone` should use: those of the zone where they are enough.
+    pub fn entries(&self, zone: Option<&str>) -> Entries {
         let view = self.members.view();
         let others = view.alive.iter().filter(|beat| beat.ready && !beat.leaving);
-        let mut addresses: Vec<_> = others.map(|beat| beat.caller_address.clone()).collect();
+        let mut entries: Vec<_> =
+            others.map(|beat| (beat.zone.as_str(), beat.caller_address.clone())).collect();
         if self.is_ready() {
-            addresses.push(self.config.caller_address.clone());
+            entries.push((&self.config.zone, self.config.caller_address.clone()));
+        }
+        let of_zone = entries.iter().filter(|(known, _)| Some(*known) == zone).count();
+        if of_zone >= ENOUGH_ENTRIES {
+            entries.retain(|(known, _)| Some(*known) == zone);
         }
-        let lifetime = ENTRIES_LIFETIME.min(self.config.entries_lifetime);
+        let addresses = entries.into_iter().map(|(_, address)| address).collect();
+        let lifetime = ENTRIES_LIFETIME.min(self.tunables.borrow().entries_lifetime);
         Entries { addresses, lifetime }
     }
 
+    /// Puts settings in force that may change while the process runs.
+    pub fn configure(&self, tunables: Tunables) {
+        info!("settings_in_force", kv: { tunables:? = tunables });
+        self.drain.set_grace(tunables.grace);
+        self.tunables.send_replace(tunables);
+    }
+
     /// Leaves; returns when nothing is open or the time is over.
     pub async fn leave(&self) {
         self.drain.run(&self.own).await;
@@ -365,13 +404,29 @@
     link: Arc<dyn Link>,
     scope: Scope,
     pulls: Arc<AtomicBool>,
+    /// Other entry VMs that are alive.
+    members: AtomicUsize,
 }
 
 impl Host for EntryHost {
-    fn describe(&self, beat: &mut wire::Heartbeat) {
+    fn is_near(&self, beat: &Heartbeat) -> bool {
+        beat.zone == self.zone || self.members.load(Ordering::Relaxed) <= SMALL
+    }
+
+    fn describe(&self, beat: &mut wire::Heartbeat, near: bool) {
         beat.number = self.follower.routes().number();
         beat.revision = self.follower.directory().revision();
         beat.ready = beat.number > 0 && !self.follower.directory().is_empty();
+        if near || self.follower.is_store_away() {
+            let tell = |successor: &Successor| wire::Successor {
+                lost: successor.lost.clone(),
+                id: successor.upstream.id.clone(),
+            };
+            beat.successors = self.follower.successors().iter().map(tell).collect();
+        }
+        if !near {
+            return;
+        }
         beat.lost_upstreams = self.placer.lost().borrow().as_ref().clone();
         let load = |(upstream, load): (String, Load)| wire::Load {
             upstream,
@@ -380,11 +435,6 @@
             tokens: load.tokens,
         };
         beat.loads = self.placer.loads().into_iter().map(load).collect();
-        let tell = |successor: &Successor| wire::Successor {
-            lost: successor.lost.clone(),
-            id: successor.upstream.id.clone(),
-        };
-        beat.successors = self.follower.successors().iter().map(tell).collect();
     }
 
     fn heard(&self, beat: &wire::Heartbeat) {
@@ -422,6 +472,7 @@
         };
         let all = names(&mut view.alive.iter());
         let of_zone = view.alive.iter().filter(|beat| beat.zone == self.zone && !beat.leaving);
+        self.members.store(all.len(), Ordering::Relaxed);
         self.placer.set_neighbours(all, names(&mut of_zone.into_iter()));
     }
 }
--- a/quetzaltiller/src/follower.rs
+++ b/quetzaltiller/src/follower.rs
@@ -56,7 +56,14 @@
     mailbox: Mailbox<Message>,
     routes: watch::Receiver<Arc<Table>>,
     directory: watch::Receiver<Arc<Directory>>,
-    successors: watch::Receiver<Arc<Vec<Successor>>>,
+    told: watch::Receiver<Told>,
+}
+
+/// What peers are told besides revisions.
+#[derive(Clone, Debug, Default)]
+struct Told {
+    successors: Vec<Successor>,
+    away: bool,
 }
 
 impl Follower {
@@ -70,7 +77,7 @@
         let (mailbox, messages) = Mailbox::new();
         let (routes_sender, routes) = watch::channel(Arc::default());
         let (directory_sender, directory) = watch::channel(Arc::default());
-        let (successors_sender, successors) = watch::channel(Arc::default());
+        let (told_sender, told) = watch::channel(Told::default());
         let task = Task {
             clock,
             feed: Feed::default(),
@@ -81,13 +88,13 @@
             grace_until: Duration::ZERO,
             routes: routes_sender,
             published: directory_sender,
-            told: successors_sender,
+            told: told_sender,
         };
         scope.spawn(task.run(messages));
         let source = Source { store, metrics, mailbox: mailbox.clone() };
         scope.spawn(source.clone().follow_routes());
         scope.spawn(source.follow_upstreams());
-        Self { mailbox, routes, directory, successors }
+        Self { mailbox, routes, directory, told }
     }
 
     /// Configuration in force.
@@ -122,7 +129,12 @@
 
     /// Successors that the store does not list yet.
     pub fn successors(&self) -> Vec<Successor> {
-        self.successors.borrow().as_ref().clone()
+        self.told.borrow().successors.clone()
+    }
+
+    /// Whether the store can't be reached.
+    pub fn is_store_away(&self) -> bool {
+        self.told.borrow().away
     }
 
     /// Takes a peer's upstreams, if they are newer.
@@ -144,7 +156,7 @@
     grace_until: Duration,
     routes: watch::Sender<Arc<Table>>,
     published: watch::Sender<Arc<Directory>>,
-    told: watch::Sender<Arc<Vec<Successor>>>,
+    told: watch::Sender<Told>,
 }
 
 impl Task {
@@ -189,11 +201,13 @@
             Message::Succeeded(successor) => self.succeed(successor),
             Message::Lost => {
                 self.away = true;
+                self.told.send_modify(|told| told.away = true);
                 self.successors.values_mut().for_each(|(_, until)| *until = None);
             }
             Message::Regained => {
                 let now = self.clock.now();
                 self.away = false;
+                self.told.send_modify(|told| told.away = false);
                 self.grace_until = now + LAPSE_GRACE;
                 let until = Some(now + SUCCESSOR_TERM);
                 self.successors.values_mut().for_each(|(_, term)| *term = until);
@@ -278,7 +292,7 @@
         }
         self.published.send_replace(Arc::new(directory));
         let successors = self.successors.values().map(|(successor, _)| successor.clone());
-        self.told.send_replace(Arc::new(successors.collect()));
+        self.told.send_replace(Told { successors: successors.collect(), away: self.away });
     }
 }
 
--- a/quetzaltiller/src/members.rs
+++ b/quetzaltiller/src/members.rs
@@ -18,6 +18,8 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use tokio::sync::{Notify, mpsc, watch};
 
+/// Periods between heartbeats of far members.
+const FAR_PERIODS: u32 = 3;
 /// A silent member is forgotten after this many timeouts.
 const FORGET_TIMEOUTS: u32 = 60;
 
@@ -108,8 +110,14 @@
 
 /// Who runs the membership tasks.
 pub trait Host: Send + Sync {
-    /// Completes the heartbeat of this process.
-    fn describe(&self, beat: &mut wire::Heartbeat);
+    /// Completes the heartbeat of this process for a near or a far member.
+    fn describe(&self, beat: &mut wire::Heartbeat, near: bool);
+
+    /// Whether a member gets every heartbeat, with all that changes often. Far ones get one in
+    /// [`FAR_PERIODS`].
+    fn is_near(&self, _beat: &Heartbeat) -> bool {
+        true
+    }
 
     /// Takes the heartbeat of another.
     fn heard(&self, beat: &wire::Heartbeat);
@@ -167,8 +175,7 @@
     pub fn start(scope: &Scope, parts: Parts) -> Self {
         let (mailbox, messages) = Mailbox::new();
         let (sender, view) = watch::channel(Arc::default());
-        let (targets_sender, targets) =
-            watch::channel(BTreeSet::from_iter(parts.seeds.iter().cloned()));
+        let (targets_sender, targets) = watch::channel(Vec::new());
         let members = Self {
             own: parts.own,
             host: parts.host,
@@ -227,19 +234,29 @@
 
     /// Answers a peer's heartbeat.
     pub fn answer(&self, beat: wire::Heartbeat) -> wire::Heartbeat {
+        let near = self.host.is_near(&beat.clone().into());
         self.mailbox.tell(Message::Hear(beat));
-        self.heartbeat()
+        self.heartbeat(near)
     }
 
     /// This process's heartbeat.
-    pub fn heartbeat(&self) -> wire::Heartbeat {
+    pub fn heartbeat(&self, near: bool) -> wire::Heartbeat {
         let mut beat = wire::Heartbeat::from(self.own.heartbeat());
-        self.host.describe(&mut beat);
+        self.host.describe(&mut beat, near);
         beat.leaving_upstreams = self.view.borrow().listed_leaving.iter().cloned().collect();
         beat
     }
 }
 
+/// A peer to send heartbeats to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct Target {
+    address: String,
+    near: bool,
+    /// The peer does not call by itself.
+    due: bool,
+}
+
 struct LeavingNews {
     upstreams: Vec<String>,
     by: String,
@@ -256,7 +273,7 @@
     news: Vec<LeavingNews>,
     host: Arc<dyn Host>,
     view: watch::Sender<Arc<View>>,
-    targets: watch::Sender<BTreeSet<String>>,
+    targets: watch::Sender<Vec<Target>>,
 }
 
 impl Task {
@@ -290,7 +307,9 @@
             let upstreams = beat.leaving_upstreams.clone();
             self.news.push(LeavingNews { upstreams, by: beat.name.clone(), at: now });
         }
-        self.table.hear(now, beat.into());
+        let beat = Heartbeat::from(beat);
+        let periods = if self.host.is_near(&beat) { 1 } else { FAR_PERIODS };
+        self.table.hear_for(now, beat, self.timeout * periods);
         self.publish();
     }
 
@@ -314,7 +333,7 @@
         self.host.changed(known, &view);
         self.view.send_replace(Arc::new(view));
         self.targets.send_if_modified(|targets| {
-            let fresh = self.addresses();
+            let fresh = self.choose_targets(now);
             let changed = *targets != fresh;
             *targets = fresh;
             changed
@@ -332,13 +351,23 @@
         self.news.iter().flat_map(|news| news.upstreams.iter().cloned()).collect()
     }
 
-    fn addresses(&self) -> BTreeSet<String> {
-        let listed = self.listed.iter().filter(|vm| vm.entry).map(|vm| vm.address.clone());
-        let known = self.table.members().map(|member| member.beat.peer_address.clone());
-        let mut addresses: BTreeSet<_> =
-            listed.chain(known).chain(self.seeds.iter().cloned()).collect();
-        addresses.remove(&self.own.beat.peer_address);
-        addresses
+    /// Peers to call: one call tells both sides, so of two that hear each other the first by name
+    /// calls. Whoever is not heard is called too.
+    fn choose_targets(&self, now: Duration) -> Vec<Target> {
+        let mut silent: BTreeSet<_> = self.seeds.iter().cloned().collect();
+        silent.extend(self.listed.iter().filter(|vm| vm.entry).map(|vm| vm.address.clone()));
+        silent.extend(self.table.members().map(|member| member.beat.peer_address.clone()));
+        silent.remove(&self.own.beat.peer_address);
+        let mut targets = Vec::new();
+        for member in self.table.alive(now) {
+            silent.remove(&member.beat.peer_address);
+            let near = self.host.is_near(&member.beat);
+            let due = self.own.beat.name < member.beat.name;
+            targets.push(Target { address: member.beat.peer_address.clone(), near, due });
+        }
+        let unheard = |address| Target { address, near: false, due: true };
+        targets.extend(silent.into_iter().map(unheard));
+        targets
     }
 }
 
@@ -351,26 +380,32 @@
 }
 
 impl Heartbeats {
-    async fn run(self, targets: watch::Receiver<BTreeSet<String>>) {
+    async fn run(self, targets: watch::Receiver<Vec<Target>>) {
         let mut period = tokio::time::interval(self.period);
+        let mut round = 0;
         loop {
+            let mut hurried = false;
             tokio::select! {
                 biased;
-                () = self.members.hurry.notified() => {}
-                _ = period.tick() => {}
+                () = self.members.hurry.notified() => hurried = true,
+                _ = period.tick() => round += 1,
             }
-            let addresses = targets.borrow().clone();
-            for address in addresses {
-                self.scope.spawn(self.beat(address));
+            let targets = targets.borrow().clone();
+            for Target { address, near, due } in targets {
+                let far_round = round % FAR_PERIODS == 1;
+                let calls = if hurried { near } else { due && (near || far_round) };
+                if calls {
+                    self.scope.spawn(self.beat(address, near));
+                }
             }
         }
     }
 
-    fn beat(&self, address: String) -> impl Future<Output = ()> + Send + 'static {
+    fn beat(&self, address: String, near: bool) -> impl Future<Output = ()> + Send + 'static {
         let (members, link) = (self.members.clone(), self.link.clone());
         self.metrics.count(Counter::PeerCall);
         async move {
-            let ask = wire::Ask::Heartbeat(members.heartbeat());
+            let ask = wire::Ask::Heartbeat(members.heartbeat(near));
             let Ok(wire::Reply::Heartbeat(beat)) = link.call(&address, ask).await else {
                 return;
             };
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -414,6 +414,9 @@
         let tokens = demand.run.as_ref().map_or(0, |run| run.footprint);
         let hold = Hold { upstream: upstream.clone(), tokens, runs: false };
         self.table.take(&hold);
-        Some(Copy { upstream, _permit: Permit { holds: vec![hold], mailbox: self.mailbox.clone() } })
+        Some(Copy {
+            upstream,
+            _permit: Permit { holds: vec![hold], mailbox: self.mailbox.clone() },
+        })
     }
 }
--- a/quetzaltiller/src/router/host.rs
+++ b/quetzaltiller/src/router/host.rs
@@ -29,7 +29,7 @@
 }
 
 impl Host for RouterHost {
-    fn describe(&self, beat: &mut wire::Heartbeat) {
+    fn describe(&self, beat: &mut wire::Heartbeat, _near: bool) {
         beat.number = self.catalog.number();
         beat.usage = self.dispatch.usage();
     }
--- a/quetzaltiller/src/router/mod.rs
+++ b/quetzaltiller/src/router/mod.rs
@@ -94,7 +94,7 @@
 
     /// Entry VMs to use, best first; `zone` is the caller's.
     pub fn entries(&self, zone: Option<&str>) -> Entries {
-        let own = self.members.heartbeat().into();
+        let own = self.members.heartbeat(true).into();
         let view = self.members.view();
         let mut beats: Vec<_> = view.alive.iter().chain([&own]).filter(|b| !b.leaving).collect();
         beats.sort_by_key(|beat| (Some(beat.zone.as_str()) != zone, beat.open, beat.name.clone()));
--- a/quetzaltiller/src/upstream.rs
+++ b/quetzaltiller/src/upstream.rs
@@ -88,8 +88,13 @@
 
     /// Copies the memory of a run from one engine to another while the run goes on; a later call
     /// copies what is new. None where it was not done within `limit`.
-    async fn copy_run(&self, from: SocketAddr, request: &str, to: SocketAddr, limit: Duration)
-    -> Option<Copy>;
+    async fn copy_run(
+        &self,
+        from: SocketAddr,
+        request: &str,
+        to: SocketAddr,
+        limit: Duration,
+    ) -> Option<Copy>;
 
     /// Whether an engine has a run, or might have it waiting; none without an answer in time.
     async fn has_run(&self, address: SocketAddr, request: &str, limit: Duration) -> Option<bool>;
