Ask owned engines what they hold; split the upstream client

Change: each entry VM asks the engines it owns for their report every 0.8 s and tells others; memory is the larger of what was given and what was reported.

--- a/quetzaltiller/src/entry.rs
+++ b/quetzaltiller/src/entry.rs
@@ -12,7 +12,7 @@
 use crate::metrics::Metrics;
 use crate::pacer::{self, Pacer};
 use crate::peer::{Handler, Link};
-use crate::placement::{self, Load, Placer, State, Successor, Table};
+use crate::placement::{self, Load, Placer, Reported, State, Successor, Table};
 use crate::prelude::*;
 use crate::proxy::{Context, Proxy};
 use crate::routes;
@@ -424,24 +424,31 @@
             };
             beat.successors = self.follower.successors().iter().map(tell).collect();
         }
-        if !near {
-            return;
-        }
-        beat.lost_upstreams = self.placer.lost().borrow().as_ref().clone();
+        // Far members only need what engines hold, to place copies.
         let load = |(upstream, load): (String, Load)| wire::Load {
             upstream,
-            in_flight: load.in_flight,
-            backlog_ms: load.backlog.as_millis() as u32,
-            tokens: load.tokens,
+            in_flight: if near { load.in_flight } else { 0 },
+            backlog_ms: if near { load.backlog.as_millis() as u32 } else { 0 },
+            tokens: if near { load.tokens } else { 0 },
+            reported_tokens: load.reported.map(|reported| reported.tokens),
+            reported_requests: load.reported.map_or(0, |reported| reported.requests),
         };
-        beat.loads = self.placer.loads().into_iter().map(load).collect();
+        let told = |(_, load): &(String, Load)| near || load.reported.is_some();
+        beat.loads = self.placer.loads().into_iter().filter(told).map(load).collect();
+        if near {
+            beat.lost_upstreams = self.placer.lost().borrow().as_ref().clone();
+        }
     }
 
     fn heard(&self, beat: &wire::Heartbeat) {
         beat.lost_upstreams.iter().for_each(|id| self.placer.reported_gone(id));
         let load = |load: &wire::Load| {
             let backlog = Duration::from_millis(u64::from(load.backlog_ms));
-            let known = Load { in_flight: load.in_flight, backlog, tokens: load.tokens };
+            let reported = load
+                .reported_tokens
+                .map(|tokens| Reported { tokens, requests: load.reported_requests });
+            let (in_flight, tokens) = (load.in_flight, load.tokens);
+            let known = Load { in_flight, backlog, tokens, reported };
             (load.upstream.clone(), known)
         };
         self.placer.hear(&beat.name, beat.loads.iter().map(load).collect());
--- a/quetzaltiller/src/placement/mod.rs
+++ b/quetzaltiller/src/placement/mod.rs
@@ -12,6 +12,6 @@
 mod task;
 
 pub use demand::{Demand, Run};
-pub use state::{Load, State};
+pub use state::{Load, Reported, State};
 pub use table::{Choice, Hold, Pick, Table};
 pub use task::{Copy, Parts, Permit, Placement, Placer, Successor};
--- a/quetzaltiller/src/placement/state.rs
+++ b/quetzaltiller/src/placement/state.rs
@@ -17,6 +17,11 @@
 /// Time in which evidence of failures fades to a third, so that an upstream is tried again.
 const FAILURE_FADES: Duration = Duration::from_secs(4);
 
+/// A report says nothing about memory after half of the length of a run.
+const REPORT_TERM: Duration = Duration::from_millis(2_500);
+/// A report is told to others while it is about as new as the period of reports.
+const REPORT_FRESH: Duration = Duration::from_millis(1_000);
+
 /// What another entry VM has given to an upstream.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -27,6 +32,18 @@
     pub backlog: Duration,
     /// Tokens held, copies of other engines' runs included.
     pub tokens: u32,
+    /// What the upstream itself told lately.
+    pub reported: Option<Reported>,
+}
+
+/// What an upstream told of itself.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Reported {
+    /// Tokens in its memory that can't be dropped.
+    pub tokens: u32,
+    /// Requests that run or wait.
+    pub requests: u32,
 }
 
 /// State of an upstream.
@@ -50,6 +67,8 @@
     pub alive_at: Duration,
     /// When it was found to be gone, while it has not answered since.
     lost_at: Option<Duration>,
+    /// Last report, when it was made, and what this entry VM held then.
+    reported: Option<(Reported, Duration, u32)>,
     /// What other entry VMs told that they have given to it, and when.
     others: BTreeMap<String, (Load, Duration)>,
     failures: u32,
@@ -69,6 +88,7 @@
             suspect_until: Duration::ZERO,
             alive_at: Duration::ZERO,
             lost_at: None,
+            reported: None,
             others: BTreeMap::new(),
             failures: 0,
             failure_rate: 0.0,
@@ -157,10 +177,29 @@
         self.in_flight + self.others.values().map(|(load, _)| load.in_flight).sum::<u32>()
     }
 
-    /// Tokens that its memory holds or will hold.
-    pub fn memory(&self) -> u32 {
+    /// Tokens that its memory holds or will hold: by what entry VMs have given to it, and by what it
+    /// reported with what this one has given since.
+    pub fn memory(&self, now: Duration) -> u32 {
         let others = self.others.values().map(|(load, _)| load.tokens).sum::<u32>();
-        self.own_memory() + others
+        let given = self.own_memory() + others;
+        let reported = self.reported.filter(|(_, at, _)| now < *at + REPORT_TERM);
+        let by_report = reported.map_or(0, |(reported, _, held)| {
+            reported.tokens + self.own_memory().saturating_sub(held)
+        });
+        given.max(by_report)
+    }
+
+    /// Takes a report of its own.
+    pub fn report(&mut self, now: Duration, tokens: u32, requests: u32) {
+        let reported = Reported { tokens, requests };
+        self.reported = Some((reported, now, self.own_memory()));
+        self.show_life(now);
+    }
+
+    /// Its last report, if that is not too old to tell others.
+    pub fn fresh_report(&self, now: Duration) -> Option<Reported> {
+        let (reported, at, _) = self.reported?;
+        (now < at + REPORT_FRESH).then_some(reported)
     }
 
     /// Tokens that its memory holds or will hold for this entry VM.
@@ -172,6 +211,9 @@
     pub fn hear(&mut self, now: Duration, member: &str, load: Option<Load>) {
         match load {
             Some(load) => {
+                if let Some(reported) = load.reported {
+                    self.reported = Some((reported, now, self.own_memory()));
+                }
                 self.others.insert(member.to_owned(), (load, now));
             }
             None => {
--- a/quetzaltiller/src/placement/table.rs
+++ b/quetzaltiller/src/placement/table.rs
@@ -111,13 +111,17 @@
 
     /// What this entry VM has given to upstreams.
     pub fn loads(&self, now: Duration) -> BTreeMap<String, Load> {
-        let used = self.states.iter().filter(|(_, state)| state.own_memory() > 0);
-        let load = |state: &State| Load {
-            in_flight: state.in_flight,
-            backlog: state.own_backlog(now),
-            tokens: state.own_memory(),
+        let load = |state: &State| {
+            let asked = state.upstream.zone == self.own_zone && self.owns(&state.upstream.id);
+            Load {
+                in_flight: state.in_flight,
+                backlog: state.own_backlog(now),
+                tokens: state.own_memory(),
+                reported: state.fresh_report(now).filter(|_| asked),
+            }
         };
-        used.map(|(id, state)| (id.clone(), load(state))).collect()
+        let loads = self.states.iter().map(|(id, state)| (id.clone(), load(state)));
+        loads.filter(|(_, load)| load.tokens > 0 || load.reported.is_some()).collect()
     }
 
     /// Forgets what entry VMs told that are not `alive`.
@@ -204,7 +208,7 @@
             .filter(|state| !state.is_suspect(now))
             .collect();
         let doubted = self.doubted_zones(now, &demand.service);
-        self.choose_backup(&able, primary, run, engine, &doubted)
+        self.choose_backup(now, &able, primary, run, (engine, &doubted))
     }
 
     /// Notes a request begun; returns what it takes.
@@ -278,10 +282,10 @@
         let engine = service.and_then(|service| service.engine.clone());
         let engine = engine.unwrap_or_default();
         let room = |state: &State| {
-            let memory = f64::from(state.memory() + run.footprint);
+            let memory = f64::from(state.memory(now) + run.footprint);
             let limit = f64::from(engine.memory_tokens) * MEMORY_SHARE;
             let holds_copy = run.copy.as_ref() == Some(&state.upstream.id);
-            engine.memory_tokens == 0 || memory <= limit || holds_copy || state.memory() == 0
+            engine.memory_tokens == 0 || memory <= limit || holds_copy || state.memory(now) == 0
         };
         let slots = |state: &State| state.total_in_flight() < state.upstream.slots.max(1);
         let open: Vec<_> = candidates.iter().copied().filter(|s| room(s) && slots(s)).collect();
@@ -296,7 +300,7 @@
             return Choice::Full;
         };
         let backup = if run.wants_backup && engine.backups {
-            self.choose_backup(&open, &best.upstream, run, &engine, &doubted)
+            self.choose_backup(now, &open, &best.upstream, run, (&engine, &doubted))
         } else {
             None
         };
@@ -331,6 +335,21 @@
             + tie * NEIGHBOUR_MS / 2.0
     }
 
+    /// Engines that this entry VM owns and that are not lost.
+    pub fn owned_engines(&self, now: Duration) -> Vec<Arc<Upstream>> {
+        let has_engines = |service: &str| {
+            self.routes.service(service).is_some_and(|service| service.engine.is_some())
+        };
+        let owned = self.states.values().filter(|state| {
+            let upstream = &state.upstream;
+            upstream.zone == self.own_zone
+                && has_engines(&upstream.service)
+                && !state.is_lost(now)
+                && self.owns(&upstream.id)
+        });
+        owned.map(|state| state.upstream.clone()).collect()
+    }
+
     /// Engines in doubted zones that have not shown life since `since` and are not known as lost.
     pub fn unproven(&self, now: Duration, service: &str, since: Duration) -> Vec<Arc<Upstream>> {
         let doubted = self.doubted_zones(now, service);
@@ -358,15 +377,15 @@
     /// Engine in another zone that holds least.
     fn choose_backup(
         &self,
+        now: Duration,
         candidates: &[&State],
         primary: &Upstream,
         run: &Run,
-        engine: &routes::Engine,
-        doubted: &BTreeSet<String>,
+        (engine, doubted): (&routes::Engine, &BTreeSet<String>),
     ) -> Option<Arc<Upstream>> {
         let limit = f64::from(engine.memory_tokens) * BACKUP_MEMORY_SHARE;
         let sound = candidates.iter().filter(|state| {
-            let memory = f64::from(state.memory() + run.footprint);
+            let memory = f64::from(state.memory(now) + run.footprint);
             let zone = &state.upstream.zone;
             state.upstream.id != primary.id && !doubted.contains(zone) && memory <= limit
         });
@@ -376,7 +395,7 @@
         let key = run.affinity.to_string();
         let from = if away.is_empty() { sound } else { away };
         from.into_iter()
-            .min_by_key(|state| (state.memory(), score(&state.upstream.id, &key)))
+            .min_by_key(|state| (state.memory(now), score(&state.upstream.id, &key)))
             .map(|state| state.upstream.clone())
     }
 
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -9,8 +9,9 @@
 use crate::prelude::*;
 use crate::routes;
 use crate::scope::Scope;
-use crate::upstream::Client;
+use crate::upstream::{Client, Report};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::MissedTickBehavior;
 
@@ -57,6 +58,7 @@
     Configure(Arc<routes::Table>),
     Upstreams(Arc<Directory>),
     Neighbours { all: Vec<String>, of_zone: Vec<String> },
+    Reported { id: String, report: Report },
     Heard { member: String, loads: BTreeMap<String, Load> },
     Dump(oneshot::Sender<BTreeMap<String, State>>),
 }
@@ -96,6 +98,11 @@
 /// How often the own load is summed up for peers.
 const LOAD_PERIOD: Duration = Duration::from_millis(100);
 
+/// How often an engine is asked what it holds, by the entry VM that owns it; half of a prefill.
+const REPORT_PERIOD: Duration = Duration::from_millis(800);
+/// Limit of such a question.
+const REPORT_LIMIT: Duration = Duration::from_millis(300);
+
 /// A lost upstream and the one that the same service has started at its address.
 #[derive(Clone, Debug)]
 pub struct Successor {
@@ -233,6 +240,10 @@
     }
 }
 
+async fn serves_models(client: &dyn Client, address: SocketAddr) -> bool {
+    client.report(address, CHECK_LIMIT).await.is_some_and(|report| report.has_models)
+}
+
 struct Task {
     clock: Clock,
     table: Table,
@@ -253,6 +264,8 @@
     async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>) {
         let mut publishing = tokio::time::interval(LOAD_PERIOD);
         publishing.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut reporting = tokio::time::interval(REPORT_PERIOD);
+        reporting.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 biased;
@@ -263,6 +276,7 @@
                 _ = publishing.tick() => {
                     self.loads.send_replace(self.table.loads(self.clock.now()));
                 }
+                _ = reporting.tick() => self.ask_reports(),
             }
         }
     }
@@ -289,6 +303,11 @@
                 self.table.retain_members(&all);
                 self.table.set_neighbours(of_zone);
             }
+            Message::Reported { id, report } => {
+                if let Some(state) = self.table.state_mut(&id) {
+                    state.report(now, report.memory_tokens, report.running + report.waiting);
+                }
+            }
             Message::Heard { member, loads } => self.table.hear(now, &member, &loads),
             Message::Dump(reply) => {
                 let _ = reply.send(self.table.states().clone());
@@ -333,6 +352,18 @@
         self.publish_lost(now);
     }
 
+    /// Asks the engines that this entry VM owns what they hold, for itself and for peers.
+    fn ask_reports(&self) {
+        for upstream in self.table.owned_engines(self.clock.now()) {
+            let (client, mailbox) = (self.client.clone(), self.mailbox.clone());
+            self.scope.spawn(async move {
+                if let Some(report) = client.report(upstream.address, REPORT_LIMIT).await {
+                    mailbox.tell(Message::Reported { id: upstream.id.clone(), report });
+                }
+            });
+        }
+    }
+
     /// Asks whether an upstream still accepts connections.
     fn check(&self, upstream: Arc<Upstream>) {
         let (client, mailbox) = (self.client.clone(), self.mailbox.clone());
@@ -362,7 +393,7 @@
                 let in_time = clock.now() < own_until;
                 let succeeds = id != lost.id
                     && (in_time
-                        || only_engines && client.is_engine(lost.address, CHECK_LIMIT).await);
+                        || only_engines && serves_models(&*client, lost.address).await);
                 info!("upstream_rechecked", kv: { upstream = lost.id, found = id, succeeds });
                 if id == lost.id {
                     mailbox.tell(Message::Outcome { id, outcome: Outcome::Alive });
--- a/quetzaltiller/src/proxy/reader.rs
+++ b/quetzaltiller/src/proxy/reader.rs
@@ -96,9 +96,9 @@
     /// Asks whether the engine has the run.
     pub async fn inspect(self, limit: Duration) {
         let address = self.upstream.address;
-        let error = match self.client.has_run(address, &self.request.id, limit).await {
-            Some(true) => None,
-            Some(false) => Some(engine::Error::UnknownStream),
+        let error = match self.client.report(address, limit).await {
+            Some(report) if report.may_have(&self.request.id) => None,
+            Some(_) => Some(engine::Error::UnknownStream),
             None => Some(engine::Error::Timeout),
         };
         let alive = Notice::Alive(self.conn);
--- a/quetzaltiller/src/upstream.rs
+++ b/quetzaltiller/src/upstream.rs
@@ -77,6 +77,28 @@
     pub body: BoxStream<'static, Result<Bytes, Error>>,
 }
 
+/// What an engine tells of itself, some hundred milliseconds late.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Report {
+    /// It serves models.
+    pub has_models: bool,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that run.
+    pub running: u32,
+    /// Tokens in memory that can't be dropped.
+    pub memory_tokens: u32,
+    /// Requests whose runs it knows.
+    pub runs: Vec<String>,
+}
+
+impl Report {
+    /// Whether the engine has a run, or might have it waiting.
+    pub fn may_have(&self, request: &str) -> bool {
+        self.waiting > 0 || self.runs.iter().any(|run| run == request)
+    }
+}
+
 /// Access to upstreams. Dropping a call or a body closes its connection.
 #[async_trait]
 pub trait Client: Send + Sync {
@@ -96,11 +118,8 @@
         limit: Duration,
     ) -> Option<Copy>;
 
-    /// Whether an engine has a run, or might have it waiting; none without an answer in time.
-    async fn has_run(&self, address: SocketAddr, request: &str, limit: Duration) -> Option<bool>;
-
-    /// Whether the process at an address serves models.
-    async fn is_engine(&self, address: SocketAddr, limit: Duration) -> bool;
+    /// What an engine tells of itself; none without an answer in time.
+    async fn report(&self, address: SocketAddr, limit: Duration) -> Option<Report>;
 
     /// Id of the process at an address, by its health check; none without an answer in time.
     async fn identify(&self, address: SocketAddr, path: &str, limit: Duration) -> Option<String>;
--- a/quetzaltiller/src/wire.rs
+++ b/quetzaltiller/src/wire.rs
@@ -134,6 +134,12 @@
     /// Tokens held, copies of other engines' runs included.
     #[prost(uint32, tag = "4")]
     pub tokens: u32,
+    /// Tokens in its memory, as it told itself.
+    #[prost(uint32, optional, tag = "5")]
+    pub reported_tokens: Option<u32>,
+    /// Requests that run or wait, as it told itself.
+    #[prost(uint32, tag = "6")]
+    pub reported_requests: u32,
 }
 
 /// An upstream that took the place of a lost one.
