--- a/coordination/src/membership.rs
+++ b/coordination/src/membership.rs
@@ -108,6 +108,11 @@
         self.members.values().filter(move |member| member.heard + member.timeout >= now)
     }
 
+    /// Whether a member is known, alive or not.
+    pub fn knows(&self, name: &str) -> bool {
+        self.members.contains_key(name)
+    }
+
     /// All members known, by name.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
--- a/quetzaltiller/src/control.rs
+++ b/quetzaltiller/src/control.rs
@@ -50,6 +50,17 @@
     pub changes: Vec<Change>,
 }
 
+/// An entry VM that has announced itself.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Member {
+    /// Name.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Address for peers.
+    pub peer_address: String,
+}
+
 /// What the store holds for entry VMs.
 #[async_trait]
 pub trait Store: Send + Sync {
@@ -65,9 +76,9 @@
     /// Waits until an upstream has changed since `revision`, or for a while.
     async fn next_upstreams(&self, revision: u64) -> Result<Changes, Error>;
 
-    /// Peer addresses of entry VMs that have announced themselves.
-    async fn members(&self) -> Result<Vec<String>, Error>;
+    /// Entry VMs that have announced themselves, gone ones among them.
+    async fn members(&self) -> Result<Vec<Member>, Error>;
 
-    /// Announces the peer address of the entry VM `name`.
-    async fn announce(&self, name: &str, peer_address: &str) -> Result<(), Error>;
+    /// Announces an entry VM.
+    async fn announce(&self, member: &Member) -> Result<(), Error>;
 }
--- a/quetzaltiller/src/entry.rs
+++ b/quetzaltiller/src/entry.rs
@@ -4,7 +4,7 @@
 //! leaves without cutting any.
 
 use crate::clock::Clock;
-use crate::control::Store;
+use crate::control::{Member, Store};
 use crate::drain::{self, Drain, Phase};
 use crate::fleet::{Listing, Upstream};
 use crate::follower::Follower;
@@ -49,6 +49,10 @@
 const ENOUGH_ENTRIES: usize = 3;
 /// Losses are gathered for so long before peers are told, as a zone's engines go together.
 const GATHER_LOSSES: Duration = Duration::from_millis(15);
+/// Longest time that runs wait for it to be known who else is there; the store tells it in 10 ms.
+const SETTLE_LIMIT: Duration = Duration::from_millis(400);
+/// Time in which the members that the store told reach the choice of upstreams.
+const INTRODUCTION: Duration = Duration::from_millis(5);
 /// Pause between announcements that the store does not take.
 const ANNOUNCE_RETRY: Duration = Duration::from_millis(1_000);
 
@@ -180,7 +184,13 @@
         };
         let members = Members::start(&scope, parts);
         scope.spawn(spread_losses(placer.clone(), members.clone()));
-        scope.spawn(announce(ports.store, config.clone(), members.clone()));
+        let member = Member {
+            name: config.name.clone(),
+            zone: config.zone.clone(),
+            peer_address: config.peer_address.clone(),
+        };
+        scope.spawn(announce(ports.store, member, members.clone(), placer.clone()));
+        scope.spawn(settle(placer.clone()));
         let budget = pacer::Settings {
             hedge: HEDGE,
             retry_ratio: config.retry_ratio * BUDGET_SHARE,
@@ -380,14 +390,18 @@
 }
 
 /// Announces this entry VM in the store and learns of the others from there.
-async fn announce(store: Arc<dyn Store>, config: Config, members: Members) {
-    while let Err(reason) = store.announce(&config.name, &config.peer_address).await {
+async fn announce(store: Arc<dyn Store>, own: Member, members: Members, placer: Placer) {
+    while let Err(reason) = store.announce(&own).await {
         info!("announcement_failed", kv: { reason:? = reason.to_string() });
         tokio::time::sleep(ANNOUNCE_RETRY).await;
     }
     loop {
         match store.members().await {
-            Ok(addresses) => return members.add_seeds(addresses),
+            Ok(listed) => {
+                members.introduce(listed);
+                tokio::time::sleep(INTRODUCTION).await;
+                return placer.settle();
+            }
             Err(reason) => {
                 info!("members_unknown", kv: { reason:? = reason.to_string() });
                 tokio::time::sleep(ANNOUNCE_RETRY).await;
@@ -396,6 +410,12 @@
     }
 }
 
+/// Places runs without knowledge of the other entry VMs when the store does not tell it soon.
+async fn settle(placer: Placer) {
+    tokio::time::sleep(SETTLE_LIMIT).await;
+    placer.settle();
+}
+
 /// An entry VM's part in membership.
 struct EntryHost {
     zone: String,
@@ -432,6 +452,7 @@
             tokens: if near { load.tokens } else { 0 },
             reported_tokens: load.reported.map(|reported| reported.tokens),
             reported_requests: load.reported.map_or(0, |reported| reported.requests),
+            reported_unread: load.reported.map_or(0, |reported| reported.unread),
         };
         let told = |(_, load): &(String, Load)| near || load.reported.is_some();
         beat.loads = self.placer.loads().into_iter().filter(told).map(load).collect();
@@ -444,9 +465,8 @@
         beat.lost_upstreams.iter().for_each(|id| self.placer.reported_gone(id));
         let load = |load: &wire::Load| {
             let backlog = Duration::from_millis(u64::from(load.backlog_ms));
-            let reported = load
-                .reported_tokens
-                .map(|tokens| Reported { tokens, requests: load.reported_requests });
+            let (requests, unread) = (load.reported_requests, load.reported_unread);
+            let reported = load.reported_tokens.map(|tokens| Reported { tokens, requests, unread });
             let (in_flight, tokens) = (load.in_flight, load.tokens);
             let known = Load { in_flight, backlog, tokens, reported };
             (load.upstream.clone(), known)
--- a/quetzaltiller/src/follower.rs
+++ b/quetzaltiller/src/follower.rs
@@ -102,6 +102,15 @@
         self.routes.borrow().clone()
     }
 
+    /// Waits for a first configuration, for `limit` at most.
+    pub async fn configured(&self, limit: Duration) {
+        let mut routes = self.routes.clone();
+        let known = routes.wait_for(|table| table.number() > 0);
+        if tokio::time::timeout(limit, known).await.is_err() {
+            debug!("configuration_awaited_in_vain", kv: { limit_ms = limit.as_millis() as u64 });
+        }
+    }
+
     /// Upstreams as known now.
     pub fn directory(&self) -> Arc<Directory> {
         self.directory.borrow().clone()
--- a/quetzaltiller/src/members.rs
+++ b/quetzaltiller/src/members.rs
@@ -4,6 +4,7 @@
 //! what the heartbeats of others tell.
 
 use crate::clock::Clock;
+use crate::control::Member;
 use crate::mailbox::Mailbox;
 use crate::metrics::{Counter, Metrics};
 use crate::peer::Link;
@@ -18,6 +19,10 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use tokio::sync::{Notify, mpsc, watch};
 
+/// Time for which a member is taken as alive that was introduced and not heard.
+const TRUST: Duration = Duration::from_millis(2_500);
+/// Incarnation of a member that was not heard.
+const UNHEARD: u64 = 0;
 /// Periods between heartbeats of far members.
 const FAR_PERIODS: u32 = 3;
 /// A silent member is forgotten after this many timeouts.
@@ -130,7 +135,7 @@
 enum Message {
     Hear(wire::Heartbeat),
     Vms(Vec<Vm>),
-    Found(Vec<String>),
+    Introduced(Vec<Member>),
 }
 
 /// Handle to the membership tasks.
@@ -212,9 +217,9 @@
         self.mailbox.tell(Message::Vms(vms));
     }
 
-    /// Adds addresses of peers.
-    pub fn add_seeds(&self, addresses: Vec<String>) {
-        self.mailbox.tell(Message::Found(addresses));
+    /// Takes others on trust for a while, until they are heard.
+    pub fn introduce(&self, others: Vec<Member>) {
+        self.mailbox.tell(Message::Introduced(others));
     }
 
     /// Sends heartbeats without waiting for the next period.
@@ -235,8 +240,14 @@
     /// Answers a peer's heartbeat.
     pub fn answer(&self, beat: wire::Heartbeat) -> wire::Heartbeat {
         let near = self.host.is_near(&beat.clone().into());
+        let view = self.view.borrow().clone();
+        let known = view.member(&beat.name).is_some_and(|m| m.incarnation == beat.incarnation);
         self.mailbox.tell(Message::Hear(beat));
-        self.heartbeat(near)
+        let mut answer = self.heartbeat(near);
+        if !known {
+            answer.members = view.alive.iter().map(wire::Member::from).collect();
+        }
+        answer
     }
 
     /// This process's heartbeat.
@@ -257,6 +268,20 @@
     due: bool,
 }
 
+impl From<&Heartbeat> for wire::Member {
+    fn from(beat: &Heartbeat) -> Self {
+        let Heartbeat { name, zone, peer_address, .. } = beat.clone();
+        Self { name, zone, peer_address }
+    }
+}
+
+impl From<&wire::Member> for Member {
+    fn from(member: &wire::Member) -> Self {
+        let wire::Member { name, zone, peer_address } = member.clone();
+        Self { name, zone, peer_address }
+    }
+}
+
 struct LeavingNews {
     upstreams: Vec<String>,
     by: String,
@@ -286,10 +311,7 @@
                 message = messages.recv() => match message {
                     Some(Message::Hear(beat)) => self.hear(beat),
                     Some(Message::Vms(vms)) => self.list(vms),
-                    Some(Message::Found(addresses)) => {
-                        self.seeds.extend(addresses);
-                        self.publish();
-                    }
+                    Some(Message::Introduced(others)) => self.introduce(others),
                     None => return,
                 },
             }
@@ -303,6 +325,11 @@
         let now = self.clock.now();
         self.news.retain(|news| news.by != beat.name);
         self.host.heard(&beat);
+        let told = beat.members.iter().map(Member::from);
+        let unknown: Vec<_> = told.filter(|member| !self.table.knows(&member.name)).collect();
+        if !unknown.is_empty() {
+            self.introduce(unknown);
+        }
         if !beat.leaving_upstreams.is_empty() {
             let upstreams = beat.leaving_upstreams.clone();
             self.news.push(LeavingNews { upstreams, by: beat.name.clone(), at: now });
@@ -313,6 +340,18 @@
         self.publish();
     }
 
+    fn introduce(&mut self, others: Vec<Member>) {
+        let now = self.clock.now();
+        for Member { name, zone, peer_address } in others {
+            self.seeds.push(peer_address.clone());
+            if name != self.own.beat.name {
+                let beat = Heartbeat { name, zone, peer_address, ..Heartbeat::default() };
+                self.table.hear_for(now, beat, TRUST);
+            }
+        }
+        self.publish();
+    }
+
     fn list(&mut self, vms: Vec<Vm>) {
         for vm in vms.iter().filter(|vm| vm.entry && vm.leaving) {
             self.table.mark_leaving(&vm.name);
@@ -362,7 +401,8 @@
         for member in self.table.alive(now) {
             silent.remove(&member.beat.peer_address);
             let near = self.host.is_near(&member.beat);
-            let due = self.own.beat.name < member.beat.name;
+            let unheard = member.beat.incarnation == UNHEARD;
+            let due = unheard || self.own.beat.name < member.beat.name;
             targets.push(Target { address: member.beat.peer_address.clone(), near, due });
         }
         let unheard = |address| Target { address, near: false, due: true };
--- a/quetzaltiller/src/placement/demand.rs
+++ b/quetzaltiller/src/placement/demand.rs
@@ -1,5 +1,7 @@
 //! What a request needs of an upstream.
 
+use std::time::Duration;
+
 /// Demand.
 #[derive(Clone, Debug, Default)]
 pub struct Demand {
@@ -26,8 +28,8 @@
     pub footprint: u32,
     /// Equal for requests that share a prompt.
     pub affinity: u64,
-    /// Work is at stake already: goes before new requests.
-    pub resumed: bool,
+    /// Time until the first event, after which the run is of little use; none for work at stake.
+    pub objective: Option<Duration>,
     /// Choose a second engine for copies of the memory.
     pub wants_backup: bool,
 }
--- a/quetzaltiller/src/placement/mod.rs
+++ b/quetzaltiller/src/placement/mod.rs
@@ -14,4 +14,4 @@
 pub use demand::{Demand, Run};
 pub use state::{Load, Reported, State};
 pub use table::{Choice, Hold, Pick, Table};
-pub use task::{Copy, Parts, Permit, Placement, Placer, Successor};
+pub use task::{Copy, Parts, Permit, Placement, Placer, Successor, Unplaced};
--- a/quetzaltiller/src/placement/state.rs
+++ b/quetzaltiller/src/placement/state.rs
@@ -17,6 +17,8 @@
 /// Time in which evidence of failures fades to a third, so that an upstream is tried again.
 const FAILURE_FADES: Duration = Duration::from_secs(4);
 
+/// Prefill left of a request that has not generated anything, on average (users' prompts).
+const UNREAD: Duration = Duration::from_millis(700);
 /// A report says nothing about memory after half of the length of a run.
 const REPORT_TERM: Duration = Duration::from_millis(2_500);
 /// A report is told to others while it is about as new as the period of reports.
@@ -44,6 +46,8 @@
     pub tokens: u32,
     /// Requests that run or wait.
     pub requests: u32,
+    /// Of these, those that have not generated anything yet.
+    pub unread: u32,
 }
 
 /// State of an upstream.
@@ -173,8 +177,11 @@
     }
 
     /// Requests of all entry VMs.
-    pub fn total_in_flight(&self) -> u32 {
-        self.in_flight + self.others.values().map(|(load, _)| load.in_flight).sum::<u32>()
+    pub fn total_in_flight(&self, now: Duration) -> u32 {
+        let others = self.others.values().map(|(load, _)| load.in_flight).sum::<u32>();
+        let reported = self.reported.filter(|(_, at, _)| now < *at + REPORT_TERM);
+        let reported = reported.map_or(0, |(reported, ..)| reported.requests);
+        (self.in_flight + others).max(reported)
     }
 
     /// Tokens that its memory holds or will hold: by what entry VMs have given to it, and by what it
@@ -190,8 +197,7 @@
     }
 
     /// Takes a report of its own.
-    pub fn report(&mut self, now: Duration, tokens: u32, requests: u32) {
-        let reported = Reported { tokens, requests };
+    pub fn report(&mut self, now: Duration, reported: Reported) {
         self.reported = Some((reported, now, self.own_memory()));
         self.show_life(now);
     }
--- a/quetzaltiller/src/placement/table.rs
+++ b/quetzaltiller/src/placement/table.rs
@@ -7,19 +7,21 @@
 use super::state::{Load, State};
 use crate::fleet::{Directory, Upstream};
 use crate::routes;
-use coordination::rendezvous::score;
+use coordination::rendezvous::{rank, score};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Time in which a full engine ends a run: the length of one over the runs of one engine.
+const FULL_RETRY: Duration = Duration::from_millis(500);
 /// Prompt tokens that an engine reads in a millisecond (users' sheet of engines).
 const PREFILL_TOKENS_PER_MS: f64 = 8.0;
 /// Slowdown of the others in a batch by one more run, over the length of a run: 0.15 ms of about
 /// 5 ms a step (users' sheet of engines), 4 s a run.
 const NEIGHBOUR_MS: f64 = 120.0;
-/// Chance that another entry VM has begun a prefill at an engine that it owns and has not told yet,
-/// times its length.
-const FOREIGN_MS: f64 = 150.0;
+/// Wait at an owned engine, whose load is known, that is better than an engine of another entry VM,
+/// whose load may have changed: most of a prefill.
+const FOREIGN_MS: f64 = 200.0;
 /// Worth of the bytes of a generation that cross zones, as a delay.
 const OTHER_ZONE_MS: f64 = 100.0;
 /// Weight of an upstream's failure rate, as a delay.
@@ -42,13 +44,21 @@
 /// Tokens to read at an engine that holds a copy or the prompt: what had not arrived there.
 const RESTORED_TOKENS: u32 = 200;
 
+/// Engines of other entry VMs that are considered in each zone.
+const DRAWN: usize = 2;
+/// Engines that are considered for a copy.
+const DRAWN_FOR_COPIES: usize = 4;
+
 /// Result of a choice.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Choice {
     /// These upstreams.
     Found(Pick),
-    /// All that could serve it are full.
-    Full,
+    /// All that could serve it are full, or would be too late; some won't be after this time.
+    Full {
+        /// Time until there is room.
+        retry_after: Duration,
+    },
     /// There is none.
     Nowhere,
 }
@@ -62,6 +72,8 @@
     pub backup: Option<Arc<Upstream>>,
     /// The upstream holds a copy of the run's memory.
     pub restores: bool,
+    /// Expected time until the run generates.
+    pub wait: Duration,
 }
 
 /// What one request takes of one upstream.
@@ -84,6 +96,8 @@
     own_zone: String,
     /// Entry VMs of the own zone that are alive, without this one.
     neighbours: Vec<String>,
+    /// Upstreams that this entry VM owns.
+    owned: BTreeSet<String>,
 }
 
 impl Table {
@@ -99,7 +113,10 @@
 
     /// Tells which entry VMs of the own zone share its engines.
     pub fn set_neighbours(&mut self, neighbours: Vec<String>) {
-        self.neighbours = neighbours;
+        if self.neighbours != neighbours {
+            self.neighbours = neighbours;
+            self.share_upstreams();
+        }
     }
 
     /// Takes what another entry VM has given to upstreams.
@@ -145,6 +162,7 @@
             }
         }
         self.states.retain(|id, _| directory.upstream(id).is_some());
+        self.share_upstreams();
         gone
     }
 
@@ -267,7 +285,8 @@
         };
         let best = candidates.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
         best.map_or(Choice::Nowhere, |state| {
-            Choice::Found(Pick { upstream: state.upstream.clone(), backup: None, restores: false })
+            let upstream = state.upstream.clone();
+            Choice::Found(Pick { upstream, backup: None, restores: false, wait: Duration::ZERO })
         })
     }
 
@@ -287,8 +306,9 @@
             let holds_copy = run.copy.as_ref() == Some(&state.upstream.id);
             engine.memory_tokens == 0 || memory <= limit || holds_copy || state.memory(now) == 0
         };
-        let slots = |state: &State| state.total_in_flight() < state.upstream.slots.max(1);
+        let slots = |state: &State| state.total_in_flight(now) < state.upstream.slots.max(1);
         let open: Vec<_> = candidates.iter().copied().filter(|s| room(s) && slots(s)).collect();
+        let sample = self.sample(&open, run);
         let mut doubted = self.doubted_zones(now, &demand.service);
         let failed = demand.avoid.iter().filter_map(|id| self.states.get(id));
         doubted.extend(failed.map(|state| state.upstream.zone.clone()));
@@ -296,16 +316,42 @@
             let doubt = if doubted.contains(&state.upstream.zone) { DOUBT_MS } else { 0.0 };
             self.engine_cost(now, state, run) + doubt
         };
-        let Some(best) = open.iter().min_by(|a, b| cost(a).total_cmp(&cost(b))) else {
-            return Choice::Full;
+        let Some(best) = sample.iter().min_by(|a, b| cost(a).total_cmp(&cost(b))) else {
+            return Choice::Full { retry_after: FULL_RETRY };
         };
+        let wait = best.backlog(now) + prefill(run.prompt_tokens);
+        if let Some(late) = run.objective.and_then(|objective| wait.checked_sub(objective))
+            && !late.is_zero()
+        {
+            return Choice::Full { retry_after: late.max(FULL_RETRY) };
+        }
         let backup = if run.wants_backup && engine.backups {
             self.choose_backup(now, &open, &best.upstream, run, (&engine, &doubted))
         } else {
             None
         };
         let restores = run.copy.as_ref() == Some(&best.upstream.id);
-        Choice::Found(Pick { upstream: best.upstream.clone(), backup, restores })
+        Choice::Found(Pick { upstream: best.upstream.clone(), backup, restores, wait })
+    }
+
+    /// Engines to choose among: those that this entry VM owns, a few others of each zone by lot, and
+    /// those that know the run. What is known of engines of others is old, so if all entry VMs turned to
+    /// the one that looks best, they would meet there. Source of choosing by lot: Mitzenmacher, "How
+    /// Useful Is Old Information?", IEEE TPDS 2000.
+    fn sample<'a>(&self, open: &[&'a State], run: &Run) -> Vec<&'a State> {
+        let key = run.affinity.to_string();
+        let mut others: Vec<_> =
+            open.iter().copied().filter(|s| !self.owns(&s.upstream.id)).collect();
+        others.sort_by_cached_key(|state| score(&state.upstream.id, &key));
+        let mut drawn: BTreeMap<&str, usize> = BTreeMap::new();
+        others.retain(|state| {
+            let count = drawn.entry(&state.upstream.zone).or_default();
+            *count += 1;
+            let id = Some(&state.upstream.id);
+            *count <= DRAWN || run.copy.as_ref() == id || run.cached.as_ref() == id
+        });
+        others.extend(open.iter().copied().filter(|s| self.owns(&s.upstream.id)));
+        others
     }
 
     fn engine_cost(&self, now: Duration, state: &State, run: &Run) -> f64 {
@@ -317,20 +363,20 @@
         let has_read = known(&run.copy) || known(&run.cached);
         let tokens = if has_read { RESTORED_TOKENS } else { run.prompt_tokens };
         let prefill_ms = prefill(tokens).as_secs_f64() * 1_000.0;
-        let zone = if state.upstream.zone != self.own_zone {
-            FOREIGN_MS + OTHER_ZONE_MS
-        } else if self.owns(&state.upstream.id) {
-            0.0
-        } else {
-            FOREIGN_MS
-        };
+        // When a zone's engines are lost, its entry VMs share those of other zones among them.
+        let elsewhere = state.upstream.zone != self.own_zone;
+        let foreign = !goes_first && (elsewhere || !self.owns(&state.upstream.id));
+        let zone = if elsewhere { OTHER_ZONE_MS } else { 0.0 };
+        let zone = if foreign { zone + FOREIGN_MS } else { zone };
+        let shared = !goes_first && elsewhere && !self.owns(&state.upstream.id);
+        let zone = if shared { zone + FOREIGN_MS } else { zone };
         // Equal costs are told apart alike by all entry VMs, so that a repeated request finds
         // what its engine has cached.
         let tie = score(&state.upstream.id, &run.affinity.to_string()) as f64 / u64::MAX as f64;
         backlog_ms
             + prefill_ms
             + zone
-            + f64::from(if goes_first { 0 } else { state.total_in_flight() }) * NEIGHBOUR_MS
+            + f64::from(if goes_first { 0 } else { state.total_in_flight(now) }) * NEIGHBOUR_MS
             + state.failure_rate(now) * FAILURE_MS
             + tie * NEIGHBOUR_MS / 2.0
     }
@@ -393,16 +439,45 @@
         let away: Vec<_> =
             sound.iter().copied().filter(|s| s.upstream.zone != primary.zone).collect();
         let key = run.affinity.to_string();
-        let from = if away.is_empty() { sound } else { away };
-        from.into_iter()
-            .min_by_key(|state| (state.memory(now), score(&state.upstream.id, &key)))
-            .map(|state| state.upstream.clone())
+        let mut from = if away.is_empty() { sound } else { away };
+        from.sort_by_cached_key(|state| score(&state.upstream.id, &key));
+        from.truncate(DRAWN_FOR_COPIES);
+        from.into_iter().min_by_key(|state| state.memory(now)).map(|state| state.upstream.clone())
     }
 
-    /// Whether this entry VM ranks first for an upstream among those of its zone.
     fn owns(&self, upstream: &str) -> bool {
-        let own = score(&self.own_name, upstream);
-        self.neighbours.iter().all(|neighbour| score(neighbour, upstream) < own)
+        self.owned.contains(upstream)
+    }
+
+    /// Shares the upstreams of each service and zone evenly among the entry VMs of the own zone: each
+    /// goes to the first in its ranking that has not got its part.
+    fn share_upstreams(&mut self) {
+        let members: Vec<_> =
+            self.neighbours.iter().chain([&self.own_name]).map(String::as_str).collect();
+        let mut groups: BTreeMap<(&str, &str), Vec<&str>> = BTreeMap::new();
+        for state in self.states.values().filter(|state| !state.upstream.leaving) {
+            let upstream = &state.upstream;
+            groups.entry((&upstream.service, &upstream.zone)).or_default().push(&upstream.id);
+        }
+        let mut owned = BTreeSet::new();
+        for mut group in groups.into_values() {
+            let part = group.len().div_ceil(members.len());
+            let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+            group.sort_by_cached_key(|id| score(id, ""));
+            for id in group {
+                let ranked = rank(members.iter().copied(), id);
+                let owner =
+                    ranked.into_iter().find(|name| counts.get(name).is_none_or(|n| *n < part));
+                let Some(owner) = owner else {
+                    continue;
+                };
+                *counts.entry(owner).or_default() += 1;
+                if owner == self.own_name {
+                    owned.insert(id.to_owned());
+                }
+            }
+        }
+        self.owned = owned;
     }
 }
 
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -1,7 +1,7 @@
 //! The task that owns the table.
 
 use super::demand::Demand;
-use super::state::{Load, State};
+use super::state::{Load, Reported, State};
 use super::table::{Choice, Hold, Pick, Table};
 use crate::clock::Clock;
 use crate::fleet::{Directory, Upstream};
@@ -24,6 +24,8 @@
     pub backup: Option<Arc<Upstream>>,
     /// The upstream holds a copy of the run's memory.
     pub restores: bool,
+    /// Expected time until the run generates.
+    pub wait: Duration,
     /// Place.
     pub permit: Permit,
 }
@@ -36,6 +38,39 @@
     _permit: Permit,
 }
 
+/// Why no upstream was chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Unplaced {
+    /// All are full, or would be too late.
+    Full {
+        /// Time until there is room.
+        retry_after: Duration,
+    },
+    /// There is none.
+    Nowhere,
+}
+
+impl Unplaced {
+    /// Code for the caller.
+    pub fn code(self) -> Code {
+        match self {
+            Self::Full { .. } => Code::Overloaded,
+            Self::Nowhere => Code::NoUpstream,
+        }
+    }
+
+    /// Time after which a repeat may find an upstream.
+    pub fn retry_after(self) -> Duration {
+        match self {
+            Self::Full { retry_after } => retry_after,
+            Self::Nowhere => NOWHERE_RETRY,
+        }
+    }
+}
+
+/// An engine that is lost is back in 1 to 2 s.
+const NOWHERE_RETRY: Duration = Duration::from_millis(1_000);
+
 /// A place at an upstream, given back when dropped.
 #[derive(Debug)]
 pub struct Permit {
@@ -51,7 +86,7 @@
 
 #[derive(Debug)]
 enum Message {
-    Place { demand: Demand, reply: oneshot::Sender<Result<Placement, Code>> },
+    Place { demand: Demand, reply: oneshot::Sender<Result<Placement, Unplaced>> },
     PlaceCopy { demand: Demand, primary: Arc<Upstream>, reply: oneshot::Sender<Option<Copy>> },
     Release(Vec<Hold>),
     Outcome { id: String, outcome: Outcome },
@@ -132,6 +167,7 @@
     mailbox: Mailbox<Message>,
     lost: watch::Receiver<Arc<Vec<String>>>,
     loads: watch::Receiver<BTreeMap<String, Load>>,
+    settled: Arc<watch::Sender<bool>>,
 }
 
 impl Placer {
@@ -156,13 +192,21 @@
             mailbox: mailbox.clone(),
         };
         scope.spawn(task.run(messages));
-        Self { mailbox, lost: watched, loads: told }
+        Self { mailbox, lost: watched, loads: told, settled: Arc::default() }
     }
 
-    /// Chooses upstreams.
-    pub async fn place(&self, demand: Demand) -> Result<Placement, Code> {
+    /// Tells that the entry VMs with which engines are shared are known.
+    pub fn settle(&self) {
+        self.settled.send_replace(true);
+    }
+
+    /// Chooses upstreams; runs wait until it is known with whom engines are shared.
+    pub async fn place(&self, demand: Demand) -> Result<Placement, Unplaced> {
+        if demand.run.is_some() {
+            let _ = self.settled.subscribe().wait_for(|settled| *settled).await;
+        }
         let answer = self.mailbox.ask(|reply| Message::Place { demand, reply }).await;
-        answer.unwrap_or(Err(Code::Leaving))
+        answer.unwrap_or(Err(Unplaced::Nowhere))
     }
 
     /// Chooses an engine for a copy of a run at `primary`.
@@ -305,7 +349,12 @@
             }
             Message::Reported { id, report } => {
                 if let Some(state) = self.table.state_mut(&id) {
-                    state.report(now, report.memory_tokens, report.running + report.waiting);
+                    let reported = Reported {
+                        tokens: report.memory_tokens,
+                        requests: report.running + report.waiting,
+                        unread: report.unread,
+                    };
+                    state.report(now, reported);
                 }
             }
             Message::Heard { member, loads } => self.table.hear(now, &member, &loads),
@@ -392,8 +441,7 @@
                 };
                 let in_time = clock.now() < own_until;
                 let succeeds = id != lost.id
-                    && (in_time
-                        || only_engines && serves_models(&*client, lost.address).await);
+                    && (in_time || only_engines && serves_models(&*client, lost.address).await);
                 info!("upstream_rechecked", kv: { upstream = lost.id, found = id, succeeds });
                 if id == lost.id {
                     mailbox.tell(Message::Outcome { id, outcome: Outcome::Alive });
@@ -428,16 +476,16 @@
         });
     }
 
-    fn place(&mut self, now: Duration, demand: &Demand) -> Result<Placement, Code> {
+    fn place(&mut self, now: Duration, demand: &Demand) -> Result<Placement, Unplaced> {
         let pick = match self.table.choose(now, demand) {
             Choice::Found(pick) => pick,
-            Choice::Full => return Err(Code::Overloaded),
-            Choice::Nowhere => return Err(Code::NoUpstream),
+            Choice::Full { retry_after } => return Err(Unplaced::Full { retry_after }),
+            Choice::Nowhere => return Err(Unplaced::Nowhere),
         };
         let holds = self.table.begin(now, &pick, demand.run.as_ref());
-        let Pick { upstream, backup, restores } = pick;
+        let Pick { upstream, backup, restores, wait } = pick;
         let permit = Permit { holds, mailbox: self.mailbox.clone() };
-        Ok(Placement { upstream, backup, restores, permit })
+        Ok(Placement { upstream, backup, restores, wait, permit })
     }
 
     fn place_copy(&mut self, now: Duration, demand: &Demand, primary: &Upstream) -> Option<Copy> {
--- a/quetzaltiller/src/proxy/call.rs
+++ b/quetzaltiller/src/proxy/call.rs
@@ -6,7 +6,7 @@
 
 use super::{Answer, Context, Plan, Reply, Request};
 use crate::metrics::Counter;
-use crate::placement::{Demand, Placement};
+use crate::placement::{Demand, Placement, Unplaced};
 use crate::prelude::*;
 use crate::routes::Kind;
 use crate::upstream::{Call, Error, Response};
@@ -34,7 +34,7 @@
     /// It may have run.
     Unknown,
     /// No upstream could be chosen.
-    Unplaced(Code),
+    Unplaced(Unplaced),
 }
 
 /// Serves a lookup or an action that came at `began`.
@@ -74,7 +74,7 @@
     unsent: u32,
     failure: Option<Answer>,
     may_have_run: bool,
-    unplaced: Option<Code>,
+    unplaced: Option<Unplaced>,
 }
 
 impl Race<'_> {
@@ -129,8 +129,8 @@
         };
         let placement = match self.context.placer.place(demand).await {
             Ok(placement) => placement,
-            Err(code) => {
-                self.tries.push(Box::pin(async move { (None, Tried::Unplaced(code)) }));
+            Err(unplaced) => {
+                self.tries.push(Box::pin(async move { (None, Tried::Unplaced(unplaced)) }));
                 return;
             }
         };
@@ -179,8 +179,8 @@
                 self.may_have_run = true;
                 "no_answer"
             }
-            Tried::Unplaced(code) => {
-                self.unplaced = Some(code);
+            Tried::Unplaced(unplaced) => {
+                self.unplaced = Some(unplaced);
                 "unplaced"
             }
         };
@@ -195,7 +195,7 @@
         let refusal = if self.may_have_run {
             Refusal::new(Code::UpstreamFailed, Ran::Unknown, "the upstream did not answer")
         } else {
-            let code = self.unplaced.unwrap_or(Code::Overloaded);
+            let code = self.unplaced.map_or(Code::Overloaded, Unplaced::code);
             let refusal = Refusal::not_run(code, "no replica takes the request now");
             Refusal { retry_after_ms: RETRY_AFTER_MS, ..refusal }
         };
--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -15,7 +15,7 @@
 };
 use crate::members::Entered;
 use crate::metrics::Counter;
-use crate::placement::{self, Demand, Placement, Run};
+use crate::placement::{self, Demand, Placement, Run, Unplaced};
 use crate::prelude::*;
 use crate::routes::Kind;
 use crate::upstream;
@@ -41,8 +41,9 @@
 /// Longest wait for an engine that accepts connections and sends nothing, unless the prefill alone
 /// takes half of it.
 const MAX_WAIT: Duration = Duration::from_millis(2_500);
-/// Wait that a refused caller is told, about half the prefill of a prompt.
-const RETRY_AFTER_MS: u64 = 500;
+/// Wait that a refused caller is told where nothing better is known: about half the prefill of a
+/// prompt.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
 /// How often a stream tells that its engine lives.
 const LIFE_PERIOD: Duration = Duration::from_millis(100);
 /// Urgency of work at stake, and of new work of the highest rank.
@@ -99,9 +100,10 @@
     last_at: Duration,
     longest_pause: Duration,
     life_told: Duration,
+    retry_after: Duration,
     outcome: Option<Outcome>,
-    placing: mpsc::UnboundedSender<Result<Placement, Code>>,
-    placements: Option<mpsc::UnboundedReceiver<Result<Placement, Code>>>,
+    placing: mpsc::UnboundedSender<Result<Placement, Unplaced>>,
+    placements: Option<mpsc::UnboundedReceiver<Result<Placement, Unplaced>>>,
     notices: mpsc::Sender<Notice>,
     _entered: Entered,
 }
@@ -154,6 +156,7 @@
             last_at: now,
             longest_pause: Duration::ZERO,
             life_told: Duration::ZERO,
+            retry_after: RETRY_AFTER,
             outcome: None,
             placing,
             placements: Some(placements),
@@ -250,8 +253,7 @@
         let spent = self.sent >= self.plan.route.attempts;
         self.context.scope.spawn(async move {
             let allowed = !spent && (!repeats || pacer.may_repeat(&service).await);
-            let placed =
-                if allowed { placer.place(demand).await } else { Err(Code::UpstreamFailed) };
+            let placed = if allowed { placer.place(demand).await } else { Err(Unplaced::Nowhere) };
             let _ = placing.send(placed);
         });
     }
@@ -270,7 +272,8 @@
             prompt_tokens: prompt.map_or(0, |prompt| prompt.tokens),
             footprint: prompt.map_or(0, |prompt| prompt.footprint()),
             affinity: prompt.map_or(0, |prompt| prompt.own_part()),
-            resumed,
+            objective: (!resumed && self.request.last_event.is_none())
+                .then(|| Duration::from_millis(self.plan.route.objective_ms)),
             wants_backup: self.plan.route.kind == Kind::Generation { resumable: true },
         };
         Demand {
@@ -328,9 +331,12 @@
         self.input(Input::Copied(holder));
     }
 
-    fn placed(&mut self, placed: Result<Placement, Code>) {
+    fn placed(&mut self, placed: Result<Placement, Unplaced>) {
         match placed {
-            Err(code) => self.input(Input::Unplaced(code)),
+            Err(unplaced) => {
+                self.retry_after = unplaced.retry_after();
+                self.input(Input::Unplaced(unplaced.code()));
+            }
             Ok(placement) => {
                 let id = placement.upstream.id.clone();
                 let place = Place {
@@ -341,7 +347,8 @@
                 };
                 info!("generation_placed", kv: {
                     request = self.request.id, upstream = id, zone = placement.upstream.zone,
-                    backup:? = place.backup, restores = place.restores
+                    backup:? = place.backup, restores = place.restores,
+                    expected_ms = placement.wait.as_millis() as u64
                 });
                 if let Some(backup) = &placement.backup {
                     let name = self.request.id.clone();
@@ -569,7 +576,12 @@
         } else {
             Refusal::not_run(code, "no engine takes the request now")
         };
-        Reply::Refused(Refusal { retry_after_ms: RETRY_AFTER_MS, ..refusal })
+        let retry_after_ms = self.retry_after.as_millis() as u64;
+        info!("request_refused", kv: {
+            request = self.request.id, route = self.plan.route.name, code:? = refusal.code,
+            ran:? = refusal.ran, sent = self.sent, retry_after_ms
+        });
+        Reply::Refused(Refusal { retry_after_ms, ..refusal })
     }
 }
 
--- a/quetzaltiller/src/upstream.rs
+++ b/quetzaltiller/src/upstream.rs
@@ -86,6 +86,8 @@
     pub waiting: u32,
     /// Requests that run.
     pub running: u32,
+    /// Requests that wait or have not generated anything yet.
+    pub unread: u32,
     /// Tokens in memory that can't be dropped.
     pub memory_tokens: u32,
     /// Requests whose runs it knows.
--- a/quetzaltiller/src/wire.rs
+++ b/quetzaltiller/src/wire.rs
@@ -117,6 +117,20 @@
     /// What the member has given to upstreams.
     #[prost(message, repeated, tag = "15")]
     pub loads: Vec<Load>,
+    /// Members that it knows, told to one that it did not.
+    #[prost(message, repeated, tag = "16")]
+    pub members: Vec<Member>,
+}
+
+/// A member that another knows.
+#[derive(Clone, Message, PartialEq)]
+pub struct Member {
+    #[prost(string, tag = "1")]
+    pub name: String,
+    #[prost(string, tag = "2")]
+    pub zone: String,
+    #[prost(string, tag = "3")]
+    pub peer_address: String,
 }
 
 /// What one member has given to an upstream.
@@ -140,6 +154,9 @@
     /// Requests that run or wait, as it told itself.
     #[prost(uint32, tag = "6")]
     pub reported_requests: u32,
+    /// Of these, those that have not generated anything yet.
+    #[prost(uint32, tag = "7")]
+    pub reported_unread: u32,
 }
 
 /// An upstream that took the place of a lost one.
@@ -180,6 +197,7 @@
             lost_upstreams: Vec::new(),
             successors: Vec::new(),
             loads: Vec::new(),
+            members: Vec::new(),
         }
     }
 }
