Log through a bounded buffer, serve metrics, keep routers' heartbeats both ways

Change: logs on standard output through a buffer of 128 KB that drops and counts; /metrics with counters and hdrhistogram quantiles; one-sided heartbeats are a setting that routers do not use.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -7,7 +7,7 @@
 use bench::report::Report;
 use bench::run::{Options, run};
 use bench::{cost, hedge, realtime, soak, sweep};
-use quetzaltiller::daemon;
+use quetzaltiller::logs;
 use std::error::Error;
 use std::io::IsTerminal as _;
 use std::path::{Path, PathBuf};
@@ -144,7 +144,7 @@
 
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    daemon::stop_logs();
+    logs::stop();
     match args.command {
         Command::Cost(args) => cost(&args),
         Command::Hedge(args) => {
--- a/bench/src/overload.rs
+++ b/bench/src/overload.rs
@@ -68,7 +68,7 @@
 
 /// Measures one load on virtual time.
 pub fn measure(load: f64, seed: u64) -> Point {
-    quetzaltiller::daemon::stop_logs();
+    quetzaltiller::logs::stop();
     on_virtual_time(run(load, seed))
 }
 
--- a/bench/src/run.rs
+++ b/bench/src/run.rs
@@ -61,7 +61,7 @@
 
 /// Runs on virtual time and reports; logs are off.
 pub fn run(options: &Options) -> Report {
-    quetzaltiller::daemon::stop_logs();
+    quetzaltiller::logs::stop();
     let faults = faults::plan(&options.kinds, options.plan.duration, options.seed);
     (options.progress)("without faults");
     let quiet = on_virtual_time(observe(options, Vec::new(), None));
--- a/bench/src/sockets.rs
+++ b/bench/src/sockets.rs
@@ -235,6 +235,10 @@
         serde_json::to_value(self.0.dump().await).unwrap_or_default()
     }
 
+    fn metrics(&self) -> String {
+        self.0.metrics().text()
+    }
+
     fn health(&self) -> Health {
         self.0.health()
     }
--- a/bench/tests/callers.rs
+++ b/bench/tests/callers.rs
@@ -22,7 +22,7 @@
 const CANCEL_LIMIT: Duration = Duration::from_secs(1);
 
 async fn system() -> Arc<System> {
-    quetzaltiller::daemon::stop_logs();
+    quetzaltiller::logs::stop();
     System::start(Deployment::Foundation, 1, Tuning::default()).await
 }
 
--- a/demo/src/main.rs
+++ b/demo/src/main.rs
@@ -5,7 +5,8 @@
 use argh::FromArgs;
 use bench::deployment::Deployment;
 use bench::sockets::System;
-use quetzaltiller::daemon;
+use quetzaltiller::scope::Scope;
+use quetzaltiller::{daemon, logs};
 use spdlog::LevelFilter;
 use std::process::ExitCode;
 
@@ -41,10 +42,11 @@
 
 #[tokio::main]
 async fn run(args: &Args) -> Result<bool, Box<dyn std::error::Error>> {
+    let scope = Scope::default();
     if args.logs {
-        daemon::start_logs(LevelFilter::All)?;
+        logs::start(&scope, LevelFilter::All)?;
     } else {
-        daemon::stop_logs();
+        logs::stop();
     }
     let system = System::start(Deployment::Foundation, ENTRY_VMS, &|_| {}).await?;
     if args.once {
--- a/quetzaltiller/src/bin/qt-router.rs
+++ b/quetzaltiller/src/bin/qt-router.rs
@@ -7,7 +7,7 @@
 use quetzaltiller::operators::{Health, Process};
 use quetzaltiller::router::{Ports, Router};
 use quetzaltiller::scope::Scope;
-use quetzaltiller::{daemon, front, operators};
+use quetzaltiller::{daemon, front, logs, operators};
 use serde_json::Value;
 use spdlog::LevelFilter;
 use std::path::PathBuf;
@@ -44,6 +44,10 @@
         serde_json::to_value(self.router.dump().await).unwrap_or_default()
     }
 
+    fn metrics(&self) -> String {
+        self.router.metrics().text()
+    }
+
     fn health(&self) -> Health {
         self.router.health()
     }
@@ -79,7 +83,8 @@
 
 #[tokio::main]
 async fn run(config: Config, level: LevelFilter) -> Result<(), Box<dyn std::error::Error>> {
-    daemon::start_logs(level)?;
+    let scope = Scope::default();
+    let log = logs::start(&scope, level)?;
     let callers = TcpListener::bind(&config.caller_address).await?;
     let peers = TcpListener::bind(&config.peer_address).await?;
     let operators = TcpListener::bind(&config.operator_address).await?;
@@ -93,7 +98,6 @@
     let router = Router::builder(config, ports).incarnation(daemon::incarnation()).start();
     let process = Arc::new(Daemon { router: router.clone(), leave: Notify::new() });
     let operated: Arc<dyn Process> = process.clone();
-    let scope = Scope::default();
     serve_peers(&scope, peers, router.clone());
     daemon::serve_http(&scope, operators, operators::routes(&operated), MAX_OPERATORS)?;
     let server = daemon::serve_http(&scope, callers, front::routes(&router), max_connections)?;
@@ -105,6 +109,7 @@
     router.drain().await;
     server.stop_graceful(None);
     router.stop();
+    logs::finish(&log).await;
     scope.stop();
     Ok(())
 }
--- a/quetzaltiller/src/bin/qt-steward.rs
+++ b/quetzaltiller/src/bin/qt-steward.rs
@@ -8,7 +8,7 @@
 use quetzaltiller::operators::{Health, Process};
 use quetzaltiller::scope::Scope;
 use quetzaltiller::steward::Steward;
-use quetzaltiller::{daemon, operators};
+use quetzaltiller::{daemon, logs, operators};
 use serde_json::{Value, json};
 use spdlog::{Level, LevelFilter};
 use std::path::PathBuf;
@@ -43,6 +43,10 @@
         json!({ "name": self.name, "counters": self.metrics.snapshot() })
     }
 
+    fn metrics(&self) -> String {
+        self.metrics.text()
+    }
+
     fn health(&self) -> Health {
         Health::Ready
     }
@@ -73,11 +77,11 @@
 
 #[tokio::main]
 async fn run(config: config::Steward) -> Result<(), Box<dyn std::error::Error>> {
-    daemon::start_logs(LevelFilter::MoreSevereEqual(Level::Info))?;
+    let scope = Scope::default();
+    let log = logs::start(&scope, LevelFilter::MoreSevereEqual(Level::Info))?;
     let operators = TcpListener::bind(&config.operator_address).await?;
     let metrics = Arc::new(Metrics::new(config.metrics_address.as_deref()));
     let store = Arc::new(HttpStore::new(&config.platform_address));
-    let scope = Scope::default();
     scope.spawn(Steward::new(store, metrics.clone()).run());
     let process = Arc::new(Daemon { name: config.name, metrics, leave: Notify::new() });
     let operated: Arc<dyn Process> = process.clone();
@@ -87,6 +91,7 @@
         () = daemon::terminated() => {}
         () = process.leave.notified() => {}
     }
+    logs::finish(&log).await;
     scope.stop();
     Ok(())
 }
--- a/quetzaltiller/src/bin/qtctl.rs
+++ b/quetzaltiller/src/bin/qtctl.rs
@@ -3,8 +3,9 @@
 use argh::FromArgs;
 use quetzaltiller::apply::Row;
 use quetzaltiller::ctl::{self, Error, Reach, Session, Table};
-use quetzaltiller::daemon::{self, EXIT_FAULTS};
+use quetzaltiller::daemon::EXIT_FAULTS;
 use quetzaltiller::digest::key_digest;
+use quetzaltiller::logs;
 use quetzaltiller::objects::{Kind, Object};
 use serde::Serialize;
 use std::io::Write as _;
@@ -142,7 +143,7 @@
 }
 
 fn main() -> ExitCode {
-    daemon::stop_logs();
+    logs::stop();
     let args: Args = argh::from_env();
     let json = args.json;
     match run(args) {
--- a/quetzaltiller/src/daemon.rs
+++ b/quetzaltiller/src/daemon.rs
@@ -1,15 +1,12 @@
-//! What the daemons' binaries share: logs, signals, listeners.
+//! What the daemons' binaries share: signals, listeners, faults of settings.
 
 use crate::scope::Scope;
 use crate::settings::Faults;
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::server::ServerHandle;
 use salvo::{Router, Server};
-use spdlog::formatter::{PatternFormatter, pattern};
 use spdlog::prelude::*;
-use spdlog::sink::{StdStream, StdStreamSink};
 use std::process::ExitCode;
-use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -17,24 +14,6 @@
 /// Exit status for settings or arguments that are not allowed.
 pub const EXIT_FAULTS: u8 = 2;
 
-/// Sends logs to standard error, one line of key=value pairs an event.
-pub fn start_logs(level: LevelFilter) -> spdlog::Result<()> {
-    let form =
-        pattern!("time={date}T{time}.{millisecond}Z level={level} event={payload} {kv}{eol}");
-    let sink = StdStreamSink::builder()
-        .std_stream(StdStream::Stderr)
-        .formatter(PatternFormatter::new(form))
-        .build_arc()?;
-    let logger = Logger::builder().sink(sink).level_filter(level).build()?;
-    spdlog::set_default_logger(Arc::new(logger));
-    Ok(())
-}
-
-/// Turns logs off, for programs whose output is for people.
-pub fn stop_logs() {
-    spdlog::default_logger().set_level_filter(LevelFilter::Off);
-}
-
 /// Reports settings that are not allowed.
 pub fn report_faults(faults: &Faults) -> ExitCode {
     eprint!("{faults}");
--- a/quetzaltiller/src/entry.rs
+++ b/quetzaltiller/src/entry.rs
@@ -10,6 +10,7 @@
 use crate::follower::Follower;
 use crate::members::{self, Host, Members, Own, View};
 use crate::metrics::Metrics;
+use crate::operators::Health;
 use crate::pacer::{self, Pacer};
 use crate::peer::{Handler, Link};
 use crate::placement::{self, Load, Placer, Reported, State, Successor, Table};
@@ -175,7 +176,7 @@
         };
         let parts = members::Parts {
             seeds: config.peer_seeds.clone(),
-            timing: members::Timing { period: HEARTBEAT, timeout: PEER_TIMEOUT },
+            timing: members::Timing { period: HEARTBEAT, timeout: PEER_TIMEOUT, one_sided: true },
             own: own.clone(),
             clock,
             link: ports.link.clone(),
@@ -254,6 +255,15 @@
         knows && !self.own.is_leaving()
     }
 
+    /// Health for operators.
+    pub fn health(&self) -> Health {
+        match (self.is_ready(), self.own.is_leaving()) {
+            (_, true) => Health::Leaving,
+            (true, _) => Health::Ready,
+            (false, _) => Health::Waiting,
+        }
+    }
+
     /// Entry VMs that callers in `zone` should use: those of the zone where they are enough.
     pub fn entries(&self, zone: Option<&str>) -> Entries {
         let view = self.members.view();
--- a/quetzaltiller/src/follower.rs
+++ b/quetzaltiller/src/follower.rs
@@ -369,6 +369,7 @@
                 Err(reason) => {
                     if !std::mem::replace(&mut away, true) {
                         warn!("store_lost", kv: { reason:? = reason.to_string() });
+                        self.metrics.count(Counter::StoreLost);
                         self.mailbox.tell(Message::Lost);
                     }
                     tokio::time::sleep(pause).await;
--- a/quetzaltiller/src/lib.rs
+++ b/quetzaltiller/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod front;
 pub mod generation;
 pub mod keeper;
+pub mod logs;
 pub mod lookups;
 pub mod mailbox;
 pub mod members;
--- a/quetzaltiller/src/members.rs
+++ b/quetzaltiller/src/members.rs
@@ -133,7 +133,7 @@
 
 #[derive(Debug)]
 enum Message {
-    Hear(wire::Heartbeat),
+    Hear(Box<wire::Heartbeat>),
     Vms(Vec<Vm>),
     Introduced(Vec<Member>),
 }
@@ -155,6 +155,9 @@
     pub period: Duration,
     /// A member is alive for so long after its last heartbeat.
     pub timeout: Duration,
+    /// Of two that hear each other only the first by name calls: half of the messages, and news
+    /// that is twice as old.
+    pub one_sided: bool,
 }
 
 /// What the membership tasks use.
@@ -192,7 +195,7 @@
             clock: parts.clock,
             own: members.own.clone(),
             table: Table::new(parts.timing.timeout),
-            timeout: parts.timing.timeout,
+            timing: parts.timing,
             seeds: parts.seeds,
             listed: Vec::new(),
             news: Vec::new(),
@@ -242,7 +245,7 @@
         let near = self.host.is_near(&beat.clone().into());
         let view = self.view.borrow().clone();
         let known = view.member(&beat.name).is_some_and(|m| m.incarnation == beat.incarnation);
-        self.mailbox.tell(Message::Hear(beat));
+        self.mailbox.tell(Message::Hear(Box::new(beat)));
         let mut answer = self.heartbeat(near);
         if !known {
             answer.members = view.alive.iter().map(wire::Member::from).collect();
@@ -292,7 +295,7 @@
     clock: Clock,
     own: Arc<Own>,
     table: Table,
-    timeout: Duration,
+    timing: Timing,
     seeds: Vec<String>,
     listed: Vec<Vm>,
     news: Vec<LeavingNews>,
@@ -309,7 +312,7 @@
                 biased;
                 _ = refresh.tick() => self.publish(),
                 message = messages.recv() => match message {
-                    Some(Message::Hear(beat)) => self.hear(beat),
+                    Some(Message::Hear(beat)) => self.hear(*beat),
                     Some(Message::Vms(vms)) => self.list(vms),
                     Some(Message::Introduced(others)) => self.introduce(others),
                     None => return,
@@ -336,7 +339,7 @@
         }
         let beat = Heartbeat::from(beat);
         let periods = if self.host.is_near(&beat) { 1 } else { FAR_PERIODS };
-        self.table.hear_for(now, beat, self.timeout * periods);
+        self.table.hear_for(now, beat, self.timing.timeout * periods);
         self.publish();
     }
 
@@ -362,7 +365,7 @@
 
     fn publish(&mut self) {
         let now = self.clock.now();
-        self.table.expire(now, self.timeout * FORGET_TIMEOUTS);
+        self.table.expire(now, self.timing.timeout * FORGET_TIMEOUTS);
         let alive: Vec<_> = self.table.alive(now).map(|member| member.beat.clone()).collect();
         let listed_leaving = self.listed_leaving();
         let leaving_upstreams: BTreeSet<_> =
@@ -385,13 +388,12 @@
     }
 
     fn reported_leaving(&mut self, now: Duration) -> Vec<String> {
-        let timeout = self.timeout;
+        let timeout = self.timing.timeout;
         self.news.retain(|news| news.at + timeout >= now);
         self.news.iter().flat_map(|news| news.upstreams.iter().cloned()).collect()
     }
 
-    /// Peers to call: one call tells both sides, so of two that hear each other the first by name
-    /// calls. Whoever is not heard is called too.
+    /// Peers to call; whoever is not heard is called by all.
     fn choose_targets(&self, now: Duration) -> Vec<Target> {
         let mut silent: BTreeSet<_> = self.seeds.iter().cloned().collect();
         silent.extend(self.listed.iter().filter(|vm| vm.entry).map(|vm| vm.address.clone()));
@@ -402,7 +404,8 @@
             silent.remove(&member.beat.peer_address);
             let near = self.host.is_near(&member.beat);
             let unheard = member.beat.incarnation == UNHEARD;
-            let due = unheard || self.own.beat.name < member.beat.name;
+            let first = self.own.beat.name < member.beat.name;
+            let due = unheard || first || !self.timing.one_sided;
             targets.push(Target { address: member.beat.peer_address.clone(), near, due });
         }
         let unheard = |address| Target { address, near: false, due: true };
@@ -449,7 +452,7 @@
             let Ok(wire::Reply::Heartbeat(beat)) = link.call(&address, ask).await else {
                 return;
             };
-            members.mailbox.tell(Message::Hear(beat));
+            members.mailbox.tell(Message::Hear(Box::new(beat)));
         }
     }
 }
--- a/quetzaltiller/src/operators.rs
+++ b/quetzaltiller/src/operators.rs
@@ -14,6 +14,9 @@
     /// State.
     async fn dump(&self) -> Value;
 
+    /// Counters and latencies, as text.
+    fn metrics(&self) -> String;
+
     /// Whether it can do its work.
     fn health(&self) -> Health;
 
@@ -38,6 +41,7 @@
     let operation = |call| Operation { process: process.clone(), call };
     Router::new()
         .push(Router::with_path("dump").get(operation(Endpoint::Dump)))
+        .push(Router::with_path("metrics").get(operation(Endpoint::Metrics)))
         .push(Router::with_path("health").get(operation(Endpoint::Health)))
         .push(Router::with_path("leave").post(operation(Endpoint::Leave)))
 }
@@ -45,6 +49,7 @@
 #[derive(Clone, Copy)]
 enum Endpoint {
     Dump,
+    Metrics,
     Health,
     Leave,
 }
@@ -65,6 +70,7 @@
     ) {
         match self.call {
             Endpoint::Dump => response.render(writing::Json(self.process.dump().await)),
+            Endpoint::Metrics => response.render(writing::Text::Plain(self.process.metrics())),
             Endpoint::Health => {
                 let health = self.process.health();
                 if health != Health::Ready {
--- a/quetzaltiller/src/placement/table.rs
+++ b/quetzaltiller/src/placement/table.rs
@@ -175,8 +175,8 @@
     }
 
     /// Path of a service's health check.
-    pub fn health_path(&self, service: &str) -> String {
-        self.routes.service(service).map(|service| service.health_path.clone()).unwrap_or_default()
+    pub fn check_path(&self, service: &str) -> String {
+        self.routes.service(service).map(|service| service.check_path.clone()).unwrap_or_default()
     }
 
     /// Whether whatever serves models belongs to this service.
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -429,7 +429,7 @@
     fn recheck(&self, lost: Arc<Upstream>, alive_at: Duration) {
         let (client, mailbox) = (self.client.clone(), self.mailbox.clone());
         let (clock, successors) = (self.clock, self.successors.clone());
-        let path = self.table.health_path(&lost.service);
+        let path = self.table.check_path(&lost.service);
         let own_until = alive_at + self.reuse_after;
         let only_engines = self.table.is_only_engine_service(&lost.service);
         self.scope.spawn(async move {
--- a/quetzaltiller/src/proxy/call.rs
+++ b/quetzaltiller/src/proxy/call.rs
@@ -5,7 +5,7 @@
 //! the route's attempts and the retry budget. An action goes on only where it certainly did not run.
 
 use super::{Answer, Context, Plan, Reply, Request};
-use crate::metrics::Counter;
+use crate::metrics::{Counter, Latency};
 use crate::placement::{Demand, Placement, Unplaced};
 use crate::prelude::*;
 use crate::routes::Kind;
@@ -58,7 +58,8 @@
         Reply::Refused(refusal) => refusal.code.status(),
         Reply::Streaming(_) => 200,
     };
-    debug!("request_ended", kv: {
+    context.metrics.record(Latency::Call, took);
+    info!("request_ended", kv: {
         request = request.id, route = plan.route.name, status, took_ms = took.as_millis() as u64
     });
     reply
@@ -156,6 +157,7 @@
         let cause = match tried {
             Tried::Answered(answer) => {
                 placer.answered(&id);
+                self.context.metrics.count(Counter::CallAnswered);
                 return Some(Reply::Answered(answer));
             }
             Tried::Failed(answer) => {
--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -14,7 +14,7 @@
     Start,
 };
 use crate::members::Entered;
-use crate::metrics::Counter;
+use crate::metrics::{Counter, Latency};
 use crate::placement::{self, Demand, Placement, Run, Unplaced};
 use crate::prelude::*;
 use crate::routes::Kind;
@@ -100,6 +100,7 @@
     last_at: Duration,
     longest_pause: Duration,
     life_told: Duration,
+    lost_at: Option<Duration>,
     retry_after: Duration,
     outcome: Option<Outcome>,
     placing: mpsc::UnboundedSender<Result<Placement, Unplaced>>,
@@ -156,6 +157,7 @@
             last_at: now,
             longest_pause: Duration::ZERO,
             life_told: Duration::ZERO,
+            lost_at: None,
             retry_after: RETRY_AFTER,
             outcome: None,
             placing,
@@ -240,6 +242,7 @@
         resumed: bool,
     ) {
         if resumed {
+            self.lost_at.get_or_insert(self.last_at);
             info!("generation_moves", kv: {
                 request = self.request.id, copy:? = copy, cached:? = cached,
                 next = self.machine.splice().next(), sent = self.sent
@@ -325,6 +328,7 @@
             return;
         }
         let holder = place.upstream.id.clone();
+        self.context.metrics.count(Counter::RunCopied);
         info!("run_copied", kv: { request = self.request.id, of, holder });
         self.copies.insert(holder.clone(), Held { place: Some(place), copy });
         self.copied_at = Some(self.context.clock.now());
@@ -481,6 +485,9 @@
         if self.first_at.is_some() {
             self.longest_pause = self.longest_pause.max(now.saturating_sub(self.last_at));
         }
+        if let Some(lost_at) = self.lost_at.take() {
+            self.context.metrics.record(Latency::Resume, now.saturating_sub(lost_at));
+        }
         self.first_at.get_or_insert(now);
         self.last_at = now;
         if now >= self.life_told + LIFE_PERIOD
@@ -547,6 +554,10 @@
         self.context.metrics.count(counter);
         let took = self.context.clock.now().saturating_sub(self.began);
         let first = self.first_at.map(|at| at.saturating_sub(self.began));
+        if let Some(first) = first {
+            self.context.metrics.record(Latency::FirstEvent, first);
+            self.context.metrics.record(Latency::Pause, self.longest_pause);
+        }
         info!("generation_ended", kv: {
             request = self.request.id, route = self.plan.route.name, outcome:? = outcome,
             events = self.events, sent = self.sent, took_ms = took.as_millis() as u64,
--- a/quetzaltiller/src/router/builder.rs
+++ b/quetzaltiller/src/router/builder.rs
@@ -116,6 +116,7 @@
                 timing: members::Timing {
                     period: config.timing.heartbeat,
                     timeout: config.timing.peer_timeout,
+                    one_sided: false,
                 },
                 own: own.clone(),
                 clock,
--- a/quetzaltiller/src/routes/service.rs
+++ b/quetzaltiller/src/routes/service.rs
@@ -9,7 +9,7 @@
     /// Name.
     pub name: String,
     /// Path of the health check.
-    pub health_path: String,
+    pub check_path: String,
     /// Most connections that each upstream accepts from all entry VMs together.
     pub max_connections: u32,
     /// Set for model engines.
--- a/quetzaltiller/src/settings.rs
+++ b/quetzaltiller/src/settings.rs
@@ -2,7 +2,7 @@
 
 use crate::objects::Fault;
 use serde_json::{Map, Value};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -163,32 +163,6 @@
         }
     }
 
-    /// True or false.
-    pub fn flag(&mut self, key: &str, default: bool) -> bool {
-        match self.take(key) {
-            None => default,
-            Some(Value::Bool(flag)) => flag,
-            Some(other) => {
-                self.fault(key, &other, "true or false");
-                default
-            }
-        }
-    }
-
-    /// An object of texts, empty when absent.
-    pub fn texts(&mut self, key: &str) -> BTreeMap<String, String> {
-        let Some(value) = self.take(key) else {
-            return BTreeMap::new();
-        };
-        match serde_json::from_value(value.clone()) {
-            Ok(texts) => texts,
-            Err(_) => {
-                self.fault(key, &value, "an object of texts");
-                BTreeMap::new()
-            }
-        }
-    }
-
     /// Passes `value` on if there was no fault and no unknown key.
     pub fn finish<T>(self, value: T) -> Result<T, Faults> {
         let faults = self.into_faults();
--- a/quetzaltiller/tests/support/mod.rs
+++ b/quetzaltiller/tests/support/mod.rs
@@ -54,7 +54,7 @@
 impl Site {
     /// Three zones with `engines` engines and one replica each, and one entry VM each.
     pub async fn start(engines: usize) -> Self {
-        quetzaltiller::daemon::stop_logs();
+        quetzaltiller::logs::stop();
         let site = Self {
             fleet: Fleet::default(),
             store: ControlStore::default(),
@@ -158,7 +158,7 @@
     let engine = Engine { slots: 64, memory_tokens: 88_000, backups: true, moves: true };
     let service = |name: &str, engine| Service {
         name: name.to_owned(),
-        health_path: "/healthz".to_owned(),
+        check_path: "/healthz".to_owned(),
         max_connections: 370,
         engine,
     };
--- a/standin/src/bin/qt-standin.rs
+++ b/standin/src/bin/qt-standin.rs
@@ -1,8 +1,8 @@
 //! Stand-ins as processes: platform, engine and service.
 
 use argh::FromArgs;
-use quetzaltiller::daemon;
 use quetzaltiller::scope::Scope;
+use quetzaltiller::{daemon, logs};
 use spdlog::LevelFilter;
 use standin::engine::{Engine, Settings};
 use standin::gate::Gate;
@@ -101,8 +101,8 @@
 
 #[tokio::main]
 async fn run(kind: Kind) -> Result<(), Box<dyn std::error::Error>> {
-    daemon::start_logs(LevelFilter::MoreSevereEqual(spdlog::Level::Info))?;
     let (scope, gate) = (Scope::default(), Gate::new(Duration::ZERO));
+    let log = logs::start(&scope, LevelFilter::MoreSevereEqual(spdlog::Level::Info))?;
     match kind {
         Kind::Engine(args) => {
             let listener = TcpListener::bind(&args.listen).await?;
@@ -135,6 +135,7 @@
         }
     }
     daemon::terminated().await;
+    logs::finish(&log).await;
     scope.stop();
     Ok(())
 }
