--- a/quetzaltiller/src/generation/machine.rs
+++ b/quetzaltiller/src/generation/machine.rs
@@ -33,6 +33,8 @@
 const PAUSE_SHARE: f64 = 0.6;
 /// Checks of an engine that answered the last one, at the most seldom.
 const MAX_CHECK_BACKOFF: u32 = 4;
+/// Pause between checks before the first piece: nothing is shown yet, so a loss may be noticed later.
+const UNREAD_CHECK_PAUSE: Duration = Duration::from_millis(600);
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Phase {
@@ -286,7 +288,8 @@
         if std::mem::take(&mut self.inspecting) {
             self.excused_at = now;
         }
-        self.probe_at = Some(now + PROBE_PAUSE * self.backoff);
+        let pause = if self.flowing { PROBE_PAUSE * self.backoff } else { UNREAD_CHECK_PAUSE };
+        self.probe_at = Some(now + pause);
         self.backoff = (self.backoff * 2).min(MAX_CHECK_BACKOFF);
         effects
     }
--- a/quetzaltiller/src/placement/state.rs
+++ b/quetzaltiller/src/placement/state.rs
@@ -10,6 +10,8 @@
 const FIRST_SUSPICION: Duration = Duration::from_millis(300);
 /// An engine restarts in a second or two; longer suspicion would waste it.
 const MAX_SUSPICION: Duration = Duration::from_millis(2_400);
+/// Time for which a peer's word counts that an upstream is gone; it is repeated with heartbeats.
+const RUMOUR: Duration = Duration::from_millis(1_500);
 /// An upstream that is gone stays listed for three of its heartbeats of 1.2 s (users' settings).
 const LOSS: Duration = Duration::from_millis(4_000);
 /// Weight of the newest outcome in the failure rate.
@@ -150,6 +152,11 @@
         self.judge(now, 1.0);
     }
 
+    /// Notes a peer's word that it is gone.
+    pub fn doubt(&mut self, now: Duration) {
+        self.suspect_until = self.suspect_until.max(now + RUMOUR);
+    }
+
     /// Notes a request that it failed while it could be reached.
     pub fn disappoint(&mut self, now: Duration) {
         self.judge(now, 1.0);
--- a/quetzaltiller/src/placement/table.rs
+++ b/quetzaltiller/src/placement/table.rs
@@ -46,6 +46,8 @@
 
 /// Age of what peers told of their load: about a heartbeat.
 const NEWS_AGE: Duration = Duration::from_millis(500);
+/// Up to so many other entry VMs, each asks after all upstreams.
+const FEW_MEMBERS: usize = 8;
 /// Engines of other entry VMs that are considered in each zone.
 const DRAWN: usize = 2;
 /// Engines that are considered for a copy.
@@ -409,6 +411,13 @@
         owned.map(|state| state.upstream.clone()).collect()
     }
 
+    /// Whether this entry VM asks after an upstream, and tells others: the one that owns it in its
+    /// zone, and where there are few, all.
+    pub fn watches(&self, upstream: &Upstream) -> bool {
+        let owned = upstream.zone == self.own_zone && self.owns(&upstream.id);
+        owned || self.members <= FEW_MEMBERS
+    }
+
     /// Engines in doubted zones that have not shown life since `since` and are not known as lost.
     pub fn unproven(&self, now: Duration, service: &str, since: Duration) -> Vec<Arc<Upstream>> {
         let doubted = self.doubted_zones(now, service);
@@ -417,6 +426,7 @@
                 && doubted.contains(&state.upstream.zone)
                 && state.alive_at < since
                 && !state.is_lost(now)
+                && (state.own_memory() > 0 || self.watches(&state.upstream))
         });
         unproven.map(|state| state.upstream.clone()).collect()
     }
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -378,10 +378,13 @@
                 let upstream = state.upstream.clone();
                 self.check(upstream);
             }
+            Outcome::Reported if state.is_lost(now) || now <= state.alive_at + FRESH_LIFE => {}
             Outcome::Reported => {
-                if !state.is_lost(now) && now > state.alive_at + FRESH_LIFE {
-                    let upstream = state.upstream.clone();
+                let (upstream, in_use) = (state.upstream.clone(), state.own_memory() > 0);
+                if in_use || self.table.watches(&upstream) {
                     self.check(upstream);
+                } else if let Some(state) = self.table.state_mut(id) {
+                    state.doubt(now);
                 }
             }
             Outcome::Gone => {
@@ -393,7 +396,9 @@
                         alive_ago_ms = now.saturating_sub(state.alive_at).as_millis() as u64
                     });
                     let service = upstream.service.clone();
-                    self.recheck(upstream, alive_at);
+                    if self.table.watches(&upstream) {
+                        self.recheck(upstream, alive_at);
+                    }
                     self.check_zone(now, &service);
                 }
             }
@@ -406,9 +411,12 @@
         for upstream in self.table.owned_engines(self.clock.now()) {
             let (client, mailbox) = (self.client.clone(), self.mailbox.clone());
             self.scope.spawn(async move {
-                if let Some(report) = client.report(upstream.address, REPORT_LIMIT).await {
-                    mailbox.tell(Message::Reported { id: upstream.id.clone(), report });
-                }
+                let id = upstream.id.clone();
+                let message = match client.report(upstream.address, REPORT_LIMIT).await {
+                    Some(report) => Message::Reported { id, report },
+                    None => Message::Outcome { id, outcome: Outcome::Broken },
+                };
+                mailbox.tell(message);
             });
         }
     }
@@ -454,7 +462,7 @@
         });
     }
 
-    /// Checks the other engines of a zone that has lost some.
+    /// Checks the other engines of a zone that has lost some, as far as they matter here.
     fn check_zone(&mut self, now: Duration, service: &str) {
         for upstream in self.table.unproven(now, service, now.saturating_sub(RECENT_LIFE)) {
             if self.checking.insert(upstream.id.clone()) {
