Let two entry VMs of a zone watch the store for the others

Change: the first two of a zone by rank gather for 0.2 s, the others for 1.5 s and pull from a neighbour whose heartbeat tells of more; peers get what the store listed, without own conclusions.

--- a/quetzaltiller/src/entry.rs
+++ b/quetzaltiller/src/entry.rs
@@ -23,6 +23,7 @@
 use async_trait::async_trait;
 use coordination::detector::Bounds;
 use coordination::membership::Heartbeat;
+use coordination::rendezvous::rank;
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -46,6 +47,10 @@
 const BUDGET_SHARE: f64 = 0.8;
 /// Up to so many other entry VMs, all hear of everything; more share loads and losses by zone.
 const SMALL: usize = 8;
+/// Entry VMs of a zone that watch the store's upstreams closely, for the others too.
+const RELAYS: usize = 2;
+/// Key by which these are ranked.
+const STORE: &str = "store";
 /// Entry VMs of the callers' zone that suffice for them: fewer could all fail them at once.
 const ENOUGH_ENTRIES: usize = 3;
 /// Losses are gathered for so long before peers are told, as a zone's engines go together.
@@ -166,6 +171,7 @@
         scope.spawn(take_successors(found, follower.clone()));
         scope.spawn(keep_placer(placer.clone(), follower.clone()));
         let host = EntryHost {
+            name: config.name.clone(),
             zone: config.zone.clone(),
             follower: follower.clone(),
             placer: placer.clone(),
@@ -329,9 +335,9 @@
                 wire::Reply::Accepted(offer(pull.number, table.number(), table.as_ref()))
             }
             wire::Ask::Upstreams(pull) => {
-                let directory = self.follower.directory();
-                let listing = directory.listing();
-                wire::Reply::Upstreams(offer(pull.number, directory.revision(), &listing))
+                let listed = self.follower.listed();
+                let listing = listed.listing();
+                wire::Reply::Upstreams(offer(pull.number, listed.revision(), &listing))
             }
             wire::Ask::Append(_) => wire::Reply::Appended(wire::Appended::default()),
             wire::Ask::Take(_) => wire::Reply::Taken(wire::Taken::default()),
@@ -428,6 +434,7 @@
 
 /// An entry VM's part in membership.
 struct EntryHost {
+    name: String,
     zone: String,
     follower: Follower,
     placer: Placer,
@@ -445,7 +452,7 @@
 
     fn describe(&self, beat: &mut wire::Heartbeat, near: bool) {
         beat.number = self.follower.routes().number();
-        beat.revision = self.follower.directory().revision();
+        beat.revision = self.follower.listed().revision();
         beat.ready = beat.number > 0 && !self.follower.directory().is_empty();
         if near || self.follower.is_store_away() {
             let tell = |successor: &Successor| wire::Successor {
@@ -489,13 +496,20 @@
                 self.follower.succeed(Successor { lost: told.lost.clone(), upstream });
             }
         }
+        // Far members only bring configurations: the own zone has relays, and bytes between zones
+        // are dear.
+        let near = beat.zone == self.zone || self.members.load(Ordering::Relaxed) <= SMALL;
         let is_newer = beat.number > self.follower.routes().number()
-            || beat.revision > self.follower.directory().revision();
+            || near && beat.revision > self.follower.listed().revision();
         if !is_newer || self.pulls.swap(true, Ordering::Relaxed) {
             return;
         }
-        let pull =
-            Pull { follower: self.follower.clone(), link: self.link.clone(), beat: beat.clone() };
+        let pull = Pull {
+            follower: self.follower.clone(),
+            link: self.link.clone(),
+            beat: beat.clone(),
+            near,
+        };
         let pulls = self.pulls.clone();
         self.scope.spawn(async move {
             pull.run().await;
@@ -509,8 +523,12 @@
         };
         let all = names(&mut view.alive.iter());
         let of_zone = view.alive.iter().filter(|beat| beat.zone == self.zone && !beat.leaving);
+        let neighbours = names(&mut of_zone.into_iter());
+        let ranked = rank(neighbours.iter().chain([&self.name]).map(String::as_str), STORE);
+        let relays = ranked.into_iter().take(RELAYS).any(|name| name == self.name);
+        self.follower.set_relay(relays || all.len() <= SMALL);
         self.members.store(all.len(), Ordering::Relaxed);
-        self.placer.set_neighbours(all, names(&mut of_zone.into_iter()));
+        self.placer.set_neighbours(all, neighbours);
     }
 }
 
@@ -519,6 +537,7 @@
     follower: Follower,
     link: Arc<dyn Link>,
     beat: wire::Heartbeat,
+    near: bool,
 }
 
 impl Pull {
@@ -534,8 +553,8 @@
                 self.follower.offer_routes(table);
             }
         }
-        let revision = self.follower.directory().revision();
-        if self.beat.revision > revision {
+        let revision = self.follower.listed().revision();
+        if self.near && self.beat.revision > revision {
             let ask = wire::Ask::Upstreams(wire::Pull { number: revision });
             if let Ok(wire::Reply::Upstreams(accepted)) = self.link.call(address, ask).await
                 && let Some(listing) = parse::<Listing>(&accepted)
--- a/quetzaltiller/src/follower.rs
+++ b/quetzaltiller/src/follower.rs
@@ -31,6 +31,8 @@
 /// Changes are gathered for so long before the next watch, as each watch is a call. A tenth of the
 /// time in which a leaving upstream must get no more requests.
 const GATHER: Duration = Duration::from_millis(200);
+/// The same where a neighbour gathers for this entry VM too and tells it; below that time by itself.
+const RELAYED_GATHER: Duration = Duration::from_millis(1_500);
 /// Time in which upstreams that lapsed with the store are listed again (users' letter).
 const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
 /// The same when an outage was not noticed: less, as the upstreams may be leaving.
@@ -57,11 +59,13 @@
     routes: watch::Receiver<Arc<Table>>,
     directory: watch::Receiver<Arc<Directory>>,
     told: watch::Receiver<Told>,
+    relays: Arc<watch::Sender<bool>>,
 }
 
 /// What peers are told besides revisions.
 #[derive(Clone, Debug, Default)]
 struct Told {
+    listed: Arc<Directory>,
     successors: Vec<Successor>,
     away: bool,
 }
@@ -91,10 +95,17 @@
             told: told_sender,
         };
         scope.spawn(task.run(messages));
-        let source = Source { store, metrics, mailbox: mailbox.clone() };
+        let (relays, relayed) = watch::channel(true);
+        let source = Source {
+            store,
+            metrics,
+            mailbox: mailbox.clone(),
+            told: told.clone(),
+            relays: relayed,
+        };
         scope.spawn(source.clone().follow_routes());
         scope.spawn(source.follow_upstreams());
-        Self { mailbox, routes, directory, told }
+        Self { mailbox, routes, directory, told, relays: Arc::new(relays) }
     }
 
     /// Configuration in force.
@@ -136,6 +147,16 @@
         self.mailbox.tell(Message::Succeeded(successor));
     }
 
+    /// Upstreams as the store lists them, for peers.
+    pub fn listed(&self) -> Arc<Directory> {
+        self.told.borrow().listed.clone()
+    }
+
+    /// Sets whether this entry VM gathers changes for its neighbours, or is told by one that does.
+    pub fn set_relay(&self, relays: bool) {
+        self.relays.send_replace(relays);
+    }
+
     /// Successors that the store does not list yet.
     pub fn successors(&self) -> Vec<Successor> {
         self.told.borrow().successors.clone()
@@ -301,7 +322,9 @@
         }
         self.published.send_replace(Arc::new(directory));
         let successors = self.successors.values().map(|(successor, _)| successor.clone());
-        self.told.send_replace(Told { successors: successors.collect(), away: self.away });
+        let (successors, away) = (successors.collect(), self.away);
+        let listed = Arc::new(self.directory.clone());
+        self.told.send_replace(Told { listed, successors, away });
     }
 }
 
@@ -311,6 +334,9 @@
     store: Arc<dyn Store>,
     metrics: Arc<Metrics>,
     mailbox: Mailbox<Message>,
+    told: watch::Receiver<Told>,
+    /// Whether changes are gathered for neighbours.
+    relays: watch::Receiver<bool>,
 }
 
 impl Source {
@@ -359,8 +385,9 @@
                     }
                     self.mailbox.tell(message);
                     pause = RETRY;
-                    revision = Some(newest);
-                    tokio::time::sleep(GATHER).await;
+                    tokio::time::sleep(self.gather()).await;
+                    // Peers may have told more meanwhile.
+                    revision = Some(newest.max(self.told.borrow().listed.revision()));
                 }
                 Err(Error::Expired) => {
                     info!("store_history_gone", kv: { kind = "upstreams" });
@@ -379,6 +406,10 @@
         }
     }
 
+    fn gather(&self) -> Duration {
+        if *self.relays.borrow() { GATHER } else { RELAYED_GATHER }
+    }
+
     async fn list(&self) -> Result<(u64, Message), Error> {
         let listing = self.store.upstreams().await?;
         Ok((listing.revision, Message::Listed(listing)))
