Link only public items from public documentation

The doc step had not been run after those comments were written. Ruled out: any test; none had run. Change: plain code marks in place of the links.

--- a/quetzaltiller/src/follower.rs
+++ b/quetzaltiller/src/follower.rs
@@ -4,12 +4,12 @@
 //! whoever brings them. The store is watched; peers offer what they have when it is newer.
 //!
 //! While the store was away it may have dropped upstreams that live. They are kept for
-//! [`LAPSE_GRACE`] after its return, in which those that live are listed again. An outage may pass
+//! `LAPSE_GRACE` after its return, in which those that live are listed again. An outage may pass
 //! unnoticed while a watch waits, so upstreams are also kept when half of a service vanishes at once.
 //!
 //! A service starts a new process where one was lost. Whoever asks at the address knows it before
 //! the store does, and while the store is away nobody else tells: such successors are used until
-//! the store lists them, or for [`SUCCESSOR_TERM`] where it could have.
+//! the store lists them, or for `SUCCESSOR_TERM` where it could have.
 
 use crate::clock::Clock;
 use crate::control::{Changes, Configuration, Error, Store};
--- a/quetzaltiller/src/members.rs
+++ b/quetzaltiller/src/members.rs
@@ -119,7 +119,7 @@
     fn describe(&self, beat: &mut wire::Heartbeat, near: bool);
 
     /// Whether a member gets every heartbeat, with all that changes often. Far ones get one in
-    /// [`FAR_PERIODS`].
+    /// `FAR_PERIODS`.
     fn is_near(&self, _beat: &Heartbeat) -> bool {
         true
     }
--- a/quetzaltiller/src/proxy/mod.rs
+++ b/quetzaltiller/src/proxy/mod.rs
@@ -1,7 +1,7 @@
 //! Forwards callers' requests to upstreams.
 //!
-//! A request finds its route and account in the configuration in force. [`call`] carries lookups
-//! and actions, [`stream`] carries generations from one engine to the next. Both choose upstreams
+//! A request finds its route and account in the configuration in force. `call` carries lookups
+//! and actions, `stream` carries generations from one engine to the next. Both choose upstreams
 //! by [`crate::placement`] and end no later than the caller's patience and the route's timeout.
 
 mod call;
