Count prompts that engines are reading as unread, and wait for them

Ruled out: restarted engines; connections that went silent (running would equal listed). Change: unread counts queued requests and those that run without an event; a run is unknown only where none is unread. The stand-in lists runs as engines do.

--- a/quetzaltiller/src/proxy/reader.rs
+++ b/quetzaltiller/src/proxy/reader.rs
@@ -98,7 +98,13 @@
         let address = self.upstream.address;
         let error = match self.client.report(address, limit).await {
             Some(report) if report.may_have(&self.request.id) => None,
-            Some(_) => Some(engine::Error::UnknownStream),
+            Some(report) => {
+                info!("run_unknown", kv: {
+                    request = self.request.id, upstream = self.upstream.id,
+                    waiting = report.waiting, running = report.running, listed = report.runs.len()
+                });
+                Some(engine::Error::UnknownStream)
+            }
             None => Some(engine::Error::Timeout),
         };
         let alive = Notice::Alive(self.conn);
--- a/quetzaltiller/src/upstream.rs
+++ b/quetzaltiller/src/upstream.rs
@@ -90,14 +90,14 @@
     pub unread: u32,
     /// Tokens in memory that can't be dropped.
     pub memory_tokens: u32,
-    /// Requests whose runs it knows.
+    /// Requests whose runs have begun to generate.
     pub runs: Vec<String>,
 }
 
 impl Report {
-    /// Whether the engine has a run, or might have it waiting.
+    /// Whether the engine has a run, or might have it waiting or its prompt being read.
     pub fn may_have(&self, request: &str) -> bool {
-        self.waiting > 0 || self.runs.iter().any(|run| run == request)
+        self.unread > 0 || self.runs.iter().any(|run| run == request)
     }
 }
 
--- a/quetzaltiller/tests/entry.rs
+++ b/quetzaltiller/tests/entry.rs
@@ -115,6 +115,23 @@
     assert!(seen.is_on_time(), "{seen:?}");
 }
 
+/// Load: prompts that queue at engines for longer than a silent run is waited for unasked.
+#[tokio::test(start_paused = true)]
+async fn a_prompt_that_is_still_read_is_not_read_elsewhere_too() {
+    let site = Site::start(1).await;
+    site.lose_zone("b", false);
+    site.lose_zone("c", false);
+    sleep(Duration::from_millis(100)).await;
+
+    let drafts = load(&site, 4, Duration::from_millis(20)).await;
+    let seen = results(drafts).await;
+
+    assert!(seen.iter().all(|seen| seen.is_whole() || seen.refused.is_some()), "{seen:?}");
+    let whole = seen.iter().filter(|seen| seen.is_whole()).count() as u64;
+    assert!(whole >= 3, "{whole} of 4 served");
+    assert!(site.fleet.counts().runs.values().all(|runs| *runs == 1), "{seen:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_run_whose_copy_is_lost_is_copied_again() {
     let site = Site::start(3).await;
--- a/standin/src/fleet/node.rs
+++ b/standin/src/fleet/node.rs
@@ -144,15 +144,17 @@
         self.copies.remove(&(origin, name.to_owned()))
     }
 
+    /// Runs are listed from their first event on.
     pub(super) fn report(&self) -> Report {
-        let silent = self.runs.values().filter(|events| **events == 0).count();
+        let generating = self.runs.iter().filter(|(_, events)| **events > 0);
+        let generating: Vec<_> = generating.map(|(request, _)| request.clone()).collect();
         Report {
             has_models: self.events > 0,
             waiting: 0,
             running: self.runs.len() as u32,
-            unread: silent as u32,
+            unread: (self.runs.len() - generating.len()) as u32,
             memory_tokens: 9_000 * (self.runs.len() + self.copies.len()) as u32,
-            runs: self.runs.keys().cloned().collect(),
+            runs: generating,
         }
     }
 }
