Let callers that return go on where their prompt is cached

Ruled out: going on from the old run's copy: its memory belongs to another request. Test: one and all entry VMs lost, twelve callers return (failed before: other engines, prompts read twice).

--- a/quetzaltiller/src/entry.rs
+++ b/quetzaltiller/src/entry.rs
@@ -15,6 +15,7 @@
 use crate::peer::{Handler, Link};
 use crate::placement::{self, Load, Placer, Reported, State, Successor, Table};
 use crate::prelude::*;
+use crate::prompts::Finder;
 use crate::proxy::{Context, Proxy};
 use crate::routes;
 use crate::scope::Scope;
@@ -210,6 +211,7 @@
             clock,
             follower: follower.clone(),
             placer: placer.clone(),
+            finder: Finder::start(&scope, clock, placer.clone(), ports.client.clone()),
             pacer: Pacer::start(&scope, budget),
             client: ports.client,
             drain: drain.clone(),
@@ -240,6 +242,11 @@
         &self.proxy
     }
 
+    /// Address for callers.
+    pub fn caller_address(&self) -> &str {
+        &self.config.caller_address
+    }
+
     /// Configuration in force.
     pub fn routes(&self) -> Arc<routes::Table> {
         self.follower.routes()
--- a/quetzaltiller/src/lib.rs
+++ b/quetzaltiller/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod placement;
 pub mod platform;
 pub mod prelude;
+pub mod prompts;
 pub mod proxy;
 pub mod refusal;
 pub mod registry;
--- a/quetzaltiller/src/placement/table.rs
+++ b/quetzaltiller/src/placement/table.rs
@@ -396,6 +396,13 @@
             + tie * NEIGHBOUR_MS / 2.0
     }
 
+    /// Engines of a service that are not lost or leaving.
+    pub fn engines(&self, now: Duration, service: &str) -> Vec<Arc<Upstream>> {
+        let of_service = self.states.values().filter(|state| state.upstream.service == service);
+        let sound = of_service.filter(|state| !state.upstream.leaving && !state.is_lost(now));
+        sound.map(|state| state.upstream.clone()).collect()
+    }
+
     /// Engines that this entry VM owns and that are not lost.
     pub fn owned_engines(&self, now: Duration) -> Vec<Arc<Upstream>> {
         let has_engines = |service: &str| {
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -95,6 +95,7 @@
     Neighbours { all: Vec<String>, of_zone: Vec<String> },
     Reported { id: String, report: Report },
     Heard { member: String, loads: BTreeMap<String, Load> },
+    Engines { service: String, reply: oneshot::Sender<Vec<Arc<Upstream>>> },
     Dump(oneshot::Sender<BTreeMap<String, State>>),
 }
 
@@ -274,6 +275,12 @@
         self.loads.borrow().clone()
     }
 
+    /// Engines of a service that are not lost or leaving.
+    pub async fn engines(&self, service: &str) -> Vec<Arc<Upstream>> {
+        let service = service.to_owned();
+        self.mailbox.ask(|reply| Message::Engines { service, reply }).await.unwrap_or_default()
+    }
+
     /// States by upstream.
     pub async fn dump(&self) -> BTreeMap<String, State> {
         self.mailbox.ask(Message::Dump).await.unwrap_or_default()
@@ -358,6 +365,9 @@
                 }
             }
             Message::Heard { member, loads } => self.table.hear(now, &member, &loads),
+            Message::Engines { service, reply } => {
+                let _ = reply.send(self.table.engines(now, &service));
+            }
             Message::Dump(reply) => {
                 let _ = reply.send(self.table.states().clone());
             }
--- a/quetzaltiller/src/proxy/mod.rs
+++ b/quetzaltiller/src/proxy/mod.rs
@@ -25,6 +25,7 @@
 use crate::pacer::Pacer;
 use crate::placement::Placer;
 use crate::prelude::*;
+use crate::prompts::Finder;
 use crate::routes::Kind;
 use crate::scope::Scope;
 use crate::upstream::Client;
@@ -46,6 +47,8 @@
     pub follower: Follower,
     /// Choice of upstreams.
     pub placer: Placer,
+    /// Engines that have prompts cached.
+    pub finder: Finder,
     /// Hedging delays and retry budgets.
     pub pacer: Pacer,
     /// Upstreams.
--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -250,13 +250,21 @@
         }
         self.placed.clear();
         let demand = self.demand(avoid, copy, cached, resumed);
-        let (placer, pacer) = (self.context.placer.clone(), self.context.pacer.clone());
-        let (placing, service) = (self.placing.clone(), self.plan.service.clone());
+        let (context, placing) = (self.context.clone(), self.placing.clone());
+        let service = self.plan.service.clone();
         let repeats = self.sent > 0;
         let spent = self.sent >= self.plan.route.attempts;
+        let returned = self.request.last_event.is_some() && !repeats;
+        let request = self.request.clone();
         self.context.scope.spawn(async move {
-            let allowed = !spent && (!repeats || pacer.may_repeat(&service).await);
-            let placed = if allowed { placer.place(demand).await } else { Err(Unplaced::Nowhere) };
+            let allowed = !spent && (!repeats || context.pacer.may_repeat(&service).await);
+            let mut demand = demand;
+            if let (true, Some(run), Some(prompt)) = (returned, &mut demand.run, &request.prompt) {
+                run.cached = context.finder.find(&service, &prompt.model, run.affinity).await;
+                info!("prompt_located", kv: { request = request.id, engine:? = run.cached });
+            }
+            let placed =
+                if allowed { context.placer.place(demand).await } else { Err(Unplaced::Nowhere) };
             let _ = placing.send(placed);
         });
     }
--- a/quetzaltiller/src/upstream.rs
+++ b/quetzaltiller/src/upstream.rs
@@ -123,6 +123,14 @@
     /// What an engine tells of itself; none without an answer in time.
     async fn report(&self, address: SocketAddr, limit: Duration) -> Option<Report>;
 
+    /// Parts of prompts that an engine keeps for a model; none without an answer in time.
+    async fn kept_parts(
+        &self,
+        address: SocketAddr,
+        model: &str,
+        limit: Duration,
+    ) -> Option<Vec<u64>>;
+
     /// Id of the process at an address, by its health check; none without an answer in time.
     async fn identify(&self, address: SocketAddr, path: &str, limit: Duration) -> Option<String>;
 }
--- a/quetzaltiller/tests/entry.rs
+++ b/quetzaltiller/tests/entry.rs
@@ -366,6 +366,42 @@
     assert!(seen.numbers.iter().copied().eq(101..=EVENTS));
 }
 
+/// Load: callers that return together after their entry VM, or all of them, were lost.
+#[rstest]
+#[case::one(1)]
+#[case::all(3)]
+#[tokio::test(start_paused = true)]
+async fn callers_that_return_go_on_where_their_prompts_are_cached(#[case] lost: usize) {
+    let mut site = Site::start(4).await;
+    let running = load(&site, 12, Duration::from_millis(100)).await;
+    sleep(Duration::from_millis(1_500)).await;
+    let places: Vec<_> = (0..12).map(|n| site.fleet.place_of(&format!("draft-{n}"))).collect();
+
+    running.into_iter().for_each(|draft| draft.abort());
+    for zone in support::ZONES.into_iter().take(lost) {
+        site.lose_entry(zone);
+        site.join(zone, 2);
+    }
+    let mut returned = Vec::new();
+    for n in 0..12 {
+        let entry = site.entries[n % site.entries.len()].clone();
+        let again = Request {
+            id: format!("again-{n}"),
+            last_event: Some(10),
+            ..draft(&format!("draft-{n}"))
+        };
+        returned.push(tokio::spawn(generate(entry, again)));
+    }
+    sleep(Duration::from_millis(700)).await;
+    let now: Vec<_> = (0..12).map(|n| site.fleet.place_of(&format!("again-{n}"))).collect();
+    let seen = results(returned).await;
+
+    assert_eq!(places, now);
+    assert_eq!(site.fleet.counts().prefilled, 12 * 8_000);
+    let resumed = seen.iter().filter_map(|seen| seen.first).max().unwrap();
+    assert!(resumed < Duration::from_millis(300), "{resumed:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn what_would_begin_too_late_is_refused_at_once_with_the_time_to_come_back() {
     let site = Site::start(1).await;
--- a/quetzaltiller/tests/support/mod.rs
+++ b/quetzaltiller/tests/support/mod.rs
@@ -95,6 +95,18 @@
         entry
     }
 
+    /// Ends the process of a zone's entry VM.
+    pub fn lose_entry(&mut self, zone: &str) {
+        let address = format!("entry-{zone}:1");
+        self.entries.retain(|entry| {
+            let lost = entry.caller_address() == address;
+            if lost {
+                entry.stop();
+            }
+            !lost
+        });
+    }
+
     /// Crashes all engines of a zone, and starts others in their places after 1.2 s.
     pub fn lose_zone(&self, zone: &str, dark: bool) {
         for id in self.fleet.of_zone(zone).into_iter().filter(|id| id.starts_with("engine")) {
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -197,6 +197,17 @@
         self.lock().get(&address).map(Node::report)
     }
 
+    async fn kept_parts(
+        &self,
+        address: SocketAddr,
+        _model: &str,
+        limit: Duration,
+    ) -> Option<Vec<u64>> {
+        self.count().reports += 1;
+        tokio::time::timeout(limit, self.connect(address)).await.ok()?.ok()?;
+        self.lock().get(&address).map(Node::kept_prompts)
+    }
+
     async fn copy_run(
         &self,
         from: SocketAddr,
--- a/standin/src/fleet/node.rs
+++ b/standin/src/fleet/node.rs
@@ -108,6 +108,10 @@
         self.cached.insert(affinity);
     }
 
+    pub(super) fn kept_prompts(&self) -> Vec<u64> {
+        self.cached.iter().copied().collect()
+    }
+
     /// Time until the next event of a run.
     pub(super) fn pace(&self) -> Duration {
         let alone = if Instant::now() < self.reading_until { EVENT_BESIDE_PREFILL } else { EVENT };
