--- a/quetzaltiller/src/generation/machine.rs
+++ b/quetzaltiller/src/generation/machine.rs
@@ -13,6 +13,7 @@
 //! replacement is cheap and comes early.
 
 use super::answer::{Answer, Verdict};
+use super::copies::Copies;
 use super::protocol::{Effect, Input, Opening, Outcome, Place, Probe, Settings, Start, Stats};
 use super::splice::Splice;
 use crate::engine::Error;
@@ -58,14 +59,9 @@
     upstream: Option<String>,
     version: Option<String>,
     avoid: Vec<String>,
-    /// Engine that holds a copy of the run's memory.
-    copy: Option<String>,
-    /// Engine that holds a copy of the run before, while the run at hand has not begun.
-    older_copy: Option<String>,
+    copies: Copies,
     /// Engine that has read the prompt and was not found dead since.
     cached: Option<String>,
-    /// A copy is being made.
-    copying: bool,
     current: Option<u32>,
     probe: Option<Pending>,
     probe_at: Option<Duration>,
@@ -96,10 +92,8 @@
             upstream: None,
             version: None,
             avoid: Vec::new(),
-            copy: None,
-            older_copy: None,
+            copies: Copies::default(),
             cached: None,
-            copying: false,
             current: None,
             probe: None,
             probe_at: None,
@@ -130,7 +124,7 @@
 
     /// Engine that holds a copy of the current run's memory.
     pub fn copy(&self) -> Option<&str> {
-        self.copy.as_deref()
+        self.copies.current()
     }
 
     /// Version that generated the tokens.
@@ -169,10 +163,13 @@
             Input::Opened(conn) => self.opened(now, conn),
             Input::Chunk(conn, chunk) => self.chunk(now, conn, &chunk),
             Input::Failed(conn, error) => self.failed(now, conn, error),
-            Input::Gone(upstream) => self.gone(&upstream),
-            Input::Copied(holder) => {
-                self.copying = false;
-                self.copy = Some(holder);
+            Input::Gone(upstream) => self.gone(now, &upstream),
+            Input::Copied(Some(holder)) => {
+                self.copies.made(holder);
+                Vec::new()
+            }
+            Input::Copied(None) => {
+                self.copies.failed(now);
                 Vec::new()
             }
             Input::Cancel => self.cancel(Outcome::Cancelled),
@@ -221,11 +218,10 @@
     fn place(&mut self) -> Vec<Effect> {
         self.phase = Phase::Placing;
         let resumed = self.splice.next() > 0 || self.splice.attempt() > 1;
-        // Engines copy what a run has generated, so a run without a piece has left nothing.
         if self.flowing {
-            self.older_copy = self.copy.take();
+            self.copies.retire();
         }
-        let copy = self.older_copy.clone();
+        let copy = self.copies.usable().map(str::to_owned);
         let (avoid, cached) = (self.avoid.clone(), self.cached.clone());
         vec![Effect::Place { avoid, copy, cached, resumed }]
     }
@@ -238,13 +234,9 @@
         self.phase = Phase::Submitting;
         self.upstream = Some(upstream.clone());
         self.version.get_or_insert(version);
-        if restores {
-            self.older_copy = None;
-        }
-        self.copy = backup;
+        self.copies.begin(backup, restores);
         self.last_life = now;
         self.flowing = false;
-        self.copying = false;
         self.suspected = false;
         self.probe_at = None;
         self.backoff = 1;
@@ -303,11 +295,8 @@
         match self.splice.take(chunk) {
             Verdict::Nothing => self.show_life(now),
             Verdict::Admitted(_) => {
-                let first = !self.flowing;
                 self.progress(now);
-                if first && self.copy.is_none() {
-                    effects.extend(self.copy_again());
-                }
+                effects.extend(self.order_copy(now));
             }
             Verdict::Gap => effects.extend(self.broken(now, conn)),
             Verdict::Foreign => effects.extend(self.replace_engine()),
@@ -378,7 +367,7 @@
         self.current = None;
         self.fruitless += 1;
         let mut effects = vec![Effect::Close(conn)];
-        let has_copy = self.flowing && self.copy.is_some();
+        let has_copy = self.flowing && self.copy().is_some();
         if self.settings.probe == Probe::Connect && has_copy {
             effects.extend(self.place_again());
         } else if self.fruitless > MAX_FRUITLESS {
@@ -390,27 +379,18 @@
     }
 
     /// An engine is gone: what lay there is lost, and copied again while the run still can be.
-    fn gone(&mut self, upstream: &str) -> Vec<Effect> {
-        let is = |known: &Option<String>| known.as_deref() == Some(upstream);
-        if is(&self.cached) {
+    fn gone(&mut self, now: Duration, upstream: &str) -> Vec<Effect> {
+        if self.cached.as_deref() == Some(upstream) {
             self.cached = None;
         }
-        if is(&self.older_copy) {
-            self.older_copy = None;
-        }
-        if is(&self.copy) {
-            self.copy = None;
-            return self.copy_again();
-        }
-        Vec::new()
+        if self.copies.lose(upstream) { self.order_copy(now) } else { Vec::new() }
     }
 
-    fn copy_again(&mut self) -> Vec<Effect> {
-        if !self.flowing || self.copying || self.settings.probe == Probe::Reattach {
-            return Vec::new();
-        }
-        self.copying = true;
-        vec![Effect::Copy]
+    /// Orders a copy of a run that generates and has none.
+    fn order_copy(&mut self, now: Duration) -> Vec<Effect> {
+        let copies = self.settings.probe == Probe::Connect && self.settings.resumable;
+        let orders = copies && self.flowing && self.copies.order(now);
+        orders.then_some(Effect::Copy).into_iter().collect()
     }
 
     fn start_probe(&mut self, now: Duration) -> Vec<Effect> {
@@ -503,7 +483,7 @@
         if self.inspecting && self.probe.is_some() {
             return self.tick_running(now);
         }
-        if self.flowing && self.copy.is_some() {
+        if self.flowing && self.copy().is_some() {
             return self.replace_engine();
         }
         self.inspecting = true;
@@ -555,7 +535,7 @@
         if self.settings.probe == Probe::Reattach {
             return Duration::MAX;
         }
-        match (self.settings.pause, &self.copy) {
+        match (self.settings.pause, self.copy()) {
             (Some(pause), Some(_)) if self.flowing => self.last_life + pause.mul_f64(PAUSE_SHARE),
             _ => self.patience_ends_at().max(self.excused_at + self.wait()),
         }
--- a/quetzaltiller/src/generation/mod.rs
+++ b/quetzaltiller/src/generation/mod.rs
@@ -6,6 +6,7 @@
 //! hold to come back, and [`Event`] what they see. None of them does I/O.
 
 mod answer;
+mod copies;
 mod event;
 mod event_id;
 mod machine;
--- a/quetzaltiller/src/generation/protocol.rs
+++ b/quetzaltiller/src/generation/protocol.rs
@@ -79,10 +79,10 @@
     Chunk(u32, P),
     /// A connection failed.
     Failed(u32, Error),
-    /// An engine is gone.
+    /// An engine is gone, or takes no new work.
     Gone(String),
-    /// An engine holds a copy of the current run's memory.
-    Copied(String),
+    /// The engine that holds a copy of the current run's memory; none where it could not be made.
+    Copied(Option<String>),
     /// The caller cancelled, or nobody came back.
     Cancel,
     /// Another entry VM owns the generation now.
--- a/quetzaltiller/src/placement/state.rs
+++ b/quetzaltiller/src/placement/state.rs
@@ -117,6 +117,12 @@
         self.lost_at.is_some_and(|lost_at| now < lost_at + age)
     }
 
+    /// Whether it was found to be gone and has not shown life since: another process may have its
+    /// address by now, to which a copy would go unseen.
+    pub fn is_unproven(&self) -> bool {
+        self.lost_at.is_some()
+    }
+
     /// Notes that it is gone; true when that is news.
     pub fn lose(&mut self, now: Duration) -> bool {
         let news = !self.is_lost(now);
--- a/quetzaltiller/src/placement/table.rs
+++ b/quetzaltiller/src/placement/table.rs
@@ -450,7 +450,8 @@
         doubted.map(|(zone, _)| zone.to_owned()).collect()
     }
 
-    /// Engine in another zone that holds least.
+    /// Engine in another zone that holds little. Where all others are crowded, as after the loss of a
+    /// zone, copies take the room that is left there rather than share the zone of their run.
     fn choose_backup(
         &self,
         now: Duration,
@@ -459,17 +460,23 @@
         run: &Run,
         (engine, doubted): (&routes::Engine, &BTreeSet<String>),
     ) -> Option<Arc<Upstream>> {
-        let limit = f64::from(engine.memory_tokens) * BACKUP_MEMORY_SHARE;
-        let sound = candidates.iter().filter(|state| {
-            let memory = f64::from(state.memory(now) + run.footprint);
-            let zone = &state.upstream.zone;
-            state.upstream.id != primary.id && !doubted.contains(zone) && memory <= limit
-        });
-        let sound: Vec<_> = sound.collect();
-        let away: Vec<_> =
-            sound.iter().copied().filter(|s| s.upstream.zone != primary.zone).collect();
+        let sound: Vec<_> = candidates
+            .iter()
+            .copied()
+            .filter(|state| state.upstream.id != primary.id && !state.is_unproven())
+            .filter(|state| !doubted.contains(&state.upstream.zone))
+            .collect();
+        let within = |share: f64, away: bool| -> Vec<&State> {
+            let limit = f64::from(engine.memory_tokens) * share;
+            let fits = |s: &&State| f64::from(s.memory(now) + run.footprint) <= limit;
+            let zone = |s: &&State| !away || s.upstream.zone != primary.zone;
+            sound.iter().copied().filter(fits).filter(zone).collect()
+        };
+        let tiers =
+            [(BACKUP_MEMORY_SHARE, true), (MEMORY_SHARE, true), (BACKUP_MEMORY_SHARE, false)];
+        let mut from =
+            tiers.into_iter().map(|(share, away)| within(share, away)).find(|t| !t.is_empty())?;
         let key = run.affinity.to_string();
-        let mut from = if away.is_empty() { sound } else { away };
         from.sort_by_cached_key(|state| score(&state.upstream.id, &key));
         from.truncate(DRAWN_FOR_COPIES);
         from.into_iter().min_by_key(|state| state.memory(now)).map(|state| state.upstream.clone())
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -167,6 +167,7 @@
 pub struct Placer {
     mailbox: Mailbox<Message>,
     lost: watch::Receiver<Arc<Vec<String>>>,
+    withdrawn: watch::Receiver<Arc<Vec<String>>>,
     loads: watch::Receiver<BTreeMap<String, Load>>,
     settled: Arc<watch::Sender<bool>>,
 }
@@ -177,6 +178,8 @@
         let (mailbox, messages) = Mailbox::new();
         let lost = watch::Sender::default();
         let watched = lost.subscribe();
+        let withdrawn = watch::Sender::default();
+        let withdrawals = withdrawn.subscribe();
         let loads = watch::Sender::default();
         let told = loads.subscribe();
         let task = Task {
@@ -188,12 +191,19 @@
             departed: Vec::new(),
             checking: BTreeSet::new(),
             lost,
+            withdrawn,
             loads,
             scope: scope.clone(),
             mailbox: mailbox.clone(),
         };
         scope.spawn(task.run(messages));
-        Self { mailbox, lost: watched, loads: told, settled: Arc::default() }
+        Self {
+            mailbox,
+            lost: watched,
+            withdrawn: withdrawals,
+            loads: told,
+            settled: Arc::default(),
+        }
     }
 
     /// Tells that the entry VMs with which engines are shared are known.
@@ -250,6 +260,11 @@
         self.lost.clone()
     }
 
+    /// Upstreams that are gone or leaving, and notices of others: nothing new goes there.
+    pub fn withdrawn(&self) -> watch::Receiver<Arc<Vec<String>>> {
+        self.withdrawn.clone()
+    }
+
     /// Puts a configuration in force.
     pub fn configure(&self, routes: Arc<routes::Table>) {
         self.mailbox.tell(Message::Configure(routes));
@@ -306,6 +321,7 @@
     /// Upstreams of doubted zones that are being checked.
     checking: BTreeSet<String>,
     lost: watch::Sender<Arc<Vec<String>>>,
+    withdrawn: watch::Sender<Arc<Vec<String>>>,
     loads: watch::Sender<BTreeMap<String, Load>>,
     scope: Scope,
     mailbox: Mailbox<Message>,
@@ -485,13 +501,11 @@
         let lost = self.table.states().values().filter(|state| state.is_lost(now));
         let lost = lost.map(|state| state.upstream.id.clone());
         let lost: Vec<_> = lost.chain(self.departed.iter().cloned()).collect();
-        self.lost.send_if_modified(|known| {
-            let changed = **known != lost;
-            if changed {
-                *known = Arc::new(lost);
-            }
-            changed
-        });
+        let leaving = self.table.states().values().filter(|state| state.upstream.leaving);
+        let leaving = leaving.map(|state| state.upstream.id.clone());
+        let withdrawn: Vec<_> = lost.iter().cloned().chain(leaving).collect();
+        publish(&self.lost, lost);
+        publish(&self.withdrawn, withdrawn);
     }
 
     fn place(&mut self, now: Duration, demand: &Demand) -> Result<Placement, Unplaced> {
@@ -517,3 +531,14 @@
         })
     }
 }
+
+/// Tells who watches, if it is news.
+fn publish(sender: &watch::Sender<Arc<Vec<String>>>, ids: Vec<String>) {
+    sender.send_if_modified(|known| {
+        let changed = **known != ids;
+        if changed {
+            *known = Arc::new(ids);
+        }
+        changed
+    });
+}
--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -57,8 +57,13 @@
     copy: upstream::Copy,
 }
 
-/// A copy that was made: the engine it was made of, the place of it, and its name.
-type Made = (String, placement::Copy, upstream::Copy);
+/// What became of an order to copy the run at an engine.
+struct Ordered {
+    /// Engine that runs it.
+    of: String,
+    /// Place of the copy, and its name there.
+    made: Option<(placement::Copy, upstream::Copy)>,
+}
 
 /// Serves a generation.
 pub async fn run(context: Context, request: Arc<Request>, plan: Plan, entered: Entered) -> Reply {
@@ -90,8 +95,8 @@
     placed: BTreeMap<String, Placement>,
     copies: BTreeMap<String, Held>,
     copied_at: Option<Duration>,
-    copied: mpsc::UnboundedSender<Made>,
-    made: Option<mpsc::UnboundedReceiver<Made>>,
+    copied: mpsc::UnboundedSender<Ordered>,
+    made: Option<mpsc::UnboundedReceiver<Ordered>>,
     connections: BTreeMap<u32, AbortHandle>,
     sent: u32,
     events: u32,
@@ -173,8 +178,8 @@
         else {
             return;
         };
-        let mut lost = self.context.placer.lost();
-        lost.mark_unchanged();
+        let mut withdrawn = self.context.placer.withdrawn();
+        withdrawn.mark_unchanged();
         self.perform(effects);
         while self.outcome.is_none() {
             let clock = self.context.clock;
@@ -185,10 +190,10 @@
                 biased;
                 Some(placed) = placements.recv() => self.placed(placed),
                 Some(notice) = notices.recv() => self.notice(notice).await,
-                Some((of, place, copy)) = made.recv() => self.take_copy(&of, place, copy),
-                Ok(()) = lost.changed() => {
-                    let lost = lost.borrow_and_update().clone();
-                    lost.iter().for_each(|id| self.input(Input::Gone(id.clone())));
+                Some(ordered) = made.recv() => self.take_copy(ordered),
+                Ok(()) = withdrawn.changed() => {
+                    let withdrawn = withdrawn.borrow_and_update().clone();
+                    withdrawn.iter().for_each(|id| self.input(Input::Gone(id.clone())));
                 }
                 () = gone(&mut self.caller) => self.leave(),
                 () = clock.sleep_until(until) => self.time_out(),
@@ -305,13 +310,15 @@
         let (placer, client) = (self.context.placer.clone(), self.context.client.clone());
         let (request, copied) = (self.request.clone(), self.copied.clone());
         self.context.scope.spawn(async move {
-            let Some(place) = placer.place_copy(demand, primary.clone()).await else {
-                return;
+            let made = match placer.place_copy(demand, primary.clone()).await {
+                Some(place) => {
+                    let (from, to) = (primary.address, place.upstream.address);
+                    let copy = client.copy_run(from, &request.id, to, COPY_LIMIT).await;
+                    copy.map(|copy| (place, copy))
+                }
+                None => None,
             };
-            let (from, to) = (primary.address, place.upstream.address);
-            if let Some(copy) = client.copy_run(from, &request.id, to, COPY_LIMIT).await {
-                let _ = copied.send((primary.id.clone(), place, copy));
-            }
+            let _ = copied.send(Ordered { of: primary.id.clone(), made });
         });
     }
 
@@ -331,16 +338,19 @@
         self.copied_at = Some(self.context.clock.now());
     }
 
-    fn take_copy(&mut self, of: &str, place: placement::Copy, copy: upstream::Copy) {
-        if self.machine.upstream() != Some(of) {
+    fn take_copy(&mut self, Ordered { of, made }: Ordered) {
+        if self.machine.upstream() != Some(&of) {
             return;
         }
+        let Some((place, copy)) = made else {
+            return self.input(Input::Copied(None));
+        };
         let holder = place.upstream.id.clone();
         self.context.metrics.count(Counter::RunCopied);
         info!("run_copied", kv: { request = self.request.id, of, holder });
         self.copies.insert(holder.clone(), Held { place: Some(place), copy });
         self.copied_at = Some(self.context.clock.now());
-        self.input(Input::Copied(holder));
+        self.input(Input::Copied(Some(holder)));
     }
 
     fn placed(&mut self, placed: Result<Placement, Unplaced>) {
--- a/quetzaltiller/tests/entry.rs
+++ b/quetzaltiller/tests/entry.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use quetzaltiller::fleet::Upstream;
 use quetzaltiller::proxy::{Reply, Request};
 use quetzaltiller::refusal::{Code, Ran};
 use rstest::rstest;
@@ -151,6 +152,26 @@
     assert!(seen.is_on_time(), "{seen:?}");
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_run_whose_copy_lies_at_a_leaving_engine_is_copied_again() {
+    let site = Site::start(3).await;
+    let running = tokio::spawn(generate(site.entries[0].clone(), draft("draft")));
+    sleep(Duration::from_millis(2_000)).await;
+    let primary = site.fleet.place_of("draft").expect("the run has a place");
+    let holders = site.fleet.holders_of("draft");
+
+    for upstream in site.fleet.listing().into_iter().filter(|known| holders.contains(&known.id)) {
+        site.store.list(Upstream { leaving: true, ..upstream });
+    }
+    sleep(Duration::from_millis(400)).await;
+    site.fleet.crash(&primary, false);
+    let seen = running.await.unwrap();
+
+    assert_eq!(holders.len(), 1);
+    assert!(seen.is_on_time(), "{seen:?}");
+    assert_eq!(site.fleet.counts().prefilled, 8_000);
+}
+
 #[tokio::test(start_paused = true)]
 async fn engines_that_restart_while_the_store_is_away_are_found() {
     let site = Site::start(2).await;
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -106,6 +106,13 @@
         node.map(|node| node.upstream.id.clone())
     }
 
+    /// Upstreams that hold a copy of a request's run.
+    pub fn holders_of(&self, request: &str) -> Vec<String> {
+        let nodes = self.lock();
+        let holders = nodes.values().filter(|node| node.holds_copy(request));
+        holders.map(|node| node.upstream.id.clone()).collect()
+    }
+
     pub(crate) fn lock(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Node>> {
         self.nodes.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/standin/src/fleet/node.rs
+++ b/standin/src/fleet/node.rs
@@ -144,6 +144,10 @@
         }
     }
 
+    pub(super) fn holds_copy(&self, request: &str) -> bool {
+        self.copies.keys().any(|(_, name)| name.ends_with(request))
+    }
+
     pub(super) fn take_copy(&mut self, origin: SocketAddr, name: &str) -> Option<u32> {
         self.copies.remove(&(origin, name.to_owned()))
     }
