Tell a process from whoever accepts connections at its address

Ruled out: the store's listing (silent then); the engine's word (it told its own id). Change: only answers, parts of answers, a matching id or start prove a process; a connection only clears suspicion. Time in which the VM was suspended voids proofs, as the steady clock leaves it out. Test: an address changes hands while entry VMs try it (failed before).

--- a/quetzaltiller/src/clock.rs
+++ b/quetzaltiller/src/clock.rs
@@ -1,5 +1,6 @@
 //! Time since the start of the process, on tokio's clock, which tests pause.
 
+use nix::time::{ClockId, clock_gettime};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -21,6 +22,13 @@
         self.epoch.elapsed()
     }
 
+    /// Time for which the VM was suspended since it booted, which the steady clock leaves out.
+    pub fn suspended(&self) -> Duration {
+        let read = |clock| clock_gettime(clock).map(Duration::from).unwrap_or_default();
+        let boot = read(ClockId::CLOCK_BOOTTIME);
+        boot.saturating_sub(read(ClockId::CLOCK_MONOTONIC))
+    }
+
     /// Sleeps until a time since the origin.
     pub async fn sleep_until(&self, at: Duration) {
         tokio::time::sleep_until(self.epoch + at).await;
--- a/quetzaltiller/src/placement/mod.rs
+++ b/quetzaltiller/src/placement/mod.rs
@@ -7,11 +7,17 @@
 //! dropped.
 
 mod demand;
+mod message;
+mod place;
+mod placer;
 mod state;
+mod succession;
 mod table;
 mod task;
 
 pub use demand::{Demand, Run};
+pub use place::{Copy, Permit, Placement, Unplaced};
+pub use placer::{Parts, Placer};
 pub use state::{Load, Reported, State};
+pub use succession::Successor;
 pub use table::{Choice, Hold, Pick, Table};
-pub use task::{Copy, Parts, Permit, Placement, Placer, Successor, Unplaced};
--- /dev/null
+++ b/quetzaltiller/src/placement/placer.rs
@@ -0,0 +1,164 @@
+//! Handle to the task that owns the table.
+
+use super::demand::Demand;
+use super::message::{Message, Outcome};
+use super::place::{Copy, Placement, Unplaced};
+use super::state::{Load, State};
+use super::succession::Successor;
+use super::table::Table;
+use super::task::{Published, Task};
+use crate::clock::Clock;
+use crate::fleet::{Directory, Upstream};
+use crate::mailbox::Mailbox;
+use crate::prelude::*;
+use crate::routes;
+use crate::scope::Scope;
+use crate::upstream::Client;
+use std::collections::BTreeMap;
+use tokio::sync::{mpsc, watch};
+
+/// What the task uses.
+pub struct Parts {
+    /// Clock.
+    pub clock: Clock,
+    /// Upstreams.
+    pub table: Table,
+    /// Access to them, for checks.
+    pub client: Arc<dyn Client>,
+    /// An address stays with its service for so long after an upstream has ended.
+    pub reuse_after: Duration,
+    /// Where successors of lost upstreams go.
+    pub successors: mpsc::UnboundedSender<Successor>,
+}
+
+/// Handle to the task.
+#[derive(Clone, Debug)]
+pub struct Placer {
+    mailbox: Mailbox<Message>,
+    lost: watch::Receiver<Arc<Vec<String>>>,
+    withdrawn: watch::Receiver<Arc<Vec<String>>>,
+    loads: watch::Receiver<BTreeMap<String, Load>>,
+    settled: Arc<watch::Sender<bool>>,
+}
+
+impl Placer {
+    /// Starts the task in `scope`.
+    pub fn start(scope: &Scope, parts: Parts) -> Self {
+        let (mailbox, messages) = Mailbox::new();
+        let lost = watch::Sender::default();
+        let watched = lost.subscribe();
+        let withdrawn = watch::Sender::default();
+        let withdrawals = withdrawn.subscribe();
+        let loads = watch::Sender::default();
+        let told = loads.subscribe();
+        let published = Published { lost, withdrawn, loads };
+        let task = Task::new(parts, published, scope.clone(), mailbox.clone());
+        scope.spawn(task.run(messages));
+        Self {
+            mailbox,
+            lost: watched,
+            withdrawn: withdrawals,
+            loads: told,
+            settled: Arc::default(),
+        }
+    }
+
+    /// Tells that the entry VMs with which engines are shared are known.
+    pub fn settle(&self) {
+        self.settled.send_replace(true);
+    }
+
+    /// Chooses upstreams; runs wait until it is known with whom engines are shared.
+    pub async fn place(&self, demand: Demand) -> Result<Placement, Unplaced> {
+        if demand.run.is_some() {
+            let _ = self.settled.subscribe().wait_for(|settled| *settled).await;
+        }
+        let answer = self.mailbox.ask(|reply| Message::Place { demand, reply }).await;
+        answer.unwrap_or(Err(Unplaced::Nowhere))
+    }
+
+    /// Chooses an engine for a copy of a run at `primary`.
+    pub async fn place_copy(&self, demand: Demand, primary: Arc<Upstream>) -> Option<Copy> {
+        self.mailbox.ask(|reply| Message::PlaceCopy { demand, primary, reply }).await?
+    }
+
+    /// Notes that an upstream answered.
+    pub fn answered(&self, id: &str) {
+        self.tell(id, Outcome::Answered);
+    }
+
+    /// Notes that an upstream failed a request.
+    pub fn failed(&self, id: &str) {
+        self.tell(id, Outcome::Failed);
+    }
+
+    /// Notes that a connection to an upstream broke or fell silent.
+    pub fn broken(&self, id: &str) {
+        self.tell(id, Outcome::Broken);
+    }
+
+    /// Notes that an upstream does not accept connections, or that another has its address.
+    pub fn gone(&self, id: &str) {
+        self.tell(id, Outcome::Gone);
+    }
+
+    /// Notes that an upstream sent a part of an answer.
+    pub fn alive(&self, id: &str) {
+        self.tell(id, Outcome::Proven);
+    }
+
+    /// Notes that a peer found an upstream gone.
+    pub fn reported_gone(&self, id: &str) {
+        self.tell(id, Outcome::Reported);
+    }
+
+    /// Upstreams that this entry VM found gone, and notices of others.
+    pub fn lost(&self) -> watch::Receiver<Arc<Vec<String>>> {
+        self.lost.clone()
+    }
+
+    /// Upstreams that are gone or leaving, and notices of others: nothing new goes there.
+    pub fn withdrawn(&self) -> watch::Receiver<Arc<Vec<String>>> {
+        self.withdrawn.clone()
+    }
+
+    /// Puts a configuration in force.
+    pub fn configure(&self, routes: Arc<routes::Table>) {
+        self.mailbox.tell(Message::Configure(routes));
+    }
+
+    /// Takes the upstreams of a directory.
+    pub fn set_upstreams(&self, directory: Arc<Directory>) {
+        self.mailbox.tell(Message::Upstreams(directory));
+    }
+
+    /// Tells which other entry VMs are alive, and which of these are in the own zone.
+    pub fn set_neighbours(&self, all: Vec<String>, of_zone: Vec<String>) {
+        self.mailbox.tell(Message::Neighbours { all, of_zone });
+    }
+
+    /// Takes what another entry VM has given to upstreams.
+    pub fn hear(&self, member: &str, loads: BTreeMap<String, Load>) {
+        self.mailbox.tell(Message::Heard { member: member.to_owned(), loads });
+    }
+
+    /// What this entry VM has given to upstreams.
+    pub fn loads(&self) -> BTreeMap<String, Load> {
+        self.loads.borrow().clone()
+    }
+
+    /// Engines of a service that are not lost or leaving.
+    pub async fn engines(&self, service: &str) -> Vec<Arc<Upstream>> {
+        let service = service.to_owned();
+        self.mailbox.ask(|reply| Message::Engines { service, reply }).await.unwrap_or_default()
+    }
+
+    /// States by upstream.
+    pub async fn dump(&self) -> BTreeMap<String, State> {
+        self.mailbox.ask(Message::Dump).await.unwrap_or_default()
+    }
+
+    fn tell(&self, id: &str, outcome: Outcome) {
+        self.mailbox.tell(Message::Outcome { id: id.to_owned(), outcome });
+    }
+}
--- a/quetzaltiller/src/placement/state.rs
+++ b/quetzaltiller/src/placement/state.rs
@@ -69,8 +69,10 @@
     pub prefill_until: Duration,
     /// Chosen only for want of another until then.
     pub suspect_until: Duration,
-    /// When it was last seen alive.
+    /// When its address last accepted a connection or sent something.
     pub alive_at: Duration,
+    /// When its own process last showed life.
+    pub proven_at: Duration,
     /// When it was found to be gone, while it has not answered since.
     lost_at: Option<Duration>,
     /// Last report, when it was made, and what this entry VM held then.
@@ -93,6 +95,7 @@
             prefill_until: Duration::ZERO,
             suspect_until: Duration::ZERO,
             alive_at: Duration::ZERO,
+            proven_at: Duration::ZERO,
             lost_at: None,
             reported: None,
             others: BTreeMap::new(),
@@ -130,9 +133,24 @@
         news
     }
 
-    /// Notes a sign of life.
+    /// Whether `told` may be the incarnation that is listed; 0 stands for unknown.
+    pub fn is_incarnation(&self, told: u64) -> bool {
+        let listed = self.upstream.incarnation;
+        told == 0 || listed == 0 || told == listed
+    }
+
+    /// Notes that some process accepts connections at its address.
+    pub fn reach(&mut self, now: Duration) {
+        self.alive_at = now;
+        if self.lost_at.is_none() {
+            self.suspect_until = Duration::ZERO;
+        }
+    }
+
+    /// Notes a sign of life of the process itself.
     pub fn show_life(&mut self, now: Duration) {
         self.alive_at = now;
+        self.proven_at = now;
         self.lost_at = None;
         self.suspect_until = Duration::ZERO;
     }
--- a/quetzaltiller/src/placement/table.rs
+++ b/quetzaltiller/src/placement/table.rs
@@ -187,6 +187,11 @@
         engines.next().is_some_and(|first| first.name == service) && engines.next().is_none()
     }
 
+    /// Forgets when upstreams were last proven, after time has passed unseen.
+    pub fn forget_proofs(&mut self) {
+        self.states.values_mut().for_each(|state| state.proven_at = Duration::ZERO);
+    }
+
     /// States by upstream.
     pub fn states(&self) -> &BTreeMap<String, State> {
         &self.states
--- a/quetzaltiller/src/upstream.rs
+++ b/quetzaltiller/src/upstream.rs
@@ -90,6 +90,8 @@
     pub unread: u32,
     /// Tokens in memory that can't be dropped.
     pub memory_tokens: u32,
+    /// Start of its process; 0 where it does not tell.
+    pub incarnation: u64,
     /// Requests whose runs have begun to generate.
     pub runs: Vec<String>,
 }
--- a/quetzaltiller/tests/entry.rs
+++ b/quetzaltiller/tests/entry.rs
@@ -209,6 +209,35 @@
     assert_eq!(site.fleet.counts().turned_away, 0);
 }
 
+/// The address of a lost replica goes to another service while the store is away and entry VMs try the
+/// address, each at its time.
+#[tokio::test(start_paused = true)]
+async fn an_address_that_changes_hands_brings_no_requests_to_its_new_owner() {
+    let site = Site::start(2).await;
+    let desk = site.fleet.listing().into_iter().find(|known| known.id == "desk-a").unwrap();
+    site.store.set_away(true);
+    site.fleet.crash("desk-a", false);
+
+    for n in 0..400 {
+        if n == 110 {
+            let stranger =
+                Upstream { id: "stranger".into(), service: "other".into(), ..desk.clone() };
+            site.fleet.insert(stranger, 0);
+        }
+        let entry = site.entries[n % 3].clone();
+        tokio::spawn(async move {
+            let lookup = request(&format!("status-{n}"), "/status/1");
+            entry.proxy().handle(lookup).await;
+        });
+        sleep(Duration::from_millis(20)).await;
+    }
+
+    for entry in &site.entries {
+        let known = entry.dump().await.upstreams;
+        assert!(!known.contains_key("stranger"), "{:?}", known.keys());
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_caller_that_leaves_ends_its_run() {
     let site = Site::start(2).await;
--- a/standin/src/fleet/node.rs
+++ b/standin/src/fleet/node.rs
@@ -162,6 +162,7 @@
             running: self.runs.len() as u32,
             unread: (self.runs.len() - generating.len()) as u32,
             memory_tokens: 9_000 * (self.runs.len() + self.copies.len()) as u32,
+            incarnation: self.upstream.incarnation,
             runs: generating,
         }
     }
