--- a/quetzaltiller/tests/entry.rs
+++ b/quetzaltiller/tests/entry.rs
@@ -1,14 +1,12 @@
 //! Whole entry VMs over stand-ins: losses of engines, zones, the store and other entry VMs.
 
-mod support;
-
 use quetzaltiller::fleet::Upstream;
 use quetzaltiller::proxy::{Reply, Request};
 use quetzaltiller::refusal::{Code, Ran};
 use rstest::rstest;
 use standin::fleet::Fault;
+use standin::site::{EVENTS, Seen, Site, configuration, draft, engine, generate, request};
 use std::time::Duration;
-use support::{EVENTS, Seen, Site, configuration, draft, engine, generate, request};
 use tokio::time::{Instant, sleep};
 
 /// Drafts that begin one after the other at the entry VMs in turn.
@@ -428,7 +426,7 @@
     let places: Vec<_> = (0..12).map(|n| site.fleet.place_of(&format!("draft-{n}"))).collect();
 
     running.into_iter().for_each(|draft| draft.abort());
-    for zone in support::ZONES.into_iter().take(lost) {
+    for zone in standin::site::ZONES.into_iter().take(lost) {
         site.lose_entry(zone);
         site.join(zone, 2);
     }
--- a/quetzaltiller/tests/placement.rs
+++ b/quetzaltiller/tests/placement.rs
@@ -1,13 +1,11 @@
 //! The choice of upstreams, without I/O: loads and losses that it answers.
 
-mod support;
-
 use quetzaltiller::fleet::{Change, Directory};
 use quetzaltiller::placement::{Choice, Demand, Pick, Run, Table};
 use quetzaltiller::routes;
+use standin::site::{ZONES, configuration, engine};
 use std::sync::Arc;
 use std::time::Duration;
-use support::{ZONES, configuration, engine};
 
 const NOW: Duration = Duration::from_secs(100);
 const TOKENS: u32 = 9_000;
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -30,11 +30,18 @@
 /// Time that a replica of a plain service works.
 const WORK: Duration = Duration::from_millis(30);
 
-/// All upstreams; clones are the same.
+/// Brings copies of runs to upstreams of other processes.
+pub trait Carrier: Send + Sync {
+    /// Brings a copy with so many events to the engine at `to`.
+    fn carry(&self, to: SocketAddr, origin: SocketAddr, name: &str, events: u32);
+}
+
+/// All upstreams of this process; clones are the same.
 #[derive(Clone, Default)]
 pub struct Fleet {
     nodes: Arc<Mutex<BTreeMap<SocketAddr, Node>>>,
     counts: Arc<Mutex<Counts>>,
+    carrier: Option<Arc<dyn Carrier>>,
 }
 
 /// What happened.
@@ -55,6 +62,20 @@
 }
 
 impl Fleet {
+    /// Upstreams of one process among others.
+    pub fn carried_by(carrier: Arc<dyn Carrier>) -> Self {
+        Self { carrier: Some(carrier), ..Self::default() }
+    }
+
+    /// Stores a copy at the engine at `to`, here or in another process.
+    pub fn store_copy(&self, to: SocketAddr, origin: SocketAddr, name: &str, events: u32) {
+        match (self.lock().get_mut(&to), &self.carrier) {
+            (Some(node), _) => node.store(origin, name, events),
+            (None, Some(carrier)) => carrier.carry(to, origin, name, events),
+            (None, None) => {}
+        }
+    }
+
     /// Adds an upstream, or replaces the one at its address.
     pub fn insert(&self, upstream: Upstream, events: u32) {
         self.lock().insert(upstream.address, Node::new(upstream, events));
@@ -223,10 +244,9 @@
         limit: Duration,
     ) -> Option<Copy> {
         tokio::time::timeout(limit, self.connect(from)).await.ok()?.ok()?;
-        let mut nodes = self.lock();
-        let events = nodes.get(&from)?.events_of(request)?;
+        let events = self.lock().get(&from)?.events_of(request)?;
         let name = format!("copy-{request}");
-        nodes.get_mut(&to)?.store(from, &name, events);
+        self.store_copy(to, from, &name, events);
         Some(Copy { origin: from, name })
     }
 }
--- a/standin/src/fleet/stream.rs
+++ b/standin/src/fleet/stream.rs
@@ -102,17 +102,14 @@
     }
 
     fn note_progress(&mut self) {
-        let mut nodes = self.fleet.lock();
-        if let Some(node) = nodes.get_mut(&self.address) {
+        if let Some(node) = self.fleet.lock().get_mut(&self.address) {
             node.progress(&self.request, self.next);
         }
         let now = Instant::now();
         let due = now >= self.copied_at + COPY_PERIOD;
         if let Some(backup) = self.backup.filter(|_| due) {
             self.copied_at = now;
-            if let Some(node) = nodes.get_mut(&backup) {
-                node.store(backup, &self.request, self.next);
-            }
+            self.fleet.store_copy(backup, backup, &self.request, self.next);
         }
     }
 
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod platform;
 pub mod serve;
 pub mod service;
+pub mod site;
 pub mod text;
--- a/quetzaltiller/tests/support/mod.rs
+++ b/standin/src/site.rs
@@ -1,6 +1,8 @@
-//! Entry VMs over stand-ins on the paused clock.
-#![allow(dead_code)]
+//! A deployment in process: entry VMs over stand-ins for the store, engines, replicas and links.
 
+use crate::control::ControlStore;
+use crate::fleet::Fleet;
+use crate::hub::Hub;
 use bytes::Bytes;
 use hyper::{HeaderMap, Method};
 use quetzaltiller::digest::sha256_hex;
@@ -8,24 +10,29 @@
 use quetzaltiller::fleet::Upstream;
 use quetzaltiller::proxy::{Chunk, Part, Prompt, Reply, Request};
 use quetzaltiller::routes::{Account, Content, Engine, Kind, Route, Service, Target};
-use standin::control::ControlStore;
-use standin::fleet::Fleet;
-use standin::hub::Hub;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
+/// Key of the account.
 pub const KEY: &str = "gate-crew-key";
+/// Events of a whole answer.
 pub const EVENTS: u32 = 140;
+/// Availability zones.
 pub const ZONES: [&str; 3] = ["a", "b", "c"];
 
 /// What a caller saw of a generation.
 #[derive(Clone, Debug, Default)]
 pub struct Seen {
+    /// Time to the first event.
     pub first: Option<Duration>,
+    /// Longest time between two events.
     pub longest_pause: Duration,
+    /// Numbers of the events.
     pub numbers: Vec<u32>,
+    /// The stream ended well.
     pub whole: bool,
+    /// Refusal, if it was one.
     pub refused: Option<quetzaltiller::refusal::Refusal>,
 }
 
@@ -45,9 +52,13 @@
 
 /// A deployment.
 pub struct Site {
+    /// Engines and replicas.
     pub fleet: Fleet,
+    /// Store.
     pub store: ControlStore,
+    /// Links between entry VMs.
     pub hub: Hub,
+    /// Entry VMs.
     pub entries: Vec<Arc<Entry>>,
 }
 
@@ -76,6 +87,7 @@
         site
     }
 
+    /// Adds an upstream and lists it.
     pub fn add(&self, upstream: Upstream, events: u32) {
         self.fleet.insert(upstream.clone(), events);
         self.store.list(upstream);
@@ -127,6 +139,7 @@
     }
 }
 
+/// Settings of the entry VM of a zone.
 pub fn config(zone: &str, incarnation: u64) -> Config {
     Config {
         name: format!("entry-{zone}"),
@@ -145,10 +158,12 @@
     }
 }
 
+/// An engine.
 pub fn engine(id: &str, zone: &str, number: u8) -> Upstream {
     upstream(id, "drafts", zone, number, 64)
 }
 
+/// A replica of the plain service.
 pub fn replica(id: &str, zone: &str, number: u8) -> Upstream {
     upstream(id, "desk", zone, number, 6)
 }
@@ -206,6 +221,7 @@
     }
 }
 
+/// A request with a key.
 pub fn request(id: &str, path: &str) -> Request {
     Request {
         id: id.to_owned(),
@@ -221,6 +237,7 @@
     }
 }
 
+/// A generation with a prompt of its own.
 pub fn draft(id: &str) -> Request {
     let own = u64::from_str_radix(&sha256_hex(&[id.as_bytes()])[..15], 16).unwrap_or(1);
     let prompt = Prompt {
