Explain requests from logs: qtctl explain and qtctl logs summary

Cause: docs/OPERATIONS.md promised qtctl explain, and there was none. Change: evidence::{Line, Explanation, Summary} read key=value logs of several entry VMs from files or standard input; qtctl prints them as a table or JSON and draws ends over time as SVG. The end of a generation tells whether its route calls it late.

--- a/quetzaltiller/src/bin/qtctl.rs
+++ b/quetzaltiller/src/bin/qtctl.rs
@@ -5,6 +5,7 @@
 use quetzaltiller::ctl::{self, Error, Reach, Session, Table};
 use quetzaltiller::daemon::EXIT_FAULTS;
 use quetzaltiller::digest::key_digest;
+use quetzaltiller::evidence::{self, Explanation, Line, Summary};
 use quetzaltiller::logs;
 use quetzaltiller::objects::{Kind, Object};
 use serde::Serialize;
@@ -40,6 +41,8 @@
     Dump(Dump),
     Drain(Drain),
     Digest(Digest),
+    Explain(Explain),
+    Logs(Logs),
 }
 
 /// Check objects without writing them.
@@ -131,6 +134,44 @@
     salt: String,
 }
 
+/// Print what became of a request, from structured logs of entry VMs.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+struct Explain {
+    /// id that the caller gave the request
+    #[argh(positional)]
+    request: String,
+    /// logs, each named after its entry VM; - or none for standard input
+    #[argh(positional)]
+    files: Vec<PathBuf>,
+}
+
+/// Evaluate structured logs of entry VMs.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "logs")]
+struct Logs {
+    #[argh(subcommand)]
+    command: LogsCommand,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum LogsCommand {
+    Summary(Summarize),
+}
+
+/// Count how and why requests ended, by route and entry VM.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "summary")]
+struct Summarize {
+    /// logs, each named after its entry VM; - or none for standard input
+    #[argh(positional)]
+    files: Vec<PathBuf>,
+    /// draw the ends over time into this SVG file
+    #[argh(option)]
+    svg: Option<PathBuf>,
+}
+
 fn parse_target(text: &str) -> Result<Target, String> {
     let (kind, name) = match text.split_once('/') {
         Some((kind, name)) => (kind, Some(name.to_owned())),
@@ -201,6 +242,21 @@
             read.map_err(|error| Error::File("standard input".into(), error.to_string()))?;
             print_out(&key_digest(&command.salt, key.trim()));
         }
+        Command::Explain(command) => {
+            let lines = read_logs(&command.files)?;
+            let explanation = Explanation::new(&command.request, &lines);
+            let explanation = explanation.ok_or(Error::NotLogged(command.request))?;
+            printer.say(explanation.to_string().trim_end(), &explanation);
+        }
+        Command::Logs(Logs { command: LogsCommand::Summary(command) }) => {
+            let summary = Summary::new(&read_logs(&command.files)?);
+            printer.say(summary.to_string().trim_end(), &summary);
+            if let Some(path) = &command.svg {
+                let name = path.display().to_string();
+                evidence::draw(&summary, path)
+                    .map_err(|error| Error::Unwritable(name, error.to_string()))?;
+            }
+        }
     }
     Ok(())
 }
@@ -222,6 +278,10 @@
     Ok(())
 }
 
+fn read_logs(files: &[PathBuf]) -> Result<Vec<Line>, Error> {
+    evidence::read(files).map_err(|(name, error)| Error::Unreadable(name, error.to_string()))
+}
+
 fn check(objects: &[Object]) -> Result<(), Error> {
     let review = ctl::validate(objects);
     for (id, faults) in &review.faults {
--- a/quetzaltiller/src/ctl/error.rs
+++ b/quetzaltiller/src/ctl/error.rs
@@ -12,6 +12,18 @@
         File(name: String, reason: String) {
             display("{name}: {reason}; give a JSON file with one object or a list of them")
         }
+        /// A log can't be read.
+        Unreadable(name: String, reason: String) {
+            display("{name}: {reason}; give logs of entry VMs, or - for standard input")
+        }
+        /// A file can't be written.
+        Unwritable(name: String, reason: String) {
+            display("{name}: {reason}; give a file in a folder that exists")
+        }
+        /// No line is about a request.
+        NotLogged(request: String) {
+            display("{request}: no line is about it; give the logs of all entry VMs, also of ended ones")
+        }
         /// An object can't be read.
         Object(fault: Fault) {
             display("{fault}")
--- /dev/null
+++ b/quetzaltiller/src/evidence/summary.rs
@@ -0,0 +1,112 @@
+//! The ends of requests, counted.
+
+use super::Line;
+use crate::ctl::Table;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// End of one request.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Ended {
+    /// How: whole, late, a status or a code.
+    pub outcome: String,
+    /// Last failure that it met; `-` for none.
+    pub cause: String,
+    /// Route; `-` where none was found.
+    pub route: String,
+    /// Entry VM.
+    pub vm: String,
+}
+
+/// Counts of ends.
+#[derive(Clone, Debug, Default, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Summary {
+    /// Requests by how, why and where they ended.
+    pub ends: Vec<(Ended, u64)>,
+    /// Requests by outcome in each second, from the first on.
+    pub seconds: BTreeMap<String, Vec<u64>>,
+    /// Log lines that are missing as standard output was slow.
+    pub dropped: u64,
+}
+
+impl Summary {
+    /// Summary of the lines of all entry VMs.
+    pub fn new(lines: &[Line]) -> Self {
+        let mut causes: BTreeMap<&str, String> = BTreeMap::new();
+        let mut ends: BTreeMap<&str, (Ended, u32)> = BTreeMap::new();
+        for line in lines {
+            let Some(request) = line.request() else {
+                continue;
+            };
+            if let Some(cause) = cause(line) {
+                causes.insert(request, cause);
+            }
+            let (Some(outcome), Some(second)) = (outcome(line), line.second()) else {
+                continue;
+            };
+            let route = line.value("route").unwrap_or("-").to_owned();
+            let cause = causes.get(request).map_or("-", String::as_str).to_owned();
+            let vm = line.vm.clone();
+            // A refusal is logged before the end of the same request, and tells more.
+            ends.entry(request).or_insert((Ended { outcome, cause, route, vm }, second));
+        }
+        let first = ends.values().map(|(_, second)| *second).min().unwrap_or_default();
+        let mut counts: BTreeMap<Ended, u64> = BTreeMap::new();
+        let mut seconds: BTreeMap<String, Vec<u64>> = BTreeMap::new();
+        for (ended, second) in ends.into_values() {
+            let series = seconds.entry(ended.outcome.clone()).or_default();
+            let at = (second - first) as usize;
+            if series.len() <= at {
+                series.resize(at + 1, 0);
+            }
+            series[at] += 1;
+            *counts.entry(ended).or_default() += 1;
+        }
+        let mut ends: Vec<_> = counts.into_iter().collect();
+        ends.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+        let dropped = lines.iter().filter_map(|line| line.number("dropped")).sum();
+        Self { ends, seconds, dropped }
+    }
+}
+
+impl fmt::Display for Summary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut table = Table::new(&["REQUESTS", "OUTCOME", "CAUSE", "ROUTE", "ENTRY VM"]);
+        for (Ended { outcome, cause, route, vm }, count) in &self.ends {
+            let names = [outcome, cause, route, vm].map(Clone::clone);
+            table.push([count.to_string()].into_iter().chain(names));
+        }
+        write!(f, "{table}")?;
+        if self.dropped > 0 {
+            writeln!(f, "{} lines are missing: standard output was slow", self.dropped)?;
+        }
+        Ok(())
+    }
+}
+
+fn cause(line: &Line) -> Option<String> {
+    let key = match line.event.as_str() {
+        "engine_failed" => "reason",
+        "try_failed" => "cause",
+        _ => return None,
+    };
+    line.value(key).map(str::to_owned)
+}
+
+fn outcome(line: &Line) -> Option<String> {
+    match line.event.as_str() {
+        "generation_ended" => {
+            let late = line.value("late") == Some("true");
+            let outcome = line.value("outcome")?.to_lowercase();
+            Some(if late { "late".to_owned() } else { outcome })
+        }
+        "request_refused" => {
+            Some(format!("{} ran={}", line.value("code")?, line.value("ran").unwrap_or("No")))
+        }
+        "request_ended" => Some(line.value("status")?.to_owned()),
+        _ => None,
+    }
+}
--- a/quetzaltiller/src/lib.rs
+++ b/quetzaltiller/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod drain;
 pub mod engine;
 pub mod entry;
+pub mod evidence;
 pub mod fleet;
 pub mod follower;
 pub mod front;
--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -578,7 +578,7 @@
         }
         info!("generation_ended", kv: {
             request = self.request.id, route = self.plan.route.name, outcome:? = outcome,
-            events = self.events, sent = self.sent, took_ms = took.as_millis() as u64,
+            events = self.events, sent = self.sent, late = self.is_late(first), took_ms = took.as_millis() as u64,
             first_ms:? = first.map(|first| first.as_millis() as u64),
             longest_pause_ms = self.longest_pause.as_millis() as u64
         });
@@ -591,6 +591,15 @@
         }
     }
 
+    /// Whether the first event or a pause took longer than the route wants.
+    fn is_late(&self, first: Option<Duration>) -> bool {
+        let route = &self.plan.route;
+        let objective = Duration::from_millis(route.objective_ms);
+        let pause = route.pause_ms.map(Duration::from_millis);
+        first.is_some_and(|first| !objective.is_zero() && first > objective)
+            || pause.is_some_and(|pause| self.longest_pause > pause)
+    }
+
     fn refusal(&mut self, outcome: Outcome) -> Reply {
         if let Some(answer) = self.failure.take() {
             return Reply::Answered(answer);
