Remember upstreams that have left, whatever peers still tell of them

A successor found at a lost engine's address was listed at 25.74 s and removed at 26.15 s, as it left without a word; at 27.54 s an entry VM took it up again from the heartbeat of a peer, and sent it a request 4.3 s after its leaving. Ruled out: late watches (all entry VMs knew within 0.25 s).

--- a/quetzaltiller/src/fleet/mod.rs
+++ b/quetzaltiller/src/fleet/mod.rs
@@ -3,7 +3,9 @@
 //! An [`Upstream`] is one start of one process; a [`Directory`] is all of them at one revision.
 
 mod directory;
+mod tombstones;
 mod upstream;
 
 pub use directory::{Change, Directory, Listing};
+pub use tombstones::Tombstones;
 pub use upstream::Upstream;
--- a/quetzaltiller/src/follower.rs
+++ b/quetzaltiller/src/follower.rs
@@ -13,7 +13,7 @@
 
 use crate::clock::Clock;
 use crate::control::{Changes, Configuration, Error, Store};
-use crate::fleet::{Directory, Listing, Upstream};
+use crate::fleet::{Change, Directory, Listing, Tombstones, Upstream};
 use crate::mailbox::Mailbox;
 use crate::metrics::{Counter, Metrics};
 use crate::placement::Successor;
@@ -87,6 +87,7 @@
             feed: Feed::default(),
             directory: Directory::default(),
             lapsed: BTreeMap::new(),
+            departed: Tombstones::default(),
             successors: BTreeMap::new(),
             away: false,
             grace_until: Duration::ZERO,
@@ -179,6 +180,8 @@
     directory: Directory,
     /// Upstreams that vanished with the store, and until when they are kept.
     lapsed: BTreeMap<String, (Arc<Upstream>, Duration)>,
+    /// Upstreams that have left: peers that have not seen it may still tell of them.
+    departed: Tombstones,
     /// Successors by id, and until when they are used without being listed; none while the store
     /// is away.
     successors: BTreeMap<String, (Successor, Option<Duration>)>,
@@ -224,6 +227,12 @@
             }
             Message::Changed(Changes { revision, changes }) => {
                 let before = self.directory.clone();
+                for change in &changes {
+                    if let Change::Removed(id) = change {
+                        self.departed.bury(id);
+                        self.successors.remove(id);
+                    }
+                }
                 if self.directory.apply(revision, changes) {
                     self.publish(&before);
                 }
@@ -258,6 +267,7 @@
         let now = self.clock.now();
         let gone = before.upstreams().filter(|old| self.directory.upstream(&old.id).is_none());
         for upstream in gone {
+            self.departed.bury(&upstream.id);
             let away = self.away || now < self.grace_until;
             let vanished = self.half_vanished(before, &upstream.service);
             let keeps = (away || vanished) && !upstream.leaving;
@@ -288,7 +298,8 @@
     fn succeed(&mut self, successor: Successor) {
         let id = successor.upstream.id.clone();
         let known = self.directory.upstream(&id).is_some() || self.successors.contains_key(&id);
-        if known || self.directory.upstream(&successor.lost).is_none() {
+        let departed = self.departed.contains(&id);
+        if known || departed || self.directory.upstream(&successor.lost).is_none() {
             return;
         }
         info!("upstream_succeeded", kv: {
