Leaving entry VMs refuse runs that would outlive them once the wait is known

Change: when an engine is chosen, wait and run together must end before the process is killed; otherwise the caller is told that it did not run and to come back at once, elsewhere. Test: drafts that queue at a leaving VM (failed before: the last one was cut).

--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -359,6 +359,10 @@
                 self.retry_after = unplaced.retry_after();
                 self.input(Input::Unplaced(unplaced.code()));
             }
+            Ok(placement) if self.is_too_late_for_leaving(&placement) => {
+                self.retry_after = Duration::from_millis(Code::Leaving.retry_after_ms());
+                self.input(Input::Unplaced(Code::Leaving));
+            }
             Ok(placement) => {
                 let id = placement.upstream.id.clone();
                 let place = Place {
@@ -383,6 +387,11 @@
         }
     }
 
+    /// Whether a run that has not begun would outlive this process, which is leaving.
+    fn is_too_late_for_leaving(&self, placement: &Placement) -> bool {
+        self.sent == 0 && !self.context.drain.admits(placement.wait + super::RUN)
+    }
+
     fn open(&mut self, conn: u32, opening: Opening, upstream: &str) {
         let Some(placement) = self.placed.get(upstream) else {
             return;
--- a/quetzaltiller/tests/entry.rs
+++ b/quetzaltiller/tests/entry.rs
@@ -403,6 +403,29 @@
     assert!(!others.contains(&"entry-a:1".to_owned()), "{others:?}");
 }
 
+/// Load: drafts that queue at the engines of an entry VM that has just been told to leave.
+#[tokio::test(start_paused = true)]
+async fn a_leaving_vm_takes_only_what_ends_in_time() {
+    let site = Site::start(1).await;
+    let entry = site.entries[0].clone();
+    let before = load(&site, 9, Duration::from_millis(10)).await;
+
+    let leaving = tokio::spawn({
+        let entry = entry.clone();
+        async move {
+            entry.leave().await;
+            entry.stop();
+        }
+    });
+    sleep(Duration::from_millis(100)).await;
+    let late = generate(entry.clone(), draft("late")).await;
+    leaving.await.unwrap();
+    results(before).await;
+
+    let refused = late.refused.as_ref().map(|refusal| (refusal.code, refusal.ran));
+    assert!(late.is_whole() || refused == Some((Code::Leaving, Ran::No)), "{late:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_draft_goes_on_after_the_callers_last_event() {
     let site = Site::start(1).await;
