--- a/quetzaltiller/src/drain.rs
+++ b/quetzaltiller/src/drain.rs
@@ -5,7 +5,7 @@
 //! nothing is open. What can't be finished before it is killed is refused from the start.
 
 use crate::clock::Clock;
-use crate::members::Own;
+use crate::own::Own;
 use crate::prelude::*;
 use serde::Serialize;
 use tokio::sync::watch;
@@ -91,6 +91,9 @@
         while own.open() > 0 && self.clock.now() < end {
             tokio::time::sleep(CHECK).await;
         }
+        for request in own.open_requests() {
+            warn!("request_cut", kv: { request, reason = "the process ends" });
+        }
         self.enter(Phase::Ended, own);
     }
 
--- a/quetzaltiller/src/lib.rs
+++ b/quetzaltiller/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod metrics;
 pub mod objects;
 pub mod operators;
+pub mod own;
 pub mod pacer;
 pub mod peer;
 pub mod placement;
--- a/quetzaltiller/src/members.rs
+++ b/quetzaltiller/src/members.rs
@@ -7,6 +7,7 @@
 use crate::control::Member;
 use crate::mailbox::Mailbox;
 use crate::metrics::{Counter, Metrics};
+use crate::own::Own;
 use crate::peer::Link;
 use crate::platform::Vm;
 use crate::prelude::*;
@@ -16,7 +17,6 @@
 use coordination::rendezvous::rank;
 use serde::Serialize;
 use std::collections::BTreeSet;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use tokio::sync::{Notify, mpsc, watch};
 
 /// Time for which a member is taken as alive that was introduced and not heard.
@@ -28,60 +28,6 @@
 /// A silent member is forgotten after this many timeouts.
 const FORGET_TIMEOUTS: u32 = 60;
 
-/// What this process says of itself.
-#[derive(Debug)]
-pub struct Own {
-    /// Name, zone and addresses.
-    pub beat: Heartbeat,
-    leaving: AtomicBool,
-    open: AtomicU64,
-}
-
-impl Own {
-    /// Describes an entry VM: its name, zone, addresses and incarnation.
-    pub fn new(beat: Heartbeat) -> Self {
-        Self { beat, leaving: AtomicBool::new(false), open: AtomicU64::new(0) }
-    }
-
-    /// Begins to leave.
-    pub fn leave(&self) {
-        self.leaving.store(true, Ordering::Relaxed);
-    }
-
-    /// Whether this process is leaving.
-    pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
-    }
-
-    /// Requests that are open.
-    pub fn open(&self) -> u64 {
-        self.open.load(Ordering::Relaxed)
-    }
-
-    /// Counts a request until the result is dropped.
-    pub fn enter(self: &Arc<Self>) -> Entered {
-        self.open.fetch_add(1, Ordering::Relaxed);
-        Entered { own: self.clone() }
-    }
-
-    fn heartbeat(&self) -> Heartbeat {
-        let (leaving, open) = (self.is_leaving(), self.open());
-        Heartbeat { leaving, open, ..self.beat.clone() }
-    }
-}
-
-/// A request that is open.
-#[derive(Debug)]
-pub struct Entered {
-    own: Arc<Own>,
-}
-
-impl Drop for Entered {
-    fn drop(&mut self) {
-        self.own.open.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Members as known at one time.
 #[derive(Clone, Debug, Default, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/quetzaltiller/src/proxy/mod.rs
+++ b/quetzaltiller/src/proxy/mod.rs
@@ -20,8 +20,8 @@
 use crate::clock::Clock;
 use crate::drain::Drain;
 use crate::follower::Follower;
-use crate::members::Own;
 use crate::metrics::{Counter, Metrics};
+use crate::own::Own;
 use crate::pacer::Pacer;
 use crate::placement::Placer;
 use crate::prelude::*;
@@ -79,7 +79,7 @@
 
     /// Serves a request. Dropping the call cancels it.
     pub async fn handle(&self, request: Request) -> Reply {
-        let entered = self.context.own.enter();
+        let entered = self.context.own.enter(&request.id);
         let began = self.context.clock.now();
         let request = Arc::new(request);
         self.context.follower.configured(CONFIGURATION_LIMIT).await;
--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -13,8 +13,8 @@
     Answer as _, Effect, Input, Machine, Opening, Outcome, Piece, Place, Probe, Sequence, Settings,
     Start,
 };
-use crate::members::Entered;
 use crate::metrics::{Counter, Latency};
+use crate::own::Entered;
 use crate::placement::{self, Demand, Placement, Run, Unplaced};
 use crate::prelude::*;
 use crate::routes::Kind;
--- a/quetzaltiller/src/router/mod.rs
+++ b/quetzaltiller/src/router/mod.rs
@@ -19,9 +19,10 @@
 use crate::generation::{Request, Start};
 use crate::keeper::Keeper;
 use crate::lookups::Lookups;
-use crate::members::{Members, Own};
+use crate::members::Members;
 use crate::metrics::{Counter, Metrics};
 use crate::operators::Health;
+use crate::own::Own;
 use crate::peer;
 use crate::prelude::*;
 use crate::registry::Registry;
@@ -262,7 +263,7 @@
         let patience_ms = caller.patience().as_millis() as u64;
         let account = Account { patience_ms, ..caller.account.clone() };
         let labels = caller.labels.clone();
-        let entered = self.own.enter();
+        let entered = self.own.enter(&origin.generation);
         Session::start(Work { context, account, labels, request, origin, next, entered }).1
     }
 
@@ -273,7 +274,7 @@
         call: Call,
     ) -> Result<Answer, Refusal> {
         self.check_open()?;
-        let _entered = self.own.enter();
+        let _entered = self.own.enter(call.key.as_deref().unwrap_or(&call.path));
         let set = self.catalog.set();
         let demand = Demand {
             account: caller.account.name.clone(),
--- a/quetzaltiller/src/session/task.rs
+++ b/quetzaltiller/src/session/task.rs
@@ -10,8 +10,8 @@
 use crate::generation::{
     Answer as _, Effect, Input, Machine, Opening, Outcome, Place, Request, Splice,
 };
-use crate::members::Entered;
 use crate::metrics::Counter;
+use crate::own::Entered;
 use crate::prelude::*;
 use crate::scope::Scope;
 use crate::wire;
