Book prompts at one registrar for each engine

Loads are told each 0.4 s within a zone and each 1.2 s, incompletely, across. Change: an entry VM of the engine's zone, first by rank, adds up what is booked and declines what would begin later than the asker expects, who then chooses again by its word; without an answer in 40 ms the asker goes on alone. The guess at what others had begun is gone. Tests: the load (failed with an earlier form of the guess switched off and no bookings), agreement on the registrar, declining.

--- a/quetzaltiller/src/entry.rs
+++ b/quetzaltiller/src/entry.rs
@@ -14,7 +14,9 @@
 use crate::own::Own;
 use crate::pacer::{self, Pacer};
 use crate::peer::{Handler, Link};
-use crate::placement::{self, Load, Placer, Reported, State, Successor, Table};
+use crate::placement::{
+    self, Booked, Booking, Load, Peer, Placer, Registrar, Reported, State, Successor, Table,
+};
 use crate::prelude::*;
 use crate::prompts::Finder;
 use crate::proxy::{Context, Proxy};
@@ -57,6 +59,8 @@
 const ENOUGH_ENTRIES: usize = 3;
 /// Losses are gathered for so long before peers are told, as a zone's engines go together.
 const GATHER_LOSSES: Duration = Duration::from_millis(15);
+/// Time for a registrar's answer: a round trip between zones and a turn of a busy process.
+const BOOKING_LIMIT: Duration = Duration::from_millis(40);
 /// Longest time that runs wait for it to be known who else is there; the store tells it in 10 ms.
 const SETTLE_LIMIT: Duration = Duration::from_millis(400);
 /// Time in which the members that the store told reach the choice of upstreams.
@@ -168,6 +172,7 @@
             client: ports.client.clone(),
             reuse_after: config.reuse_after,
             successors,
+            registrar: Arc::new(PeerRegistrar { link: ports.link.clone() }),
         };
         let placer = Placer::start(&scope, parts);
         scope.spawn(take_successors(found, follower.clone()));
@@ -347,6 +352,10 @@
                 let listing = listed.listing();
                 wire::Reply::Upstreams(offer(pull.number, listed.revision(), &listing))
             }
+            wire::Ask::Book(book) => {
+                let booked = self.placer.book(book.into()).await;
+                wire::Reply::Booked(booked.map(wire::Booked::from).unwrap_or_default())
+            }
             wire::Ask::Append(_) => wire::Reply::Appended(wire::Appended::default()),
             wire::Ask::Take(_) => wire::Reply::Taken(wire::Taken::default()),
             wire::Ask::Claim(_) => wire::Reply::Claimed(wire::Claimed::default()),
@@ -529,14 +538,76 @@
         let names = |beats: &mut dyn Iterator<Item = &Heartbeat>| {
             beats.map(|beat| beat.name.clone()).collect::<Vec<_>>()
         };
-        let all = names(&mut view.alive.iter());
+        let peers = view.alive.iter().map(|beat| Peer {
+            name: beat.name.clone(),
+            zone: beat.zone.clone(),
+            address: beat.peer_address.clone(),
+            leaving: beat.leaving,
+        });
+        let peers: Vec<_> = peers.collect();
         let of_zone = view.alive.iter().filter(|beat| beat.zone == self.zone && !beat.leaving);
         let neighbours = names(&mut of_zone.into_iter());
         let ranked = rank(neighbours.iter().chain([&self.name]).map(String::as_str), STORE);
         let relays = ranked.into_iter().take(RELAYS).any(|name| name == self.name);
-        self.follower.set_relay(relays || all.len() <= SMALL);
-        self.members.store(all.len(), Ordering::Relaxed);
-        self.placer.set_neighbours(all, neighbours);
+        self.follower.set_relay(relays || peers.len() <= SMALL);
+        self.members.store(peers.len(), Ordering::Relaxed);
+        self.placer.set_members(peers);
+    }
+}
+
+/// Registrars of engines, reached as peers.
+struct PeerRegistrar {
+    link: Arc<dyn Link>,
+}
+
+#[async_trait]
+impl Registrar for PeerRegistrar {
+    async fn book(&self, booking: &Booking) -> Option<Booked> {
+        let ask = wire::Ask::Book(booking.into());
+        let call = self.link.call(&booking.registrar, ask);
+        match tokio::time::timeout(BOOKING_LIMIT, call).await {
+            Ok(Ok(wire::Reply::Booked(booked))) => booked.into(),
+            _ => {
+                let (registrar, upstream) = (booking.registrar.as_str(), booking.upstream.as_str());
+                debug!("booking_unanswered", kv: { registrar, upstream });
+                None
+            }
+        }
+    }
+}
+
+impl From<&Booking> for wire::Book {
+    fn from(booking: &Booking) -> Self {
+        Self {
+            upstream: booking.upstream.clone(),
+            prefill_ms: booking.prefill.as_millis() as u32,
+            limit_ms: booking.limit.as_millis() as u32,
+        }
+    }
+}
+
+impl From<wire::Book> for Booking {
+    fn from(book: wire::Book) -> Self {
+        Self {
+            registrar: String::new(),
+            upstream: book.upstream,
+            prefill: Duration::from_millis(u64::from(book.prefill_ms)),
+            limit: Duration::from_millis(u64::from(book.limit_ms)),
+        }
+    }
+}
+
+impl From<Booked> for wire::Booked {
+    fn from(booked: Booked) -> Self {
+        let backlog_ms = booked.backlog.as_millis() as u32;
+        Self { known: true, accepted: booked.accepted, backlog_ms }
+    }
+}
+
+impl From<wire::Booked> for Option<Booked> {
+    fn from(booked: wire::Booked) -> Self {
+        let backlog = Duration::from_millis(u64::from(booked.backlog_ms));
+        booked.known.then_some(Booked { accepted: booked.accepted, backlog })
     }
 }
 
--- a/quetzaltiller/src/placement/message.rs
+++ b/quetzaltiller/src/placement/message.rs
@@ -1,9 +1,10 @@
 //! What the task that owns the table is told.
 
-use super::demand::Demand;
+use super::booking::{Booked, Booking};
+use super::demand::{Demand, Run};
 use super::place::{Copy, Placement, Unplaced};
 use super::state::{Load, State};
-use super::table::Hold;
+use super::table::{Hold, Peer, Pick};
 use crate::fleet::{Directory, Upstream};
 use crate::prelude::*;
 use crate::routes;
@@ -14,19 +15,65 @@
 /// Message; those with a reply are questions.
 #[derive(Debug)]
 pub enum Message {
-    Place { demand: Demand, reply: oneshot::Sender<Result<Placement, Unplaced>> },
-    PlaceCopy { demand: Demand, primary: Arc<Upstream>, reply: oneshot::Sender<Option<Copy>> },
+    /// Choose; unless it `books`, the choice is taken as it is.
+    Place {
+        demand: Demand,
+        books: bool,
+        reply: oneshot::Sender<Result<Choosing, Unplaced>>,
+    },
+    /// Hold a place that its registrar accepted, or did not answer for.
+    Hold {
+        pick: Pick,
+        run: Run,
+        reply: oneshot::Sender<Placement>,
+    },
+    /// A registrar's word on the backlog of an engine.
+    Corrected {
+        upstream: String,
+        backlog: Duration,
+    },
+    /// Another entry VM books at an engine of which this one is the registrar.
+    Book {
+        booking: Booking,
+        reply: oneshot::Sender<Option<Booked>>,
+    },
+    PlaceCopy {
+        demand: Demand,
+        primary: Arc<Upstream>,
+        reply: oneshot::Sender<Option<Copy>>,
+    },
     Release(Vec<Hold>),
-    Outcome { id: String, outcome: Outcome },
+    Outcome {
+        id: String,
+        outcome: Outcome,
+    },
     Configure(Arc<routes::Table>),
     Upstreams(Arc<Directory>),
-    Neighbours { all: Vec<String>, of_zone: Vec<String> },
-    Reported { id: String, report: Report },
-    Heard { member: String, loads: BTreeMap<String, Load> },
-    Engines { service: String, reply: oneshot::Sender<Vec<Arc<Upstream>>> },
+    Members(Vec<Peer>),
+    Reported {
+        id: String,
+        report: Report,
+    },
+    Heard {
+        member: String,
+        loads: BTreeMap<String, Load>,
+    },
+    Engines {
+        service: String,
+        reply: oneshot::Sender<Vec<Arc<Upstream>>>,
+    },
     Dump(oneshot::Sender<BTreeMap<String, State>>),
 }
 
+/// A choice: held already, or to be booked first.
+#[derive(Debug)]
+pub enum Choosing {
+    /// Held.
+    Held(Placement),
+    /// To be booked.
+    ToBook(Pick, Booking),
+}
+
 /// What was learned of an upstream.
 #[derive(Clone, Copy, Debug)]
 pub enum Outcome {
--- a/quetzaltiller/src/placement/mod.rs
+++ b/quetzaltiller/src/placement/mod.rs
@@ -6,6 +6,7 @@
 //! [`Placer`] is the handle to the task that owns a table; a [`Permit`] holds a place until it is
 //! dropped.
 
+mod booking;
 mod demand;
 mod message;
 mod place;
@@ -15,9 +16,10 @@
 mod table;
 mod task;
 
+pub use booking::{Booked, Booking, Registrar};
 pub use demand::{Demand, Run};
 pub use place::{Copy, Permit, Placement, Unplaced};
 pub use placer::{Parts, Placer};
 pub use state::{Load, Reported, State};
 pub use succession::Successor;
-pub use table::{Choice, Hold, Pick, Table};
+pub use table::{Choice, Hold, Peer, Pick, Table};
--- a/quetzaltiller/src/placement/placer.rs
+++ b/quetzaltiller/src/placement/placer.rs
@@ -1,11 +1,12 @@
 //! Handle to the task that owns the table.
 
+use super::booking::{Booked, Booking, ROUNDS, Registrar};
 use super::demand::Demand;
-use super::message::{Message, Outcome};
+use super::message::{Choosing, Message, Outcome};
 use super::place::{Copy, Placement, Unplaced};
 use super::state::{Load, State};
 use super::succession::Successor;
-use super::table::Table;
+use super::table::{Peer, Table};
 use super::task::{Published, Task};
 use crate::clock::Clock;
 use crate::fleet::{Directory, Upstream};
@@ -29,12 +30,15 @@
     pub reuse_after: Duration,
     /// Where successors of lost upstreams go.
     pub successors: mpsc::UnboundedSender<Successor>,
+    /// Way to the registrars of engines.
+    pub registrar: Arc<dyn Registrar>,
 }
 
 /// Handle to the task.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Placer {
     mailbox: Mailbox<Message>,
+    registrar: Arc<dyn Registrar>,
     lost: watch::Receiver<Arc<Vec<String>>>,
     withdrawn: watch::Receiver<Arc<Vec<String>>>,
     loads: watch::Receiver<BTreeMap<String, Load>>,
@@ -51,11 +55,13 @@
         let withdrawals = withdrawn.subscribe();
         let loads = watch::Sender::default();
         let told = loads.subscribe();
+        let registrar = parts.registrar.clone();
         let published = Published { lost, withdrawn, loads };
         let task = Task::new(parts, published, scope.clone(), mailbox.clone());
         scope.spawn(task.run(messages));
         Self {
             mailbox,
+            registrar,
             lost: watched,
             withdrawn: withdrawals,
             loads: told,
@@ -73,8 +79,34 @@
         if demand.run.is_some() {
             let _ = self.settled.subscribe().wait_for(|settled| *settled).await;
         }
-        let answer = self.mailbox.ask(|reply| Message::Place { demand, reply }).await;
-        answer.unwrap_or(Err(Unplaced::Nowhere))
+        for round in 1..=ROUNDS {
+            let (books, demand) = (round < ROUNDS, demand.clone());
+            let choosing =
+                self.mailbox.ask(|reply| Message::Place { demand: demand.clone(), books, reply });
+            let (mut pick, booking) = match choosing.await.unwrap_or(Err(Unplaced::Nowhere))? {
+                Choosing::Held(placement) => return Ok(placement),
+                Choosing::ToBook(pick, booking) => (pick, booking),
+            };
+            let booked = self.registrar.book(&booking).await;
+            if let Some(Booked { accepted, backlog }) = booked {
+                let upstream = booking.upstream.clone();
+                let known = if accepted { backlog + booking.prefill } else { backlog };
+                self.mailbox.tell(Message::Corrected { upstream, backlog: known });
+                if !accepted {
+                    continue;
+                }
+                pick.wait = backlog + booking.prefill;
+            }
+            let run = demand.run.unwrap_or_default();
+            let held = self.mailbox.ask(|reply| Message::Hold { pick, run, reply }).await;
+            return held.ok_or(Unplaced::Nowhere);
+        }
+        Err(Unplaced::Nowhere)
+    }
+
+    /// Books for another entry VM at an engine of which this one is the registrar.
+    pub async fn book(&self, booking: Booking) -> Option<Booked> {
+        self.mailbox.ask(|reply| Message::Book { booking, reply }).await?
     }
 
     /// Chooses an engine for a copy of a run at `primary`.
@@ -132,9 +164,9 @@
         self.mailbox.tell(Message::Upstreams(directory));
     }
 
-    /// Tells which other entry VMs are alive, and which of these are in the own zone.
-    pub fn set_neighbours(&self, all: Vec<String>, of_zone: Vec<String>) {
-        self.mailbox.tell(Message::Neighbours { all, of_zone });
+    /// Tells which other entry VMs are alive.
+    pub fn set_members(&self, members: Vec<Peer>) {
+        self.mailbox.tell(Message::Members(members));
     }
 
     /// Takes what another entry VM has given to upstreams.
--- a/quetzaltiller/src/placement/state.rs
+++ b/quetzaltiller/src/placement/state.rs
@@ -67,6 +67,8 @@
     pub copied_tokens: u32,
     /// End of the prefill that this entry VM gave it.
     pub prefill_until: Duration,
+    /// End of the prefill that all entry VMs have booked, as far as this one knows it.
+    pub booked_until: Duration,
     /// Chosen only for want of another until then.
     pub suspect_until: Duration,
     /// When its address last accepted a connection or sent something.
@@ -93,6 +95,7 @@
             held_tokens: 0,
             copied_tokens: 0,
             prefill_until: Duration::ZERO,
+            booked_until: Duration::ZERO,
             suspect_until: Duration::ZERO,
             alive_at: Duration::ZERO,
             proven_at: Duration::ZERO,
@@ -203,7 +206,17 @@
         let reported = self.reported.map_or(Duration::ZERO, |(reported, at, _)| {
             (UNREAD * reported.unread).saturating_sub(now.saturating_sub(at))
         });
-        given.max(reported)
+        given.max(reported).max(self.booked_until.saturating_sub(now))
+    }
+
+    /// Notes that a prompt is to be read after what was booked before.
+    pub fn book(&mut self, now: Duration, prefill: Duration) {
+        self.booked_until = self.booked_until.max(now) + prefill;
+    }
+
+    /// Takes the word of the registrar on what is booked.
+    pub fn correct(&mut self, now: Duration, backlog: Duration) {
+        self.booked_until = self.booked_until.max(now + backlog);
     }
 
     /// Time until the prefill that this entry VM gave it is done.
--- a/quetzaltiller/src/placement/table.rs
+++ b/quetzaltiller/src/placement/table.rs
@@ -3,6 +3,7 @@
 //! Costs are milliseconds until the next event of the request at hand, with what a choice costs
 //! others added as if it were its own delay.
 
+use super::booking::{self, Booked, Booking};
 use super::demand::{Demand, Run};
 use super::state::{Load, State};
 use crate::fleet::{Directory, Upstream};
@@ -44,8 +45,6 @@
 /// Tokens to read at an engine that holds a copy or the prompt: what had not arrived there.
 const RESTORED_TOKENS: u32 = 200;
 
-/// Age of what peers told of their load: about a heartbeat.
-const NEWS_AGE: Duration = Duration::from_millis(500);
 /// Up to so many other entry VMs, each asks after all upstreams.
 const FEW_MEMBERS: usize = 8;
 /// Engines of other entry VMs that are considered in each zone.
@@ -53,6 +52,19 @@
 /// Engines that are considered for a copy.
 const DRAWN_FOR_COPIES: usize = 4;
 
+/// Another entry VM.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Peer {
+    /// Name.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Address for peers.
+    pub address: String,
+    /// It takes no new work.
+    pub leaving: bool,
+}
+
 /// Result of a choice.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Choice {
@@ -103,10 +115,7 @@
     /// Upstreams that this entry VM owns.
     owned: BTreeSet<String>,
     /// Other entry VMs that are alive.
-    members: usize,
-    /// Prefill of new runs that this entry VM gave lately, in milliseconds, fading; and when that was summed up.
-    recent_ms: f64,
-    recent_at: Duration,
+    members: Vec<Peer>,
 }
 
 impl Table {
@@ -115,19 +124,16 @@
         Self { own_name: own_name.to_owned(), own_zone: own_zone.to_owned(), ..Self::default() }
     }
 
+    /// Name of this entry VM.
+    pub fn own_name(&self) -> &str {
+        &self.own_name
+    }
+
     /// Puts a configuration in force.
     pub fn configure(&mut self, routes: Arc<routes::Table>) {
         self.routes = routes;
     }
 
-    /// Tells which entry VMs of the own zone share its engines.
-    pub fn set_neighbours(&mut self, neighbours: Vec<String>) {
-        if self.neighbours != neighbours {
-            self.neighbours = neighbours;
-            self.share_upstreams();
-        }
-    }
-
     /// Takes what another entry VM has given to upstreams.
     pub fn hear(&mut self, now: Duration, member: &str, loads: &BTreeMap<String, Load>) {
         for (id, state) in &mut self.states {
@@ -150,10 +156,17 @@
         loads.filter(|(_, load)| load.tokens > 0 || load.reported.is_some()).collect()
     }
 
-    /// Forgets what entry VMs told that are not `alive`.
-    pub fn retain_members(&mut self, alive: &[String]) {
-        self.members = alive.len();
-        self.states.values_mut().for_each(|state| state.retain_members(alive));
+    /// Tells which other entry VMs are alive; what others told is forgotten.
+    pub fn set_members(&mut self, members: Vec<Peer>) {
+        let alive: Vec<_> = members.iter().map(|member| member.name.clone()).collect();
+        self.states.values_mut().for_each(|state| state.retain_members(&alive));
+        let of_zone = members.iter().filter(|m| m.zone == self.own_zone && !m.leaving);
+        let neighbours: Vec<_> = of_zone.map(|member| member.name.clone()).collect();
+        self.members = members;
+        if self.neighbours != neighbours {
+            self.neighbours = neighbours;
+            self.share_upstreams();
+        }
     }
 
     /// Takes the upstreams of a directory; returns those that are gone. What was known of an earlier
@@ -244,6 +257,61 @@
         self.choose_backup(now, &able, primary, run, (engine, &doubted))
     }
 
+    /// Booking that a choice needs at another entry VM; none where this one is the engine's registrar,
+    /// or where there is little to read.
+    pub fn booking(&self, now: Duration, pick: &Pick, run: &Run) -> Option<Booking> {
+        let prefill = self.prefill_of(pick, run);
+        if prefill < booking::MIN_PREFILL {
+            return None;
+        }
+        let registrar = self.registrar(&pick.upstream)?;
+        let backlog = self.states.get(&pick.upstream.id).map(|state| state.backlog(now));
+        let latest = run.objective.map(|objective| objective.saturating_sub(prefill));
+        let limit = backlog.unwrap_or_default() + booking::TOLERANCE;
+        Some(Booking {
+            registrar: registrar.address.clone(),
+            upstream: pick.upstream.id.clone(),
+            prefill,
+            limit: latest.map_or(limit, |latest| limit.min(latest)),
+        })
+    }
+
+    /// Books as the registrar of an engine.
+    pub fn book(
+        &mut self,
+        now: Duration,
+        upstream: &str,
+        prefill: Duration,
+        limit: Duration,
+    ) -> Option<Booked> {
+        let state = self.states.get_mut(upstream)?;
+        let backlog = state.backlog(now);
+        let accepted = backlog <= limit;
+        if accepted {
+            state.book(now, prefill);
+        }
+        Some(Booked { accepted, backlog })
+    }
+
+    /// Entry VM that adds up the prompts for an engine: the first by rank in the engine's zone, or of
+    /// all where that has none. None if it is this one.
+    fn registrar(&self, upstream: &Upstream) -> Option<&Peer> {
+        let present = self.members.iter().filter(|member| !member.leaving);
+        let of_zone: Vec<_> =
+            present.clone().filter(|member| member.zone == upstream.zone).collect();
+        let own_zone = self.own_zone == upstream.zone;
+        let among = if of_zone.is_empty() && !own_zone { present.collect() } else { of_zone };
+        let own = (own_zone || among.is_empty()).then_some(self.own_name.as_str());
+        let names = among.iter().map(|member| member.name.as_str()).chain(own);
+        let first = rank(names, &upstream.id).into_iter().next()?.to_owned();
+        among.into_iter().find(|member| member.name == first)
+    }
+
+    fn prefill_of(&self, pick: &Pick, run: &Run) -> Duration {
+        let cached = run.cached.as_ref() == Some(&pick.upstream.id);
+        prefill(if pick.restores || cached { RESTORED_TOKENS } else { run.prompt_tokens })
+    }
+
     /// Notes a request begun; returns what it takes.
     pub fn begin(&mut self, now: Duration, pick: &Pick, run: Option<&Run>) -> Vec<Hold> {
         let tokens = run.map_or(0, |run| run.footprint);
@@ -252,13 +320,12 @@
             holds.push(Hold { upstream: backup.clone(), tokens, runs: false });
         }
         holds.iter().for_each(|hold| self.take(hold));
-        if let (Some(run), Some(state)) = (run, self.known(&pick.upstream)) {
-            let tokens = if pick.restores { RESTORED_TOKENS } else { run.prompt_tokens };
-            state.prefill_until = state.prefill_until.max(now) + prefill(tokens);
-            let given_ms = prefill(tokens).as_secs_f64() * 1_000.0;
-            if run.objective.is_some() {
-                self.recent_ms = self.recent_ms(now) + given_ms;
-                self.recent_at = now;
+        let registers = self.registrar(&pick.upstream).is_none();
+        let given = run.map(|run| self.prefill_of(pick, run)).unwrap_or_default();
+        if let Some(state) = self.known(&pick.upstream) {
+            state.prefill_until = state.prefill_until.max(now) + given;
+            if registers {
+                state.book(now, given);
             }
         }
         holds
@@ -339,7 +406,7 @@
         let Some(best) = sample.iter().min_by(|a, b| cost(a).total_cmp(&cost(b))) else {
             return Choice::Full { retry_after: FULL_RETRY };
         };
-        let wait = self.backlog(now, best) + prefill(run.prompt_tokens);
+        let wait = best.backlog(now) + prefill(run.prompt_tokens);
         if let Some(late) = run.objective.and_then(|objective| wait.checked_sub(objective))
             && !late.is_zero()
         {
@@ -377,7 +444,7 @@
     fn engine_cost(&self, now: Duration, state: &State, run: &Run) -> f64 {
         // A run that goes on from a copy is admitted before all that wait.
         let goes_first = run.copy.as_ref() == Some(&state.upstream.id);
-        let backlog = if goes_first { Duration::ZERO } else { self.backlog(now, state) };
+        let backlog = if goes_first { Duration::ZERO } else { state.backlog(now) };
         let backlog_ms = backlog.as_secs_f64() * 1_000.0;
         let known = |id: &Option<String>| id.as_ref() == Some(&state.upstream.id);
         let has_read = known(&run.copy) || known(&run.cached);
@@ -427,7 +494,7 @@
     /// zone, and where there are few, all.
     pub fn watches(&self, upstream: &Upstream) -> bool {
         let owned = upstream.zone == self.own_zone && self.owns(&upstream.id);
-        owned || self.members <= FEW_MEMBERS
+        owned || self.members.len() <= FEW_MEMBERS
     }
 
     /// Engines in doubted zones that have not shown life since `since` and are not known as lost.
@@ -487,21 +554,6 @@
         from.into_iter().min_by_key(|state| state.memory(now)).map(|state| state.upstream.clone())
     }
 
-    /// Time until an engine has read what it was given, with what is not known yet: as much as this
-    /// entry VM has lately begun, for each of the others, spread over the service's engines.
-    fn backlog(&self, now: Duration, state: &State) -> Duration {
-        let service = &state.upstream.service;
-        let sound = |other: &&State| other.upstream.service == *service && !other.is_lost(now);
-        let engines = self.states.values().filter(sound).count().max(1);
-        let unseen_ms = self.recent_ms(now) * self.members as f64 / engines as f64;
-        state.backlog(now) + Duration::from_secs_f64(unseen_ms / 1_000.0)
-    }
-
-    fn recent_ms(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.recent_at).as_secs_f64();
-        self.recent_ms * (-age / NEWS_AGE.as_secs_f64()).exp()
-    }
-
     fn owns(&self, upstream: &str) -> bool {
         self.owned.contains(upstream)
     }
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -1,7 +1,8 @@
 //! The task that owns the table.
 
-use super::demand::Demand;
-use super::message::{Message, Outcome};
+use super::booking::Booking;
+use super::demand::{Demand, Run};
+use super::message::{Choosing, Message, Outcome};
 use super::place::{Copy, Permit, Placement, Unplaced};
 use super::placer::Parts;
 use super::state::{Load, Reported};
@@ -111,8 +112,20 @@
     fn take(&mut self, message: Message) {
         let now = self.clock.now();
         match message {
-            Message::Place { demand, reply } => {
-                let _ = reply.send(self.place(now, &demand));
+            Message::Place { demand, books, reply } => {
+                let _ = reply.send(self.place(now, &demand, books));
+            }
+            Message::Hold { pick, run, reply } => {
+                let _ = reply.send(self.hold(now, pick, Some(&run)));
+            }
+            Message::Corrected { upstream, backlog } => {
+                if let Some(state) = self.table.state_mut(&upstream) {
+                    state.correct(now, backlog);
+                }
+            }
+            Message::Book { booking, reply } => {
+                let Booking { upstream, prefill, limit, .. } = booking;
+                let _ = reply.send(self.table.book(now, &upstream, prefill, limit));
             }
             Message::PlaceCopy { demand, primary, reply } => {
                 let _ = reply.send(self.place_copy(now, &demand, &primary));
@@ -126,10 +139,7 @@
                 self.departed = self.table.set_upstreams(&directory);
                 self.publish_lost(now);
             }
-            Message::Neighbours { all, of_zone } => {
-                self.table.retain_members(&all);
-                self.table.set_neighbours(of_zone);
-            }
+            Message::Members(members) => self.table.set_members(members),
             Message::Reported { id, report } => self.report(now, &id, &report),
             Message::Heard { member, loads } => self.table.hear(now, &member, &loads),
             Message::Engines { service, reply } => {
@@ -283,16 +293,24 @@
         publish(&self.published.withdrawn, withdrawn);
     }
 
-    fn place(&mut self, now: Duration, demand: &Demand) -> Result<Placement, Unplaced> {
+    fn place(&mut self, now: Duration, demand: &Demand, books: bool) -> Result<Choosing, Unplaced> {
         let pick = match self.table.choose(now, demand) {
             Choice::Found(pick) => pick,
             Choice::Full { retry_after } => return Err(Unplaced::Full { retry_after }),
             Choice::Nowhere => return Err(Unplaced::Nowhere),
         };
-        let holds = self.table.begin(now, &pick, demand.run.as_ref());
+        let run = demand.run.as_ref().filter(|_| books);
+        match run.and_then(|run| self.table.booking(now, &pick, run)) {
+            Some(booking) => Ok(Choosing::ToBook(pick, booking)),
+            None => Ok(Choosing::Held(self.hold(now, pick, demand.run.as_ref()))),
+        }
+    }
+
+    fn hold(&mut self, now: Duration, pick: Pick, run: Option<&Run>) -> Placement {
+        let holds = self.table.begin(now, &pick, run);
         let Pick { upstream, backup, restores, wait } = pick;
         let permit = Permit { holds, mailbox: self.mailbox.clone() };
-        Ok(Placement { upstream, backup, restores, wait, permit })
+        Placement { upstream, backup, restores, wait, permit }
     }
 
     fn place_copy(&mut self, now: Duration, demand: &Demand, primary: &Upstream) -> Option<Copy> {
--- a/quetzaltiller/src/router/mod.rs
+++ b/quetzaltiller/src/router/mod.rs
@@ -351,6 +351,7 @@
             }
             wire::Ask::Pull(pull) => wire::Reply::Accepted(self.catalog.pull(pull.number)),
             wire::Ask::Upstreams(_) => wire::Reply::Upstreams(wire::Accepted::default()),
+            wire::Ask::Book(_) => wire::Reply::Booked(wire::Booked::default()),
         }
     }
 }
--- a/quetzaltiller/src/wire.rs
+++ b/quetzaltiller/src/wire.rs
@@ -10,7 +10,7 @@
     #[prost(uint64, tag = "1")]
     pub sequence: u64,
     /// Content.
-    #[prost(oneof = "Ask", tags = "2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "Ask", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
     pub ask: Option<Ask>,
 }
 
@@ -38,6 +38,9 @@
     /// Send the upstreams.
     #[prost(message, tag = "8")]
     Upstreams(Pull),
+    /// Book the reading of a prompt at an engine.
+    #[prost(message, tag = "9")]
+    Book(Book),
 }
 
 /// Answer to a request.
@@ -47,7 +50,7 @@
     #[prost(uint64, tag = "1")]
     pub sequence: u64,
     /// Content.
-    #[prost(oneof = "Reply", tags = "2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "Reply", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
     pub reply: Option<Reply>,
 }
 
@@ -75,6 +78,9 @@
     /// The upstreams; the number is the store's revision.
     #[prost(message, tag = "8")]
     Upstreams(Accepted),
+    /// Result of a booking.
+    #[prost(message, tag = "9")]
+    Booked(Booked),
 }
 
 /// State of a member.
@@ -159,6 +165,33 @@
     pub reported_unread: u32,
 }
 
+/// A prompt to be read at an engine.
+#[derive(Clone, Message, PartialEq)]
+pub struct Book {
+    /// Id of the engine.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Time that the prompt takes, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub prefill_ms: u32,
+    /// Declined if it would begin later than this, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub limit_ms: u32,
+}
+
+/// Result of a booking.
+#[derive(Clone, Message, PartialEq)]
+pub struct Booked {
+    /// The engine is known here.
+    #[prost(bool, tag = "1")]
+    pub known: bool,
+    #[prost(bool, tag = "2")]
+    pub accepted: bool,
+    /// Time until the engine has read what was booked before, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub backlog_ms: u32,
+}
+
 /// An upstream that took the place of a lost one.
 #[derive(Clone, Message, PartialEq)]
 pub struct Successor {
--- a/quetzaltiller/tests/placement.rs
+++ b/quetzaltiller/tests/placement.rs
@@ -1,9 +1,10 @@
 //! The choice of upstreams, without I/O: loads and losses that it answers.
 
 use quetzaltiller::fleet::{Change, Directory};
-use quetzaltiller::placement::{Choice, Demand, Pick, Run, Table};
+use quetzaltiller::placement::{Choice, Demand, Peer, Pick, Run, Table};
 use quetzaltiller::routes;
 use standin::site::{ZONES, configuration, engine};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,6 +15,11 @@
 fn table(engines: usize) -> Table {
     let mut table = Table::new("entry-a", "a");
     table.configure(Arc::new(routes::Table::from(configuration(1))));
+    table.set_upstreams(&directory(engines));
+    table
+}
+
+fn directory(engines: usize) -> Directory {
     let mut directory = Directory::default();
     let listed = ZONES.iter().enumerate().flat_map(|(z, zone)| {
         (0..engines).map(move |n| (format!("engine-{zone}-{n}"), zone, z * 50 + n))
@@ -21,8 +27,7 @@
     let changes =
         listed.map(|(id, zone, number)| Change::Set(engine(&id, zone, number as u8))).collect();
     directory.apply(1, changes);
-    table.set_upstreams(&directory);
-    table
+    directory
 }
 
 fn demand(affinity: u64) -> Demand {
@@ -80,3 +85,103 @@
     assert!(copies.iter().flatten().all(|copy| copy.id != "engine-b-0"), "{copies:?}");
     assert!(copies.iter().flatten().count() > 0);
 }
+
+/// Tables of entry VMs of all zones that know each other, before as many engines in each zone.
+fn tables(entries: usize, engines: usize) -> Vec<Table> {
+    let peers = || {
+        let of_zone = |zone: &'static str| {
+            (0..entries).map(move |n| Peer {
+                name: format!("entry-{zone}-{n}"),
+                zone: zone.to_owned(),
+                address: format!("entry-{zone}-{n}"),
+                leaving: false,
+            })
+        };
+        ZONES.into_iter().flat_map(of_zone)
+    };
+    let table = |own: Peer| {
+        let mut table = Table::new(&own.name, &own.zone);
+        table.configure(Arc::new(routes::Table::from(configuration(1))));
+        table.set_upstreams(&directory(engines));
+        table.set_members(peers().filter(|peer| peer.name != own.name).collect());
+        table
+    };
+    peers().map(table).collect()
+}
+
+/// Places a run as the task does; bookings travel at once, all else is not told.
+fn place_booked(tables: &mut [Table], at: usize, affinity: u64) -> Pick {
+    let demand = demand(affinity);
+    let run = demand.run.clone().unwrap();
+    for _ in 0..3 {
+        let pick = pick(&tables[at], NOW, &demand);
+        let Some(booking) = tables[at].booking(NOW, &pick, &run) else {
+            tables[at].begin(NOW, &pick, Some(&run));
+            return pick;
+        };
+        let registrar = tables.iter().position(|t| t.own_name() == booking.registrar).unwrap();
+        let booked =
+            tables[registrar].book(NOW, &booking.upstream, booking.prefill, booking.limit).unwrap();
+        let state = tables[at].state_mut(&booking.upstream).unwrap();
+        state.correct(NOW, booked.backlog);
+        if booked.accepted {
+            tables[at].begin(NOW, &pick, Some(&run));
+            return pick;
+        }
+    }
+    pick(&tables[at], NOW, &demand)
+}
+
+/// Load: two zones are lost, callers return to all entry VMs within a moment, and none knows yet what
+/// the others have placed in the third.
+#[test]
+fn prompts_that_entry_vms_place_at_once_do_not_meet_at_one_engine() {
+    let mut tables = tables(8, 20);
+    for table in &mut tables {
+        let lost: Vec<_> =
+            table.states().keys().filter(|id| !id.starts_with("engine-c")).cloned().collect();
+        lost.iter().for_each(|id| assert!(table.state_mut(id).unwrap().lose(NOW)));
+    }
+
+    let mut prompts: BTreeMap<String, u32> = BTreeMap::new();
+    for n in 0..40_u64 {
+        let at = n as usize % tables.len();
+        let pick = place_booked(&mut tables, at, n.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        *prompts.entry(pick.upstream.id.clone()).or_default() += 1;
+    }
+
+    let most = prompts.values().max().copied().unwrap_or_default();
+    assert!(most <= 3, "{most} of 40 prompts met at one of 20 engines: {prompts:?}");
+}
+
+#[test]
+fn each_engine_has_one_registrar_on_which_all_entry_vms_agree() {
+    let tables = tables(4, 6);
+
+    for id in tables[0].states().keys() {
+        let upstream = tables[0].states()[id].upstream.clone();
+        let pick = Pick { upstream, backup: None, restores: false, wait: Duration::ZERO };
+        let run = demand(1).run.unwrap();
+        let asked: BTreeSet<_> = tables
+            .iter()
+            .map(|table| match table.booking(NOW, &pick, &run) {
+                Some(booking) => booking.registrar,
+                None => table.own_name().to_owned(),
+            })
+            .collect();
+        assert_eq!(asked.len(), 1, "{id}: {asked:?}");
+    }
+}
+
+#[test]
+fn a_registrar_declines_what_would_wait_longer_than_expected() {
+    let mut table = table(1);
+    let (prefill, limit) = (Duration::from_secs(1), Duration::from_millis(200));
+
+    let first = table.book(NOW, "engine-a-0", prefill, limit).unwrap();
+    let second = table.book(NOW, "engine-a-0", prefill, limit).unwrap();
+    let later = table.book(NOW + prefill, "engine-a-0", prefill, limit).unwrap();
+
+    assert!(first.accepted && later.accepted);
+    assert_eq!((second.accepted, second.backlog), (false, prefill));
+}
