Registrars count memory; work at stake is placed although engines are full

Change: bookings carry tokens; a registrar adds what it booked in the last second to what is reported and declines above nine tenths of the memory; runs without an objective are placed at full engines rather than ended. Tests of both loads.

--- a/quetzaltiller/src/entry.rs
+++ b/quetzaltiller/src/entry.rs
@@ -582,6 +582,7 @@
             upstream: booking.upstream.clone(),
             prefill_ms: booking.prefill.as_millis() as u32,
             limit_ms: booking.limit.as_millis() as u32,
+            tokens: booking.tokens,
         }
     }
 }
@@ -593,6 +594,7 @@
             upstream: book.upstream,
             prefill: Duration::from_millis(u64::from(book.prefill_ms)),
             limit: Duration::from_millis(u64::from(book.limit_ms)),
+            tokens: book.tokens,
         }
     }
 }
@@ -600,14 +602,15 @@
 impl From<Booked> for wire::Booked {
     fn from(booked: Booked) -> Self {
         let backlog_ms = booked.backlog.as_millis() as u32;
-        Self { known: true, accepted: booked.accepted, backlog_ms }
+        Self { known: true, accepted: booked.accepted, backlog_ms, memory: booked.memory }
     }
 }
 
 impl From<wire::Booked> for Option<Booked> {
     fn from(booked: wire::Booked) -> Self {
         let backlog = Duration::from_millis(u64::from(booked.backlog_ms));
-        booked.known.then_some(Booked { accepted: booked.accepted, backlog })
+        let (accepted, memory) = (booked.accepted, booked.memory);
+        booked.known.then_some(Booked { accepted, backlog, memory })
     }
 }
 
--- a/quetzaltiller/src/placement/booking.rs
+++ b/quetzaltiller/src/placement/booking.rs
@@ -3,7 +3,7 @@
 //! What entry VMs tell each other of their loads is some hundred milliseconds old. When a zone's engines
 //! come back, or after a total loss, many of them find the same engine idle at once. Each engine
 //! therefore has one registrar, an entry VM of its zone, which adds up the prompts that are booked there
-//! and declines what would begin later than the asker expected. Without an answer the asker goes on by
+//! and declines what would begin later than the asker expected, or find no room in memory. Without an answer the asker goes on by
 //! what it knows itself.
 
 use async_trait::async_trait;
@@ -25,6 +25,8 @@
     pub upstream: String,
     /// Time that the prompt takes.
     pub prefill: Duration,
+    /// Tokens that the run holds at its end.
+    pub tokens: u32,
     /// Declined if it would begin later than this.
     pub limit: Duration,
 }
@@ -36,6 +38,8 @@
     pub accepted: bool,
     /// Time until the engine has read what was booked before.
     pub backlog: Duration,
+    /// Tokens that the engine's memory holds or will hold.
+    pub memory: u32,
 }
 
 /// Way to the registrars of engines.
--- a/quetzaltiller/src/placement/message.rs
+++ b/quetzaltiller/src/placement/message.rs
@@ -27,10 +27,10 @@
         run: Run,
         reply: oneshot::Sender<Placement>,
     },
-    /// A registrar's word on the backlog of an engine.
+    /// A registrar's word on an engine.
     Corrected {
         upstream: String,
-        backlog: Duration,
+        booked: Booked,
     },
     /// Another entry VM books at an engine of which this one is the registrar.
     Book {
--- a/quetzaltiller/src/placement/placer.rs
+++ b/quetzaltiller/src/placement/placer.rs
@@ -88,14 +88,13 @@
                 Choosing::ToBook(pick, booking) => (pick, booking),
             };
             let booked = self.registrar.book(&booking).await;
-            if let Some(Booked { accepted, backlog }) = booked {
+            if let Some(booked) = booked {
                 let upstream = booking.upstream.clone();
-                let known = if accepted { backlog + booking.prefill } else { backlog };
-                self.mailbox.tell(Message::Corrected { upstream, backlog: known });
-                if !accepted {
+                self.mailbox.tell(Message::Corrected { upstream, booked });
+                if !booked.accepted {
                     continue;
                 }
-                pick.wait = backlog + booking.prefill;
+                pick.wait = booked.backlog + booking.prefill;
             }
             let run = demand.run.unwrap_or_default();
             let held = self.mailbox.ask(|reply| Message::Hold { pick, run, reply }).await;
--- a/quetzaltiller/src/placement/state.rs
+++ b/quetzaltiller/src/placement/state.rs
@@ -23,6 +23,8 @@
 const UNREAD: Duration = Duration::from_millis(700);
 /// A report says nothing about memory after half of the length of a run.
 const REPORT_TERM: Duration = Duration::from_millis(2_500);
+/// Tokens that were booked show in reports after this time: their period and lag.
+const BOOKED_TERM: Duration = Duration::from_millis(1_000);
 /// A report is told to others while it is about as new as the period of reports.
 const REPORT_FRESH: Duration = Duration::from_millis(1_000);
 
@@ -69,6 +71,10 @@
     pub prefill_until: Duration,
     /// End of the prefill that all entry VMs have booked, as far as this one knows it.
     pub booked_until: Duration,
+    /// Tokens that were booked, and when, as its registrar.
+    booked: Vec<(Duration, u32)>,
+    /// Memory by the word of its registrar, and when.
+    corrected: Option<(Duration, u32)>,
     /// Chosen only for want of another until then.
     pub suspect_until: Duration,
     /// When its address last accepted a connection or sent something.
@@ -96,6 +102,8 @@
             copied_tokens: 0,
             prefill_until: Duration::ZERO,
             booked_until: Duration::ZERO,
+            booked: Vec::new(),
+            corrected: None,
             suspect_until: Duration::ZERO,
             alive_at: Duration::ZERO,
             proven_at: Duration::ZERO,
@@ -209,14 +217,23 @@
         given.max(reported).max(self.booked_until.saturating_sub(now))
     }
 
-    /// Notes that a prompt is to be read after what was booked before.
-    pub fn book(&mut self, now: Duration, prefill: Duration) {
+    /// Notes as the registrar that a prompt is to be read after what was booked before.
+    pub fn book(&mut self, now: Duration, prefill: Duration, tokens: u32) {
         self.booked_until = self.booked_until.max(now) + prefill;
+        self.booked.retain(|(at, _)| now < *at + BOOKED_TERM);
+        self.booked.push((now, tokens));
     }
 
-    /// Takes the word of the registrar on what is booked.
-    pub fn correct(&mut self, now: Duration, backlog: Duration) {
+    /// Takes the word of the registrar.
+    pub fn correct(&mut self, now: Duration, backlog: Duration, memory: u32) {
         self.booked_until = self.booked_until.max(now + backlog);
+        self.corrected = Some((now, memory));
+    }
+
+    /// Tokens that were booked lately, which its report may not show yet.
+    fn booked_tokens(&self, now: Duration) -> u32 {
+        let recent = self.booked.iter().filter(|(at, _)| now < *at + BOOKED_TERM);
+        recent.map(|(_, tokens)| tokens).sum()
     }
 
     /// Time until the prefill that this entry VM gave it is done.
@@ -239,9 +256,10 @@
         let given = self.own_memory() + others;
         let reported = self.reported.filter(|(_, at, _)| now < *at + REPORT_TERM);
         let by_report = reported.map_or(0, |(reported, _, held)| {
-            reported.tokens + self.own_memory().saturating_sub(held)
+            reported.tokens + self.own_memory().saturating_sub(held).max(self.booked_tokens(now))
         });
-        given.max(by_report)
+        let corrected = self.corrected.filter(|(at, _)| now < *at + BOOKED_TERM);
+        given.max(by_report).max(corrected.map_or(0, |(_, memory)| memory))
     }
 
     /// Takes a report of its own.
--- a/quetzaltiller/src/placement/table.rs
+++ b/quetzaltiller/src/placement/table.rs
@@ -272,25 +272,31 @@
             registrar: registrar.address.clone(),
             upstream: pick.upstream.id.clone(),
             prefill,
+            tokens: run.footprint,
             limit: latest.map_or(limit, |latest| limit.min(latest)),
         })
     }
 
     /// Books as the registrar of an engine.
-    pub fn book(
-        &mut self,
-        now: Duration,
-        upstream: &str,
-        prefill: Duration,
-        limit: Duration,
-    ) -> Option<Booked> {
-        let state = self.states.get_mut(upstream)?;
-        let backlog = state.backlog(now);
-        let accepted = backlog <= limit;
-        if accepted {
-            state.book(now, prefill);
+    pub fn book(&mut self, now: Duration, booking: &Booking) -> Option<Booked> {
+        let state = self.states.get(&booking.upstream)?;
+        let limit = self.memory_limit(&state.upstream.service);
+        let (backlog, memory) = (state.backlog(now), state.memory(now));
+        let fits = memory == 0 || f64::from(memory + booking.tokens) <= limit;
+        let accepted = fits && backlog <= booking.limit;
+        if accepted && let Some(state) = self.states.get_mut(&booking.upstream) {
+            state.book(now, booking.prefill, booking.tokens);
+        }
+        Some(Booked { accepted, backlog, memory })
+    }
+
+    /// Tokens up to which engines of a service are filled; more are preempted.
+    fn memory_limit(&self, service: &str) -> f64 {
+        let engine = self.routes.service(service).and_then(|service| service.engine.as_ref());
+        match engine.map_or(0, |engine| engine.memory_tokens) {
+            0 => f64::MAX,
+            tokens => f64::from(tokens) * MEMORY_SHARE,
         }
-        Some(Booked { accepted, backlog })
     }
 
     /// Entry VM that adds up the prompts for an engine: the first by rank in the engine's zone, or of
@@ -325,7 +331,7 @@
         if let Some(state) = self.known(&pick.upstream) {
             state.prefill_until = state.prefill_until.max(now) + given;
             if registers {
-                state.book(now, given);
+                state.book(now, given, tokens);
             }
         }
         holds
@@ -387,14 +393,17 @@
         let service = self.routes.service(&demand.service);
         let engine = service.and_then(|service| service.engine.clone());
         let engine = engine.unwrap_or_default();
+        let limit = self.memory_limit(&demand.service);
         let room = |state: &State| {
             let memory = f64::from(state.memory(now) + run.footprint);
-            let limit = f64::from(engine.memory_tokens) * MEMORY_SHARE;
             let holds_copy = run.copy.as_ref() == Some(&state.upstream.id);
-            engine.memory_tokens == 0 || memory <= limit || holds_copy || state.memory(now) == 0
+            memory <= limit || holds_copy || state.memory(now) == 0
         };
         let slots = |state: &State| state.total_in_flight(now) < state.upstream.slots.max(1);
         let open: Vec<_> = candidates.iter().copied().filter(|s| room(s) && slots(s)).collect();
+        // Work at stake waits in an engine's queue rather than end.
+        let at_stake = run.objective.is_none() && open.is_empty();
+        let open = if at_stake { candidates.to_vec() } else { open };
         let sample = self.sample(&open, run);
         let mut doubted = self.doubted_zones(now, &demand.service);
         let failed = demand.avoid.iter().filter_map(|id| self.states.get(id));
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -1,6 +1,5 @@
 //! The task that owns the table.
 
-use super::booking::Booking;
 use super::demand::{Demand, Run};
 use super::message::{Choosing, Message, Outcome};
 use super::place::{Copy, Permit, Placement, Unplaced};
@@ -118,14 +117,13 @@
             Message::Hold { pick, run, reply } => {
                 let _ = reply.send(self.hold(now, pick, Some(&run)));
             }
-            Message::Corrected { upstream, backlog } => {
+            Message::Corrected { upstream, booked } => {
                 if let Some(state) = self.table.state_mut(&upstream) {
-                    state.correct(now, backlog);
+                    state.correct(now, booked.backlog, booked.memory);
                 }
             }
             Message::Book { booking, reply } => {
-                let Booking { upstream, prefill, limit, .. } = booking;
-                let _ = reply.send(self.table.book(now, &upstream, prefill, limit));
+                let _ = reply.send(self.table.book(now, &booking));
             }
             Message::PlaceCopy { demand, primary, reply } => {
                 let _ = reply.send(self.place_copy(now, &demand, &primary));
--- a/quetzaltiller/src/wire.rs
+++ b/quetzaltiller/src/wire.rs
@@ -177,6 +177,9 @@
     /// Declined if it would begin later than this, in milliseconds.
     #[prost(uint32, tag = "3")]
     pub limit_ms: u32,
+    /// Tokens that the run holds at its end.
+    #[prost(uint32, tag = "4")]
+    pub tokens: u32,
 }
 
 /// Result of a booking.
@@ -190,6 +193,9 @@
     /// Time until the engine has read what was booked before, in milliseconds.
     #[prost(uint32, tag = "3")]
     pub backlog_ms: u32,
+    /// Tokens that the engine's memory holds or will hold.
+    #[prost(uint32, tag = "4")]
+    pub memory: u32,
 }
 
 /// An upstream that took the place of a lost one.
--- a/quetzaltiller/tests/placement.rs
+++ b/quetzaltiller/tests/placement.rs
@@ -1,7 +1,7 @@
 //! The choice of upstreams, without I/O: loads and losses that it answers.
 
 use quetzaltiller::fleet::{Change, Directory};
-use quetzaltiller::placement::{Choice, Demand, Peer, Pick, Run, Table};
+use quetzaltiller::placement::{Booking, Choice, Demand, Peer, Pick, Reported, Run, Table};
 use quetzaltiller::routes;
 use standin::site::{ZONES, configuration, engine};
 use std::collections::{BTreeMap, BTreeSet};
@@ -120,10 +120,9 @@
             return pick;
         };
         let registrar = tables.iter().position(|t| t.own_name() == booking.registrar).unwrap();
-        let booked =
-            tables[registrar].book(NOW, &booking.upstream, booking.prefill, booking.limit).unwrap();
+        let booked = tables[registrar].book(NOW, &booking).unwrap();
         let state = tables[at].state_mut(&booking.upstream).unwrap();
-        state.correct(NOW, booked.backlog);
+        state.correct(NOW, booked.backlog, booked.memory);
         if booked.accepted {
             tables[at].begin(NOW, &pick, Some(&run));
             return pick;
@@ -176,12 +175,53 @@
 #[test]
 fn a_registrar_declines_what_would_wait_longer_than_expected() {
     let mut table = table(1);
-    let (prefill, limit) = (Duration::from_secs(1), Duration::from_millis(200));
+    let booking = booking(Duration::from_millis(200));
 
-    let first = table.book(NOW, "engine-a-0", prefill, limit).unwrap();
-    let second = table.book(NOW, "engine-a-0", prefill, limit).unwrap();
-    let later = table.book(NOW + prefill, "engine-a-0", prefill, limit).unwrap();
+    let first = table.book(NOW, &booking).unwrap();
+    let second = table.book(NOW, &booking).unwrap();
+    let later = table.book(NOW + booking.prefill, &booking).unwrap();
 
     assert!(first.accepted && later.accepted);
-    assert_eq!((second.accepted, second.backlog), (false, prefill));
+    assert_eq!((second.accepted, second.backlog), (false, booking.prefill));
+}
+
+fn booking(limit: Duration) -> Booking {
+    Booking {
+        registrar: String::new(),
+        upstream: "engine-a-0".to_owned(),
+        prefill: Duration::from_secs(1),
+        tokens: TOKENS,
+        limit,
+    }
+}
+
+/// Load: runs that other zones' entry VMs give to an engine before it has reported any of them.
+#[test]
+fn a_registrar_declines_what_would_find_no_room() {
+    let mut table = table(1);
+    let booking = booking(Duration::from_secs(60));
+    let empty = Reported { tokens: 9_000, requests: 1, unread: 0 };
+    table.state_mut("engine-a-0").unwrap().report(NOW, empty);
+
+    let accepted = (0..12).filter(|_| table.book(NOW, &booking).unwrap().accepted).count();
+
+    // 88,000 tokens up to nine tenths, 9,000 of them in use.
+    assert_eq!(accepted, 7);
+}
+
+/// Load: work at stake while all engines are full, as after the loss of two zones.
+#[test]
+fn a_run_that_goes_on_is_placed_although_all_engines_are_full() {
+    let mut table = table(1);
+    let full = Reported { tokens: 88_000, requests: 10, unread: 0 };
+    let ids: Vec<_> = table.states().keys().cloned().collect();
+    ids.iter().for_each(|id| table.state_mut(id).unwrap().report(NOW, full));
+    let mut new = demand(1);
+    new.run.as_mut().unwrap().objective = Some(Duration::from_millis(4_500));
+
+    let refused = table.choose(NOW, &new);
+    let placed = table.choose(NOW, &demand(1));
+
+    assert!(matches!(refused, Choice::Full { .. }), "{refused:?}");
+    assert!(matches!(placed, Choice::Found(_)), "{placed:?}");
 }
