Split the choice of upstreams by task; learn how fast engines read

Speed follows the time to first event of runs that waited for no other, quickly upwards and slowly downwards. Test: engines of a quarter and of five times the speed.

--- a/quetzaltiller/src/placement/message.rs
+++ b/quetzaltiller/src/placement/message.rs
@@ -3,8 +3,9 @@
 use super::booking::{Booked, Booking};
 use super::demand::{Demand, Run};
 use super::place::{Copy, Placement, Unplaced};
+use super::shares::Peer;
 use super::state::{Load, State};
-use super::table::{Hold, Peer, Pick};
+use super::table::{Hold, Pick};
 use crate::fleet::{Directory, Upstream};
 use crate::prelude::*;
 use crate::routes;
@@ -47,6 +48,11 @@
         id: String,
         outcome: Outcome,
     },
+    /// A prompt was read that did not wait.
+    Read {
+        tokens: u32,
+        took: Duration,
+    },
     Configure(Arc<routes::Table>),
     Upstreams(Arc<Directory>),
     Members(Vec<Peer>),
--- a/quetzaltiller/src/placement/mod.rs
+++ b/quetzaltiller/src/placement/mod.rs
@@ -8,9 +8,12 @@
 
 mod booking;
 mod demand;
+mod engines;
 mod message;
 mod place;
 mod placer;
+mod shares;
+mod speed;
 mod state;
 mod succession;
 mod table;
@@ -20,6 +23,7 @@
 pub use demand::{Demand, Run};
 pub use place::{Copy, Permit, Placement, Unplaced};
 pub use placer::{Parts, Placer};
+pub use shares::Peer;
 pub use state::{Load, Reported, State};
 pub use succession::Successor;
-pub use table::{Choice, Hold, Peer, Pick, Table};
+pub use table::{Choice, Hold, Pick, Table};
--- a/quetzaltiller/src/placement/place.rs
+++ b/quetzaltiller/src/placement/place.rs
@@ -20,6 +20,8 @@
     pub restores: bool,
     /// Expected time until the run generates.
     pub wait: Duration,
+    /// Its prompt need not wait for others.
+    pub alone: bool,
     /// Place.
     pub permit: Permit,
 }
--- a/quetzaltiller/src/placement/placer.rs
+++ b/quetzaltiller/src/placement/placer.rs
@@ -4,9 +4,10 @@
 use super::demand::Demand;
 use super::message::{Choosing, Message, Outcome};
 use super::place::{Copy, Placement, Unplaced};
+use super::shares::Peer;
 use super::state::{Load, State};
 use super::succession::Successor;
-use super::table::{Peer, Table};
+use super::table::Table;
 use super::task::{Published, Task};
 use crate::clock::Clock;
 use crate::fleet::{Directory, Upstream};
@@ -95,6 +96,7 @@
                     continue;
                 }
                 pick.wait = booked.backlog + booking.prefill;
+                pick.alone &= booked.backlog.is_zero();
             }
             let run = demand.run.unwrap_or_default();
             let held = self.mailbox.ask(|reply| Message::Hold { pick, run, reply }).await;
@@ -118,6 +120,11 @@
         self.tell(id, Outcome::Answered);
     }
 
+    /// Notes how long a prompt took that did not wait.
+    pub fn read(&self, tokens: u32, took: Duration) {
+        self.mailbox.tell(Message::Read { tokens, took });
+    }
+
     /// Notes that an upstream failed a request.
     pub fn failed(&self, id: &str) {
         self.tell(id, Outcome::Failed);
--- /dev/null
+++ b/quetzaltiller/src/placement/speed.rs
@@ -0,0 +1,52 @@
+//! How fast engines read prompts, learned from runs that had an engine to themselves.
+
+use std::time::Duration;
+
+/// Prompt tokens that an engine reads in a millisecond, until that is learned (users' sheet of
+/// engines).
+const FIRST_GUESS: f64 = 8.0;
+/// Bounds on what is learned, in tokens a millisecond.
+const BOUNDS: std::ops::RangeInclusive<f64> = 0.25..=400.0;
+/// Weight of a run that was faster than known, and of one that was slower: the others in its batch
+/// slow a prompt, nothing speeds it up.
+const FASTER: f64 = 0.3;
+const SLOWER: f64 = 0.03;
+/// Shorter prompts tell more of round trips and first steps than of reading.
+const MIN_TOKENS: u32 = 1_000;
+/// Prompt tokens left of a request that has not generated anything, on average.
+const UNREAD_TOKENS: u32 = 5_600;
+
+/// Speed of reading.
+#[derive(Clone, Copy, Debug)]
+pub struct Speed {
+    tokens_per_ms: f64,
+}
+
+impl Default for Speed {
+    fn default() -> Self {
+        Self { tokens_per_ms: FIRST_GUESS }
+    }
+}
+
+impl Speed {
+    /// Time to read so many tokens.
+    pub fn prefill(&self, tokens: u32) -> Duration {
+        Duration::from_secs_f64(f64::from(tokens) / self.tokens_per_ms / 1_000.0)
+    }
+
+    /// Time to read what is left of a request that has not generated anything.
+    pub fn unread(&self) -> Duration {
+        self.prefill(UNREAD_TOKENS)
+    }
+
+    /// Takes the time that a prompt took which did not wait.
+    pub fn observe(&mut self, tokens: u32, took: Duration) {
+        if tokens < MIN_TOKENS || took.is_zero() {
+            return;
+        }
+        let seen = f64::from(tokens) / (took.as_secs_f64() * 1_000.0);
+        let gain = if seen > self.tokens_per_ms { FASTER } else { SLOWER };
+        let learned = self.tokens_per_ms + gain * (seen - self.tokens_per_ms);
+        self.tokens_per_ms = learned.clamp(*BOUNDS.start(), *BOUNDS.end());
+    }
+}
--- a/quetzaltiller/src/placement/state.rs
+++ b/quetzaltiller/src/placement/state.rs
@@ -1,5 +1,6 @@
 //! What this entry VM knows of one upstream from its own requests.
 
+use super::speed::Speed;
 use crate::fleet::Upstream;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -19,8 +20,6 @@
 /// Time in which evidence of failures fades to a third, so that an upstream is tried again.
 const FAILURE_FADES: Duration = Duration::from_secs(4);
 
-/// Prefill left of a request that has not generated anything, on average (users' prompts).
-const UNREAD: Duration = Duration::from_millis(700);
 /// A report says nothing about memory after half of the length of a run.
 const REPORT_TERM: Duration = Duration::from_millis(2_500);
 /// Tokens that were booked show in reports after this time: their period and lag.
@@ -205,14 +204,14 @@
 
     /// Time until the prefill it was given is done: by what entry VMs have given to it, or by its
     /// own report. Engines read one prompt after the other.
-    pub fn backlog(&self, now: Duration) -> Duration {
+    pub fn backlog(&self, now: Duration, speed: Speed) -> Duration {
         let told = self
             .others
             .values()
             .map(|(load, told_at)| load.backlog.saturating_sub(now.saturating_sub(*told_at)));
         let given = self.own_backlog(now) + told.sum::<Duration>();
         let reported = self.reported.map_or(Duration::ZERO, |(reported, at, _)| {
-            (UNREAD * reported.unread).saturating_sub(now.saturating_sub(at))
+            (speed.unread() * reported.unread).saturating_sub(now.saturating_sub(at))
         });
         given.max(reported).max(self.booked_until.saturating_sub(now))
     }
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -132,6 +132,7 @@
             Message::Outcome { id, outcome } => {
                 self.judge(now, &id, outcome);
             }
+            Message::Read { tokens, took } => self.table.observe_prefill(tokens, took),
             Message::Configure(routes) => self.table.configure(routes),
             Message::Upstreams(directory) => {
                 self.departed = self.table.set_upstreams(&directory);
@@ -306,9 +307,9 @@
 
     fn hold(&mut self, now: Duration, pick: Pick, run: Option<&Run>) -> Placement {
         let holds = self.table.begin(now, &pick, run);
-        let Pick { upstream, backup, restores, wait } = pick;
+        let Pick { upstream, backup, restores, wait, alone } = pick;
         let permit = Permit { holds, mailbox: self.mailbox.clone() };
-        Placement { upstream, backup, restores, wait, permit }
+        Placement { upstream, backup, restores, wait, alone, permit }
     }
 
     fn place_copy(&mut self, now: Duration, demand: &Demand, primary: &Upstream) -> Option<Copy> {
--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -101,6 +101,7 @@
     sent: u32,
     events: u32,
     began: Duration,
+    opened_at: Duration,
     first_at: Option<Duration>,
     last_at: Duration,
     longest_pause: Duration,
@@ -158,6 +159,7 @@
             sent: 0,
             events: 0,
             began: now,
+            opened_at: now,
             first_at: None,
             last_at: now,
             longest_pause: Duration::ZERO,
@@ -414,6 +416,7 @@
         };
         if !asks {
             self.sent += 1;
+            self.opened_at = self.context.clock.now();
         }
         let task = async move {
             match opening {
@@ -501,12 +504,24 @@
         }
         self.events += 1;
         self.measure_pause();
-        if !known && let Some(upstream) = self.machine.upstream() {
-            self.context.placer.answered(upstream);
+        if !known {
+            self.first_event();
         }
         self.pass(Chunk::Events(event.bytes)).await;
     }
 
+    fn first_event(&self) {
+        let Some(upstream) = self.machine.upstream() else {
+            return;
+        };
+        self.context.placer.answered(upstream);
+        let alone = self.placed.get(upstream).is_some_and(|p| p.alone && !p.restores);
+        if alone && let Some(prompt) = &self.request.prompt {
+            let took = self.context.clock.now().saturating_sub(self.opened_at);
+            self.context.placer.read(prompt.tokens, took);
+        }
+    }
+
     fn measure_pause(&mut self) {
         let now = self.context.clock.now();
         if self.first_at.is_some() {
--- a/quetzaltiller/tests/placement.rs
+++ b/quetzaltiller/tests/placement.rs
@@ -3,6 +3,7 @@
 use quetzaltiller::fleet::{Change, Directory};
 use quetzaltiller::placement::{Booking, Choice, Demand, Peer, Pick, Reported, Run, Table};
 use quetzaltiller::routes;
+use rstest::rstest;
 use standin::site::{ZONES, configuration, engine};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -159,7 +160,8 @@
 
     for id in tables[0].states().keys() {
         let upstream = tables[0].states()[id].upstream.clone();
-        let pick = Pick { upstream, backup: None, restores: false, wait: Duration::ZERO };
+        let pick =
+            Pick { upstream, backup: None, restores: false, wait: Duration::ZERO, alone: false };
         let run = demand(1).run.unwrap();
         let asked: BTreeSet<_> = tables
             .iter()
@@ -225,3 +227,18 @@
     assert!(matches!(refused, Choice::Full { .. }), "{refused:?}");
     assert!(matches!(placed, Choice::Found(_)), "{placed:?}");
 }
+
+/// Load: engines of another speed than those that are known; runs that wait for no other tell it.
+#[rstest]
+#[case::slower(2.0)]
+#[case::faster(40.0)]
+fn the_speed_of_engines_is_learned(#[case] tokens_per_ms: f64) {
+    let mut table = table(1);
+    let took = Duration::from_secs_f64(8_000.0 / tokens_per_ms / 1_000.0);
+
+    (0..150).for_each(|_| table.observe_prefill(8_000, took));
+    let expected = pick(&table, NOW, &demand(1)).wait;
+
+    let ratio = expected.as_secs_f64() / took.as_secs_f64();
+    assert!((0.9..1.1).contains(&ratio), "{expected:?} for {took:?}");
+}
