Split the task of a generation: caller, pauses, copies, placing

Change: Caller (the reply that is due, or events), Pauses (times of first event, pauses and losses), Copies (orders and renewals), Placing (what the next run asks). No behaviour changed.

--- a/quetzaltiller/src/proxy/mod.rs
+++ b/quetzaltiller/src/proxy/mod.rs
@@ -5,7 +5,11 @@
 //! by [`crate::placement`] and end no later than the caller's patience and the route's timeout.
 
 mod call;
+mod caller;
+mod copies;
 mod event;
+mod pauses;
+mod placing;
 mod plan;
 mod reader;
 mod reply;
--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -4,30 +4,31 @@
 //! the machine admits, with its bytes unchanged. The head is that of the engine which sent the
 //! first event. A stream that can't go on is cut, so that it does not look whole.
 
+use super::caller::Caller;
+use super::copies::{Copies, Ordered};
 use super::event::Event;
-use super::reader::{Head, Notice, Reader};
-use super::reply::{Chunk, Reply, Stream};
+use super::pauses::Pauses;
+use super::placing::{Need, Placed, Placing};
+use super::reader::{Notice, Reader};
+use super::reply::{Chunk, Reply};
 use super::{Answer, Context, Plan, Request};
 use crate::engine;
+use crate::fleet::Upstream;
 use crate::generation::{
     Answer as _, Effect, Input, Machine, Opening, Outcome, Piece, Place, Probe, Sequence, Settings,
     Start,
 };
 use crate::metrics::{Counter, Latency};
 use crate::own::Entered;
-use crate::placement::{self, Demand, Placement, Run, Unplaced};
+use crate::placement::Placement;
 use crate::prelude::*;
 use crate::routes::Kind;
-use crate::upstream;
 use coordination::detector::Bounds;
 use coordination::patience::Patience;
 use std::collections::BTreeMap;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
-use tokio::time::timeout;
 
-/// Events that wait for a slow caller; the engine is not read meanwhile.
-const EVENT_QUEUE: usize = 32;
 /// Notices that wait for the task.
 const NOTICE_QUEUE: usize = 32;
 /// Silence that is worth a check: an event takes 30 ms alone and 180 ms beside one prefill (users'
@@ -51,20 +52,6 @@
 const NEW_URGENCY: u8 = 4;
 const LAST_URGENCY: u8 = 9;
 
-/// A copy of a run's memory, and the place held for it.
-struct Held {
-    place: Option<placement::Copy>,
-    copy: upstream::Copy,
-}
-
-/// What became of an order to copy the run at an engine.
-struct Ordered {
-    /// Engine that runs it.
-    of: String,
-    /// Place of the copy, and its name there.
-    made: Option<(placement::Copy, upstream::Copy)>,
-}
-
 /// Serves a generation.
 pub async fn run(context: Context, request: Arc<Request>, plan: Plan, entered: Entered) -> Reply {
     let (reply, answer) = oneshot::channel();
@@ -77,40 +64,25 @@
     })
 }
 
-/// The caller's side: a reply that is due, or events that are.
-enum Caller {
-    Waiting(oneshot::Sender<Reply>),
-    Reading(mpsc::Sender<Chunk>),
-    Served,
-}
-
 struct Task {
     context: Context,
     request: Arc<Request>,
     plan: Arc<Plan>,
     machine: Machine<Sequence>,
     caller: Caller,
-    head: Option<Head>,
     failure: Option<Answer>,
     placed: BTreeMap<String, Placement>,
-    copies: BTreeMap<String, Held>,
-    copied_at: Option<Duration>,
-    copied: mpsc::UnboundedSender<Ordered>,
-    made: Option<mpsc::UnboundedReceiver<Ordered>>,
+    copies: Copies,
+    ordered: Option<mpsc::UnboundedReceiver<Ordered>>,
     connections: BTreeMap<u32, AbortHandle>,
     sent: u32,
     events: u32,
-    began: Duration,
-    opened_at: Duration,
-    first_at: Option<Duration>,
-    last_at: Duration,
-    longest_pause: Duration,
+    pauses: Pauses,
     life_told: Duration,
-    lost_at: Option<Duration>,
     retry_after: Duration,
     outcome: Option<Outcome>,
-    placing: mpsc::UnboundedSender<Result<Placement, Unplaced>>,
-    placements: Option<mpsc::UnboundedReceiver<Result<Placement, Unplaced>>>,
+    placing: Placing,
+    placements: Option<mpsc::UnboundedReceiver<Placed>>,
     notices: mpsc::Sender<Notice>,
     _entered: Entered,
 }
@@ -140,31 +112,24 @@
         };
         let next = request.last_event.map(|last| last as u32 + 1);
         let (machine, effects) = Machine::new(now, Sequence::new(next), settings, Start::Fresh);
-        let (placing, placements) = mpsc::unbounded_channel();
-        let (copied, made) = mpsc::unbounded_channel();
+        let plan = Arc::new(plan);
+        let (placing, placements) = Placing::new(context.clone(), request.clone(), plan.clone());
+        let (copies, ordered) = Copies::new(&request.id);
         let task = Self {
             context,
             request,
-            plan: Arc::new(plan),
+            plan,
             machine,
-            caller: Caller::Waiting(reply),
-            head: None,
+            caller: Caller::new(reply),
             failure: None,
             placed: BTreeMap::new(),
-            copies: BTreeMap::new(),
-            copied_at: None,
-            copied,
-            made: Some(made),
+            copies,
+            ordered: Some(ordered),
             connections: BTreeMap::new(),
             sent: 0,
             events: 0,
-            began: now,
-            opened_at: now,
-            first_at: None,
-            last_at: now,
-            longest_pause: Duration::ZERO,
+            pauses: Pauses::new(now),
             life_told: Duration::ZERO,
-            lost_at: None,
             retry_after: RETRY_AFTER,
             outcome: None,
             placing,
@@ -176,7 +141,8 @@
     }
 
     async fn run(mut self, effects: Vec<Effect>, mut notices: mpsc::Receiver<Notice>) {
-        let (Some(mut placements), Some(mut made)) = (self.placements.take(), self.made.take())
+        let (Some(mut placements), Some(mut ordered)) =
+            (self.placements.take(), self.ordered.take())
         else {
             return;
         };
@@ -187,17 +153,17 @@
             let clock = self.context.clock;
             let wake = self.machine.wake_at();
             let until = self.plan.until;
-            let renewal = self.copied_at.map(|at| at + COPY_PERIOD);
+            let renewal = self.copies.renew_at();
             tokio::select! {
                 biased;
                 Some(placed) = placements.recv() => self.placed(placed),
                 Some(notice) = notices.recv() => self.notice(notice).await,
-                Some(ordered) = made.recv() => self.take_copy(ordered),
+                Some(ordered) = ordered.recv() => self.take_copy(ordered),
                 Ok(()) = withdrawn.changed() => {
                     let withdrawn = withdrawn.borrow_and_update().clone();
                     withdrawn.iter().for_each(|id| self.input(Input::Gone(id.clone())));
                 }
-                () = gone(&mut self.caller) => self.leave(),
+                () = self.caller.gone() => self.leave(),
                 () = clock.sleep_until(until) => self.time_out(),
                 () = clock.sleep_until(renewal.unwrap_or_default()), if renewal.is_some() => {
                     self.renew_copy();
@@ -249,113 +215,42 @@
         resumed: bool,
     ) {
         if resumed {
-            self.lost_at.get_or_insert(self.last_at);
+            self.pauses.lose();
             info!("generation_moves", kv: {
                 request = self.request.id, copy:? = copy, cached:? = cached,
                 next = self.machine.splice().next(), sent = self.sent
             });
         }
         self.placed.clear();
-        let demand = self.demand(avoid, copy, cached, resumed);
-        let (context, placing) = (self.context.clone(), self.placing.clone());
-        let service = self.plan.service.clone();
-        let repeats = self.sent > 0;
-        let spent = self.sent >= self.plan.route.attempts;
-        let returned = self.request.last_event.is_some() && !repeats;
-        let request = self.request.clone();
-        self.context.scope.spawn(async move {
-            let allowed = !spent && (!repeats || context.pacer.may_repeat(&service).await);
-            let mut demand = demand;
-            if let (true, Some(run), Some(prompt)) = (returned, &mut demand.run, &request.prompt) {
-                run.cached = context.finder.find(&service, &prompt.model, run.affinity).await;
-                info!("prompt_located", kv: { request = request.id, engine:? = run.cached });
-            }
-            let placed =
-                if allowed { context.placer.place(demand).await } else { Err(Unplaced::Nowhere) };
-            let _ = placing.send(placed);
-        });
+        self.placing.ask(Need { avoid, copy, cached, resumed }, self.sent);
     }
 
-    fn demand(
-        &self,
-        avoid: Vec<String>,
-        copy: Option<String>,
-        cached: Option<String>,
-        resumed: bool,
-    ) -> Demand {
-        let prompt = self.request.prompt.as_ref();
-        let run = Run {
-            copy,
-            cached,
-            prompt_tokens: prompt.map_or(0, |prompt| prompt.tokens),
-            footprint: prompt.map_or(0, |prompt| prompt.footprint()),
-            affinity: prompt.map_or(0, |prompt| prompt.own_part()),
-            objective: (!resumed && self.request.last_event.is_none())
-                .then(|| Duration::from_millis(self.plan.route.objective_ms)),
-            wants_backup: self.plan.route.kind == Kind::Generation { resumable: true },
-        };
-        Demand {
-            service: self.plan.service.clone(),
-            account: self.plan.account.clone().unwrap_or_default(),
-            avoid,
-            run: Some(run),
+    fn copy(&mut self) {
+        if let Some(primary) = self.primary() {
+            let demand = self.placing.demand(Need { resumed: true, ..Need::default() });
+            self.copies.order(&self.context, demand, primary);
         }
     }
 
-    /// Copies the run's memory to an engine of the placer's choice.
-    fn copy(&mut self) {
-        let Some(primary) = self.machine.upstream().and_then(|id| self.placed.get(id)) else {
-            return;
-        };
-        let primary = primary.upstream.clone();
-        let demand = self.demand(Vec::new(), None, None, true);
-        let (placer, client) = (self.context.placer.clone(), self.context.client.clone());
-        let (request, copied) = (self.request.clone(), self.copied.clone());
-        self.context.scope.spawn(async move {
-            let made = match placer.place_copy(demand, primary.clone()).await {
-                Some(place) => {
-                    let (from, to) = (primary.address, place.upstream.address);
-                    let copy = client.copy_run(from, &request.id, to, COPY_LIMIT).await;
-                    copy.map(|copy| (place, copy))
-                }
-                None => None,
-            };
-            let _ = copied.send(Ordered { of: primary.id.clone(), made });
-        });
+    fn renew_copy(&mut self) {
+        let primary = self.primary();
+        self.copies.renew(&self.context, primary.as_deref(), self.machine.copy());
     }
 
-    /// Brings a copy up to date that the engine does not by itself, before it is forgotten.
-    fn renew_copy(&mut self) {
-        self.copied_at = None;
-        let primary = self.machine.upstream().and_then(|id| self.placed.get(id));
-        let holder = self.machine.copy().and_then(|id| self.copies.get_mut(id));
-        let (Some(primary), Some(Held { place: Some(place), .. })) = (primary, holder) else {
-            return;
-        };
-        let (from, to) = (primary.upstream.address, place.upstream.address);
-        let (client, request) = (self.context.client.clone(), self.request.clone());
-        self.context.scope.spawn(async move {
-            let _ = client.copy_run(from, &request.id, to, COPY_LIMIT).await;
-        });
-        self.copied_at = Some(self.context.clock.now());
+    /// Engine at work.
+    fn primary(&self) -> Option<Arc<Upstream>> {
+        let placement = self.placed.get(self.machine.upstream()?)?;
+        Some(placement.upstream.clone())
     }
 
-    fn take_copy(&mut self, Ordered { of, made }: Ordered) {
-        if self.machine.upstream() != Some(&of) {
-            return;
+    fn take_copy(&mut self, ordered: Ordered) {
+        if self.machine.upstream() == Some(&ordered.of) {
+            let holder = self.copies.take(&self.context, ordered);
+            self.input(Input::Copied(holder));
         }
-        let Some((place, copy)) = made else {
-            return self.input(Input::Copied(None));
-        };
-        let holder = place.upstream.id.clone();
-        self.context.metrics.count(Counter::RunCopied);
-        info!("run_copied", kv: { request = self.request.id, of, holder });
-        self.copies.insert(holder.clone(), Held { place: Some(place), copy });
-        self.copied_at = Some(self.context.clock.now());
-        self.input(Input::Copied(Some(holder)));
     }
 
-    fn placed(&mut self, placed: Result<Placement, Unplaced>) {
+    fn placed(&mut self, placed: Placed) {
         match placed {
             Err(unplaced) => {
                 self.retry_after = unplaced.retry_after();
@@ -379,9 +274,7 @@
                     expected_ms = placement.wait.as_millis() as u64
                 });
                 if let Some(backup) = &placement.backup {
-                    let name = self.request.id.clone();
-                    let copy = upstream::Copy { origin: backup.address, name };
-                    self.copies.insert(backup.id.clone(), Held { place: None, copy });
+                    self.copies.back_up(backup);
                 }
                 self.placed.insert(id, placement);
                 self.input(Input::Placed(place));
@@ -404,9 +297,7 @@
             client: self.context.client.clone(),
             upstream: placement.upstream.clone(),
             backup: placement.backup.clone(),
-            copy: (opening == Opening::Restore)
-                .then(|| self.copies.get(upstream).map(|held| held.copy.clone()))
-                .flatten(),
+            copy: self.copies.at(upstream).filter(|_| opening == Opening::Restore).cloned(),
             last_event: self.last_event(),
             urgency: self.urgency(),
             deadline: self.plan.until.saturating_sub(self.context.clock.now()),
@@ -416,7 +307,7 @@
         };
         if !asks {
             self.sent += 1;
-            self.opened_at = self.context.clock.now();
+            self.pauses.send(self.context.clock.now());
         }
         let task = async move {
             match opening {
@@ -446,7 +337,7 @@
         match notice {
             Notice::Opened(conn, head) => {
                 if self.events == 0 {
-                    self.head = Some(head);
+                    self.caller.set_head(head);
                 }
                 self.input(Input::Opened(conn));
             }
@@ -517,21 +408,16 @@
         self.context.placer.answered(upstream);
         let alone = self.placed.get(upstream).is_some_and(|p| p.alone && !p.restores);
         if alone && let Some(prompt) = &self.request.prompt {
-            let took = self.context.clock.now().saturating_sub(self.opened_at);
+            let took = self.pauses.since_sent(self.context.clock.now());
             self.context.placer.read(prompt.tokens, took);
         }
     }
 
     fn measure_pause(&mut self) {
         let now = self.context.clock.now();
-        if self.first_at.is_some() {
-            self.longest_pause = self.longest_pause.max(now.saturating_sub(self.last_at));
-        }
-        if let Some(lost_at) = self.lost_at.take() {
-            self.context.metrics.record(Latency::Resume, now.saturating_sub(lost_at));
+        if let Some(resumed) = self.pauses.event(now) {
+            self.context.metrics.record(Latency::Resume, resumed);
         }
-        self.first_at.get_or_insert(now);
-        self.last_at = now;
         if now >= self.life_told + LIFE_PERIOD
             && let Some(upstream) = self.machine.upstream()
         {
@@ -540,30 +426,9 @@
         }
     }
 
-    /// Passes on a part of the stream, after the head if that is still due.
     async fn pass(&mut self, chunk: Chunk) {
-        self.send_head();
-        let Caller::Reading(sender) = &self.caller else {
-            return;
-        };
         let left = self.plan.until.saturating_sub(self.context.clock.now());
-        if !matches!(timeout(left, sender.send(chunk)).await, Ok(Ok(()))) {
-            self.caller = Caller::Served;
-        }
-    }
-
-    fn send_head(&mut self) {
-        if !matches!(self.caller, Caller::Waiting(_)) {
-            return;
-        }
-        let Some(Head { status, headers }) = self.head.take() else {
-            return;
-        };
-        let (sender, events) = mpsc::channel(EVENT_QUEUE);
-        let waiting = std::mem::replace(&mut self.caller, Caller::Reading(sender));
-        if let Caller::Waiting(reply) = waiting {
-            let _ = reply.send(Reply::Streaming(Stream { status, headers, events }));
-        }
+        self.caller.pass(chunk, left).await;
     }
 
     fn leave(&mut self) {
@@ -571,7 +436,7 @@
             request = self.request.id, events = self.events,
             upstream:? = self.machine.upstream()
         });
-        self.caller = Caller::Served;
+        self.caller.leave();
         self.input(Input::Cancel);
     }
 
@@ -594,34 +459,23 @@
             _ => Counter::GenerationFailed,
         };
         self.context.metrics.count(counter);
-        let took = self.context.clock.now().saturating_sub(self.began);
-        let first = self.first_at.map(|at| at.saturating_sub(self.began));
+        let (pauses, first) = (self.pauses, self.pauses.first());
         if let Some(first) = first {
             self.context.metrics.record(Latency::FirstEvent, first);
-            self.context.metrics.record(Latency::Pause, self.longest_pause);
+            self.context.metrics.record(Latency::Pause, pauses.longest());
         }
         info!("generation_ended", kv: {
             request = self.request.id, route = self.plan.route.name, outcome:? = outcome,
-            events = self.events, sent = self.sent, late = self.is_late(first), took_ms = took.as_millis() as u64,
+            events = self.events, sent = self.sent, late = pauses.is_late(&self.plan.route),
+            took_ms = pauses.took(self.context.clock.now()).as_millis() as u64,
             first_ms:? = first.map(|first| first.as_millis() as u64),
-            longest_pause_ms = self.longest_pause.as_millis() as u64
+            longest_pause_ms = pauses.longest().as_millis() as u64
         });
         if outcome == Outcome::Whole {
             self.pass(Chunk::End).await;
         }
-        let caller = std::mem::replace(&mut self.caller, Caller::Served);
-        if let Caller::Waiting(reply) = caller {
-            let _ = reply.send(self.refusal(outcome));
-        }
-    }
-
-    /// Whether the first event or a pause took longer than the route wants.
-    fn is_late(&self, first: Option<Duration>) -> bool {
-        let route = &self.plan.route;
-        let objective = Duration::from_millis(route.objective_ms);
-        let pause = route.pause_ms.map(Duration::from_millis);
-        first.is_some_and(|first| !objective.is_zero() && first > objective)
-            || pause.is_some_and(|pause| self.longest_pause > pause)
+        let mut caller = std::mem::replace(&mut self.caller, Caller::served());
+        caller.end(|| self.refusal(outcome));
     }
 
     fn refusal(&mut self, outcome: Outcome) -> Reply {
@@ -647,18 +501,5 @@
     }
 }
 
-/// Limit of a copy of a run's memory, which takes 10 ms and waits for others on the links.
-const COPY_LIMIT: Duration = Duration::from_millis(1_000);
-/// How often a copy is brought up to date; engines forget copies after 4 s (users' configuration).
-const COPY_PERIOD: Duration = Duration::from_millis(2_500);
 /// Limit of a check; a round trip between zones many times over.
 const CHECK_LIMIT: Duration = Duration::from_millis(100);
-
-/// Completes when the caller has gone away.
-async fn gone(caller: &mut Caller) {
-    match caller {
-        Caller::Waiting(reply) => reply.closed().await,
-        Caller::Reading(events) => events.closed().await,
-        Caller::Served => std::future::pending().await,
-    }
-}
