--- /dev/null
+++ b/quetzaltiller/tests/evidence.rs
@@ -0,0 +1,119 @@
+//! `qtctl explain` and `qtctl logs summary`, on lines of played days.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+/// A draft that lost its engine 9 ms after its first event, a refused order and a slow lookup.
+const EAST: &str = r#"
+time=2026-08-26T18:03:05.039Z level=info event=generation_placed request=d-1 upstream=i-79 zone=a backup=Some("i-9e") restores=false expected_ms=1037
+time=2026-08-26T18:03:06.361Z level=info event=engine_failed request=d-1 upstream=i-79 conn=1 reason="connection reset" silent_ms=8
+time=2026-08-26T18:03:06.361Z level=info event=generation_moves request=d-1 copy=Some("i-9e") cached=Some("i-79") next=2 sent=1
+time=2026-08-26T18:03:06.363Z level=info event=upstream_lost upstream=i-79 zone=a alive_ago_ms=9
+time=2026-08-26T18:03:06.364Z level=info event=upstream_lost upstream=i-77 zone=a alive_ago_ms=31
+time=2026-08-26T18:03:06.400Z level=info event=generation_placed request=d-1 upstream=i-9e zone=b backup=Some("i-12") restores=true expected_ms=40
+time=2026-08-26T18:03:12.082Z level=info event=generation_ended request=d-1 route=r-draft outcome=Whole events=141 sent=2 late=true took_ms=7043 first_ms=Some(1322) longest_pause_ms=1361
+time=2026-08-26T18:03:12.500Z level=warn event=log_lines_dropped dropped=3
+"#;
+const WEST: &str = r#"
+time=2026-08-26T18:03:07.100Z level=info event=try_failed request=o-1 upstream=i-b8 cause=rejected
+time=2026-08-26T18:03:07.101Z level=info event=request_refused request=o-1 route=r-order code=Overloaded ran=No sent=1
+time=2026-08-26T18:03:07.101Z level=info event=request_ended request=o-1 route=r-order status=503 took_ms=3
+this line is no event
+time=2026-08-26T18:03:08.000Z level=info event=request_ended request=s-1 route=r-status status=200 took_ms=31
+"#;
+
+struct Logs {
+    folder: PathBuf,
+}
+
+impl Logs {
+    fn write(name: &str) -> Self {
+        let folder = std::env::temp_dir().join(format!("qtctl-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        std::fs::write(folder.join("entry-east.log"), EAST).unwrap();
+        std::fs::write(folder.join("entry-west.log"), WEST).unwrap();
+        Self { folder }
+    }
+
+    fn file(&self, name: &str) -> String {
+        self.folder.join(name).display().to_string()
+    }
+
+    fn both(&self) -> [String; 2] {
+        [self.file("entry-east.log"), self.file("entry-west.log")]
+    }
+}
+
+impl Drop for Logs {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn qtctl(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_qtctl")).args(arguments).output().unwrap()
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+#[test]
+fn the_decisions_of_a_request_are_told_in_order() {
+    let logs = Logs::write("explain");
+    let [east, west] = logs.both();
+
+    let output = qtctl(&["explain", "d-1", &west, &east]);
+
+    let told = text(&output.stdout);
+    let lines: Vec<_> = told.lines().collect();
+    assert!(output.status.success(), "{told}");
+    assert_eq!(lines.len(), 7, "{told}");
+    assert!(lines[1].contains("entry-east") && lines[1].contains("backup=i-9e"), "{told}");
+    assert!(lines[2].contains("reason=connection reset silent_ms=8"), "{told}");
+    assert!(lines[4].contains("  upstream_lost") && lines[4].contains("i-79"), "{told}");
+    assert!(lines[6].contains("late=true") && lines[6].contains("longest_pause_ms=1361"), "{told}");
+    assert!(!told.contains("i-77"), "{told}");
+}
+
+#[test]
+fn explanations_are_json_on_demand() {
+    let logs = Logs::write("json");
+    let [east, west] = logs.both();
+
+    let output = qtctl(&["--json", "explain", "o-1", &east, &west]);
+
+    let told: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert_eq!(told["request"], "o-1");
+    assert_eq!(told["steps"].as_array().map(Vec::len), Some(3));
+    assert_eq!(told["steps"][0]["line"]["vm"], "entry-west");
+}
+
+#[test]
+fn the_ends_of_requests_are_counted_by_outcome_and_cause_and_drawn() {
+    let logs = Logs::write("summary");
+    let ([east, west], svg) = (logs.both(), logs.file("ends.svg"));
+
+    let output = qtctl(&["logs", "summary", &east, &west, "--svg", &svg]);
+
+    let told = text(&output.stdout);
+    assert!(output.status.success(), "{}", text(&output.stderr));
+    for row in ["late", "Overloaded ran=No", "rejected", "connection reset", "3 lines are missing"]
+    {
+        assert!(told.contains(row), "{row} in {told}");
+    }
+    assert!(std::fs::read_to_string(svg).unwrap().contains("<svg"));
+}
+
+#[test]
+fn a_request_without_a_line_and_a_file_that_is_missing_are_clear_errors() {
+    let logs = Logs::write("errors");
+    let [east, _] = logs.both();
+
+    let unknown = qtctl(&["explain", "x-9", &east]);
+    let missing = qtctl(&["logs", "summary", &logs.file("none.log")]);
+
+    assert!(!unknown.status.success() && !missing.status.success());
+    assert!(text(&unknown.stderr).contains("x-9: no line is about it"));
+    assert!(text(&missing.stderr).contains("none.log"));
+}
--- a/soak/tests/seeds.rs
+++ b/soak/tests/seeds.rs
@@ -1,5 +1,6 @@
 //! A short seeded run of the real programs, and seeds that failed before.
 
+use quetzaltiller::evidence::{Explanation, Line};
 use rstest::rstest;
 use soak::plan::Size;
 use soak::run::{Options, play};
@@ -21,4 +22,9 @@
 
     assert!(result.violations.is_empty(), "{result}");
     assert!(result.attempts > 20, "{result}");
+    let failures = result.lines.iter().filter(|line| line.event == "engine_failed");
+    for request in failures.filter_map(Line::request) {
+        let explained = Explanation::new(request, &result.lines);
+        assert!(explained.is_some_and(|told| told.steps.len() > 1), "{request}");
+    }
 }
