--- a/quetzaltiller/tests/follower.rs
+++ b/quetzaltiller/tests/follower.rs
@@ -1,14 +1,16 @@
 //! What an entry VM takes from the store and from peers, and what it keeps.
 
+use proptest::prelude::*;
 use quetzaltiller::clock::Clock;
 use quetzaltiller::fleet::Upstream;
 use quetzaltiller::follower::Follower;
 use quetzaltiller::metrics::Metrics;
 use quetzaltiller::placement::Successor;
+use quetzaltiller::routes::Table;
 use quetzaltiller::scope::Scope;
 use standin::control::ControlStore;
-use standin::site::engine;
-use std::sync::Arc;
+use standin::site::{configuration, engine};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -76,3 +78,75 @@
 
     assert_eq!(ids(&follower), ["engine-a-0", "engine-b-0"]);
 }
+
+/// Something that may happen to the configuration that an entry VM follows.
+#[derive(Clone, Copy, Debug)]
+enum Turn {
+    /// The store gets a configuration; numbers come in any order.
+    Stored(u64),
+    /// A peer offers one.
+    Offered(u64),
+    /// The store is away, or back.
+    Away(bool),
+    /// The store forgets its history.
+    Forgotten,
+    /// Time passes.
+    Wait(u64),
+}
+
+fn turn() -> impl Strategy<Value = Turn> {
+    prop_oneof![
+        (1_u64..40).prop_map(Turn::Stored),
+        (1_u64..40).prop_map(Turn::Offered),
+        any::<bool>().prop_map(Turn::Away),
+        Just(Turn::Forgotten),
+        (1_u64..900).prop_map(Turn::Wait),
+    ]
+}
+
+/// Plays turns; returns the numbers that were in force one after the other.
+async fn play(turns: &[Turn]) -> Vec<u64> {
+    let (follower, store, scope) = start(&[]).await;
+    let mut routes = follower.watch_routes();
+    let seen = Arc::new(Mutex::new(vec![routes.borrow_and_update().number()]));
+    let noted = seen.clone();
+    scope.spawn(async move {
+        while routes.changed().await.is_ok() {
+            noted.lock().unwrap().push(routes.borrow_and_update().number());
+        }
+    });
+    for turn in turns {
+        match turn {
+            Turn::Stored(number) => store.configure(configuration(*number)),
+            Turn::Offered(number) => follower.offer_routes(Table::from(configuration(*number))),
+            Turn::Away(away) => store.set_away(*away),
+            Turn::Forgotten => store.compact(),
+            Turn::Wait(ms) => sleep(Duration::from_millis(*ms)).await,
+        }
+    }
+    store.set_away(false);
+    store.configure(configuration(50));
+    sleep(Duration::from_secs(30)).await;
+    let seen = seen.lock().unwrap().clone();
+    seen
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 150, ..ProptestConfig::default() })]
+
+    #[test]
+    fn a_configuration_never_goes_back_and_the_newest_comes_in_force(
+        turns in proptest::collection::vec(turn(), 1..30),
+    ) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .start_paused(true)
+            .build()
+            .unwrap();
+
+        let seen = runtime.block_on(play(&turns));
+
+        prop_assert!(seen.windows(2).all(|pair| pair[0] < pair[1]), "{:?}", seen);
+        prop_assert_eq!(seen.last(), Some(&50));
+    }
+}
