--- a/quetzaltiller/tests/follower.rs
+++ b/quetzaltiller/tests/follower.rs
@@ -127,8 +127,7 @@
     store.set_away(false);
     store.configure(configuration(50));
     sleep(Duration::from_secs(30)).await;
-    let seen = seen.lock().unwrap().clone();
-    seen
+    seen.lock().unwrap().clone()
 }
 
 proptest! {
