Let one entry VM of a zone watch the store closely for the others

Ruled out: rarer calls of the others: a relay that is cut off from the store silently tells nothing, and a leaving upstream must be known within 3 s. Change: RELAYS from 2 to 1; the next in rank takes over when it is gone.

--- a/quetzaltiller/src/entry/host.rs
+++ b/quetzaltiller/src/entry/host.rs
@@ -16,7 +16,7 @@
 /// Up to so many other entry VMs, all hear of everything; more share loads and losses by zone.
 const SMALL: usize = 8;
 /// Entry VMs of a zone that watch the store's upstreams closely, for the others too.
-const RELAYS: usize = 2;
+const RELAYS: usize = 1;
 /// Key by which these are ranked.
 const STORE: &str = "store";
 
