Follow the configuration in what engines can do with copies

Cause: copies were ordered where engines make none, and renewed by a constant of one sheet. Change: orders only where the configuration says moves; renewals at 0.6 of the time after which engines forget a copy. Test: engines without orders (failed before).

--- a/quetzaltiller/src/placement/place.rs
+++ b/quetzaltiller/src/placement/place.rs
@@ -31,6 +31,8 @@
 pub struct Copy {
     /// Engine.
     pub upstream: Arc<Upstream>,
+    /// Time after which it forgets a copy that is not brought up to date.
+    pub term: Duration,
     pub(super) _permit: Permit,
 }
 
--- a/quetzaltiller/src/placement/table.rs
+++ b/quetzaltiller/src/placement/table.rs
@@ -188,7 +188,7 @@
         self.engines_for(now, &demand.service, run, (candidates, doubted)).choose()
     }
 
-    /// Chooses an engine for a copy of a run at `primary`.
+    /// Chooses an engine for a copy of a run at `primary`, where engines make copies on order.
     pub fn choose_copy(
         &self,
         now: Duration,
@@ -196,6 +196,7 @@
         primary: &Upstream,
     ) -> Option<Arc<Upstream>> {
         let run = demand.run.as_ref()?;
+        self.engine(&demand.service).filter(|engine| engine.moves)?;
         let able: Vec<_> = self
             .states
             .values()
@@ -219,7 +220,8 @@
         Engines { now, run, candidates, doubted, engine, shares, speed }
     }
 
-    fn engine(&self, service: &str) -> Option<&routes::Engine> {
+    /// What the engines of a service can do; none for a plain service.
+    pub fn engine(&self, service: &str) -> Option<&routes::Engine> {
         self.routes.service(service)?.engine.as_ref()
     }
 
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -317,8 +317,11 @@
         let tokens = demand.run.as_ref().map_or(0, |run| run.footprint);
         let hold = Hold { upstream: upstream.clone(), tokens, runs: false };
         self.table.take(&hold);
+        let engine = self.table.engine(&demand.service);
+        let term = Duration::from_millis(engine.map_or(0, |engine| engine.copy_term_ms));
         Some(Copy {
             upstream,
+            term,
             _permit: Permit { holds: vec![hold], mailbox: self.mailbox.clone() },
         })
     }
--- a/quetzaltiller/src/proxy/copies.rs
+++ b/quetzaltiller/src/proxy/copies.rs
@@ -11,8 +11,11 @@
 
 /// Limit of a copy of a run's memory, which takes 10 ms and waits for others on the links.
 const COPY_LIMIT: Duration = Duration::from_millis(1_000);
-/// How often a copy is brought up to date; engines forget copies after 4 s (users' configuration).
-const COPY_PERIOD: Duration = Duration::from_millis(2_500);
+/// Share of the time after which engines forget a copy, in which it is brought up to date: the rest is
+/// for one renewal that fails.
+const RENEWAL_SHARE: f64 = 0.6;
+/// Renewals are no more frequent than this, whatever the configuration says: each is a call and bytes.
+const MIN_PERIOD: Duration = Duration::from_millis(500);
 
 /// A copy, and the place held for it where it was ordered.
 struct Held {
@@ -31,8 +34,8 @@
 pub struct Copies {
     request: String,
     held: BTreeMap<String, Held>,
-    /// When the copy that was ordered was last brought up to date.
-    renewed_at: Option<Duration>,
+    /// When the copy that was ordered has to be brought up to date.
+    renew_at: Option<Duration>,
     orders: mpsc::UnboundedSender<Ordered>,
 }
 
@@ -41,7 +44,7 @@
     pub fn new(request: &str) -> (Self, mpsc::UnboundedReceiver<Ordered>) {
         let (orders, results) = mpsc::unbounded_channel();
         let request = request.to_owned();
-        (Self { request, held: BTreeMap::new(), renewed_at: None, orders }, results)
+        (Self { request, held: BTreeMap::new(), renew_at: None, orders }, results)
     }
 
     /// Copy that an engine holds.
@@ -79,20 +82,20 @@
         let holder = place.upstream.id.clone();
         context.metrics.count(Counter::RunCopied);
         info!("run_copied", kv: { request = self.request, of = ordered.of, holder });
+        self.renew_at = Some(context.clock.now() + period(&place));
         self.held.insert(holder.clone(), Held { place: Some(place), copy });
-        self.renewed_at = Some(context.clock.now());
         Some(holder)
     }
 
     /// When the copy that was ordered has to be brought up to date.
     pub fn renew_at(&self) -> Option<Duration> {
-        self.renewed_at.map(|at| at + COPY_PERIOD)
+        self.renew_at
     }
 
     /// Brings the copy of the run at `primary` up to date, if `holder` has one that was ordered: the
     /// engine does not by itself.
     pub fn renew(&mut self, context: &Context, primary: Option<&Upstream>, holder: Option<&str>) {
-        self.renewed_at = None;
+        self.renew_at = None;
         let held = holder.and_then(|id| self.held.get(id));
         let (Some(primary), Some(Held { place: Some(place), .. })) = (primary, held) else {
             return;
@@ -103,6 +106,11 @@
             // The client logs what was not copied; the next renewal is a few seconds away.
             let _ = client.copy_run(from, &request, to, COPY_LIMIT).await;
         });
-        self.renewed_at = Some(context.clock.now());
+        self.renew_at = Some(context.clock.now() + period(place));
     }
 }
+
+/// Time between renewals of a copy.
+fn period(place: &placement::Copy) -> Duration {
+    place.term.mul_f64(RENEWAL_SHARE).max(MIN_PERIOD)
+}
--- a/quetzaltiller/src/routes/service.rs
+++ b/quetzaltiller/src/routes/service.rs
@@ -28,4 +28,6 @@
     pub backups: bool,
     /// Moves a run's memory on demand.
     pub moves: bool,
+    /// Time after which a copy is forgotten that is not brought up to date, in milliseconds.
+    pub copy_term_ms: u64,
 }
--- a/quetzaltiller/tests/placement.rs
+++ b/quetzaltiller/tests/placement.rs
@@ -242,3 +242,18 @@
     let ratio = expected.as_secs_f64() / took.as_secs_f64();
     assert!((0.9..1.1).contains(&ratio), "{expected:?} for {took:?}");
 }
+
+#[test]
+fn engines_that_make_no_copies_on_order_get_no_orders() {
+    let mut table = table(2);
+    let primary = engine("engine-a-0", "a", 0);
+    let able = table.choose_copy(NOW, &demand(1), &primary);
+
+    let mut content = configuration(2);
+    content.services.iter_mut().filter_map(|s| s.engine.as_mut()).for_each(|e| e.moves = false);
+    table.configure(Arc::new(routes::Table::from(content)));
+    let unable = table.choose_copy(NOW, &demand(1), &primary);
+
+    assert!(able.is_some());
+    assert_eq!(unable, None);
+}
--- a/standin/src/site.rs
+++ b/standin/src/site.rs
@@ -182,7 +182,13 @@
 
 /// Configuration with a generation, a lookup and an action.
 pub fn configuration(number: u64) -> Content {
-    let engine = Engine { slots: 64, memory_tokens: 88_000, backups: true, moves: true };
+    let engine = Engine {
+        slots: 64,
+        memory_tokens: 88_000,
+        backups: true,
+        moves: true,
+        copy_term_ms: 4_000,
+    };
     let service = |name: &str, engine| Service {
         name: name.to_owned(),
         check_path: "/healthz".to_owned(),
