Tell peers which upstreams have changed instead of all

Cause: an entry VM whose neighbour knows a newer revision pulled the whole directory, 200 kB at 992 upstreams, up to four times a second while engines crash; the one that watches the store for its zone sent it to all neighbours over a link of 24 Mbit/s.

Change: fleet::History remembers the latest 2,048 changes; a peer that is not further back gets only these. A listing begins anew, as it doesn't tell what came and went before it. A value that can't be written is logged.

--- a/quetzaltiller/src/entry/mod.rs
+++ b/quetzaltiller/src/entry/mod.rs
@@ -279,12 +279,12 @@
             wire::Ask::Heartbeat(beat) => wire::Reply::Heartbeat(self.members.answer(beat)),
             wire::Ask::Pull(pull) => {
                 let table = self.follower.routes();
-                wire::Reply::Accepted(offer(pull.number, table.number(), table.as_ref()))
+                let newer = (table.number() > pull.number).then_some(table.as_ref());
+                wire::Reply::Accepted(offer(table.number(), newer))
             }
             wire::Ask::Upstreams(pull) => {
-                let listed = self.follower.listed();
-                let listing = listed.listing();
-                wire::Reply::Upstreams(offer(pull.number, listed.revision(), &listing))
+                let news = self.follower.news_since(pull.number).await;
+                wire::Reply::Upstreams(offer(self.follower.listed().revision(), news.as_ref()))
             }
             wire::Ask::Book(book) => {
                 let booked = self.placer.book(book.into()).await;
--- a/quetzaltiller/src/entry/pull.rs
+++ b/quetzaltiller/src/entry/pull.rs
@@ -1,6 +1,6 @@
 //! What entry VMs fetch from each other when the store does not tell it.
 
-use crate::fleet::Listing;
+use crate::fleet::News;
 use crate::follower::Follower;
 use crate::peer::Link;
 use crate::prelude::*;
@@ -40,9 +40,9 @@
         if self.near && self.beat.revision > revision {
             let ask = wire::Ask::Upstreams(wire::Pull { number: revision });
             if let Ok(wire::Reply::Upstreams(accepted)) = self.link.call(address, ask).await
-                && let Some(listing) = parse::<Listing>(&accepted)
+                && let Some(news) = parse::<News>(&accepted)
             {
-                self.follower.offer_upstreams(listing);
+                self.follower.offer_upstreams(news);
             }
         }
     }
@@ -61,12 +61,11 @@
         .ok()
 }
 
-/// What a peer that has `known` gets of a value numbered `number`.
-pub fn offer(known: u64, number: u64, value: &impl Serialize) -> wire::Accepted {
-    let json = if number > known {
-        serde_json::to_string(value).unwrap_or_default()
-    } else {
-        String::new()
+/// What a peer gets of a value numbered `number`, if there is one that is new to it.
+pub fn offer(number: u64, newer: Option<&impl Serialize>) -> wire::Accepted {
+    let unwritable = |reason: &serde_json::Error| {
+        warn!("value_unwritable", kv: { number, reason:? = reason.to_string() });
     };
-    wire::Accepted { number, json }
+    let json = newer.and_then(|value| serde_json::to_string(value).inspect_err(unwritable).ok());
+    wire::Accepted { number, json: json.unwrap_or_default() }
 }
--- a/quetzaltiller/src/fleet/directory.rs
+++ b/quetzaltiller/src/fleet/directory.rs
@@ -20,7 +20,8 @@
 }
 
 /// Change of one upstream.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Change {
     /// It is new or has changed.
     Set(Upstream),
@@ -28,6 +29,16 @@
     Removed(String),
 }
 
+impl Change {
+    /// Id of the upstream.
+    pub fn id(&self) -> &str {
+        match self {
+            Self::Set(upstream) => &upstream.id,
+            Self::Removed(id) => id,
+        }
+    }
+}
+
 /// Directory.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
--- a/quetzaltiller/src/fleet/mod.rs
+++ b/quetzaltiller/src/fleet/mod.rs
@@ -3,9 +3,11 @@
 //! An [`Upstream`] is one start of one process; a [`Directory`] is all of them at one revision.
 
 mod directory;
+mod history;
 mod tombstones;
 mod upstream;
 
 pub use directory::{Change, Directory, Listing};
+pub use history::{History, News};
 pub use tombstones::Tombstones;
 pub use upstream::Upstream;
--- a/quetzaltiller/src/follower.rs
+++ b/quetzaltiller/src/follower.rs
@@ -13,7 +13,7 @@
 
 use crate::clock::Clock;
 use crate::control::{Changes, Configuration, Error, Store};
-use crate::fleet::{Change, Directory, Listing, Tombstones, Upstream};
+use crate::fleet::{Change, Directory, History, Listing, News, Tombstones, Upstream};
 use crate::mailbox::Mailbox;
 use crate::metrics::{Counter, Metrics};
 use crate::placement::Successor;
@@ -22,7 +22,7 @@
 use crate::scope::Scope;
 use coordination::feed::Feed;
 use std::collections::BTreeMap;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 
 /// Pause after a failed call of the store; doubles up to [`MAX_RETRY`].
 const RETRY: Duration = Duration::from_millis(150);
@@ -48,6 +48,7 @@
     Listed(Listing),
     Changed(Changes),
     Succeeded(Successor),
+    Asked { known: u64, reply: oneshot::Sender<Option<News>> },
     Lost,
     Regained,
 }
@@ -86,6 +87,7 @@
             clock,
             feed: Feed::default(),
             directory: Directory::default(),
+            history: History::default(),
             lapsed: BTreeMap::new(),
             departed: Tombstones::default(),
             successors: BTreeMap::new(),
@@ -169,8 +171,16 @@
     }
 
     /// Takes a peer's upstreams, if they are newer.
-    pub fn offer_upstreams(&self, listing: Listing) {
-        self.mailbox.tell(Message::Listed(listing));
+    pub fn offer_upstreams(&self, news: News) {
+        self.mailbox.tell(match news {
+            News::Listed(listing) => Message::Listed(listing),
+            News::Changed { revision, changes } => Message::Changed(Changes { revision, changes }),
+        });
+    }
+
+    /// What a peer gets that knows the revision `known` of the store's upstreams.
+    pub async fn news_since(&self, known: u64) -> Option<News> {
+        self.mailbox.ask(|reply| Message::Asked { known, reply }).await?
     }
 }
 
@@ -178,6 +188,7 @@
     clock: Clock,
     feed: Feed<Arc<Table>>,
     directory: Directory,
+    history: History,
     /// Upstreams that vanished with the store, and until when they are kept.
     lapsed: BTreeMap<String, (Arc<Upstream>, Duration)>,
     /// Upstreams that have left: peers that have not seen it may still tell of them.
@@ -222,6 +233,7 @@
             Message::Listed(listing) => {
                 let before = self.directory.clone();
                 if self.directory.replace(listing) {
+                    self.history.begin(self.directory.revision());
                     self.publish(&before);
                 }
             }
@@ -233,11 +245,17 @@
                         self.successors.remove(id);
                     }
                 }
+                if revision > before.revision() {
+                    self.history.note(revision, &changes);
+                }
                 if self.directory.apply(revision, changes) {
                     self.publish(&before);
                 }
             }
             Message::Succeeded(successor) => self.succeed(successor),
+            Message::Asked { known, reply } => {
+                let _ = reply.send(self.history.since(known, &self.directory));
+            }
             Message::Lost => {
                 self.away = true;
                 self.told.send_modify(|told| told.away = true);
