Find cached prompts with the neighbours; start without crowding peers

Change: where there are more than 400 engines, an entry VM asks those that it owns, and the others of its zone, which own the rest, for the prompt at hand. A VM that starts leaves peers alone while the store answers. Requests wait for the first listing as they do for the first configuration.

Tests, failing before: 1,100 engines and three entry VMs; a listing that takes 200 ms; pulls while the store lists.

--- a/quetzaltiller/src/entry/mod.rs
+++ b/quetzaltiller/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod config;
 mod dump;
 mod host;
+mod neighbours;
 mod pull;
 mod registrar;
 mod startup;
@@ -35,6 +36,7 @@
 use coordination::detector::Bounds;
 use coordination::membership::Heartbeat;
 use host::EntryHost;
+use neighbours::PeerNeighbours;
 use pull::offer;
 use registrar::PeerRegistrar;
 use tokio::sync::{mpsc, watch};
@@ -89,6 +91,7 @@
     placer: Placer,
     members: Members,
     drain: Drain,
+    finder: Finder,
     proxy: Proxy,
     scope: Scope,
     metrics: Arc<Metrics>,
@@ -147,11 +150,23 @@
         };
         let grace = config.tunables.grace;
         let drain = Drain::new(clock, drain::Timing { grace, announce: ANNOUNCE });
+        let neighbours = PeerNeighbours {
+            zone: config.zone.clone(),
+            members: members.clone(),
+            link: ports.link.clone(),
+        };
+        let finder = Finder::start(
+            &scope,
+            clock,
+            placer.clone(),
+            ports.client.clone(),
+            Arc::new(neighbours),
+        );
         let proxy = Proxy::new(Context {
             clock,
             follower: follower.clone(),
             placer: placer.clone(),
-            finder: Finder::start(&scope, clock, placer.clone(), ports.client.clone()),
+            finder: finder.clone(),
             pacer: Pacer::start(&scope, budget),
             client: ports.client,
             drain: drain.clone(),
@@ -171,6 +186,7 @@
             placer,
             members,
             drain,
+            finder,
             proxy,
             scope,
             metrics,
@@ -290,6 +306,10 @@
                 let booked = self.placer.book(book.into()).await;
                 wire::Reply::Booked(booked.map(wire::Booked::from).unwrap_or_default())
             }
+            wire::Ask::Find(find) => {
+                let engine = self.finder.find_here(&find.into()).await.unwrap_or_default();
+                wire::Reply::Found(wire::Found { engine })
+            }
             wire::Ask::Append(_) => wire::Reply::Appended(wire::Appended::default()),
             wire::Ask::Take(_) => wire::Reply::Taken(wire::Taken::default()),
             wire::Ask::Claim(_) => wire::Reply::Claimed(wire::Claimed::default()),
--- /dev/null
+++ b/quetzaltiller/src/entry/neighbours.rs
@@ -0,0 +1,60 @@
+//! Neighbours that look for cached prompts, reached as peers.
+
+use crate::members::Members;
+use crate::peer::Link;
+use crate::prelude::*;
+use crate::prompts::{Neighbours, Wanted};
+use crate::wire;
+use async_trait::async_trait;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+
+/// Time for a neighbour's answer: its question to engines, and a turn of two busy processes.
+const FIND_LIMIT: Duration = Duration::from_millis(100);
+
+/// The other entry VMs of a zone, which own its engines and a share of those of other zones.
+pub struct PeerNeighbours {
+    /// Zone.
+    pub zone: String,
+    /// Entry VMs.
+    pub members: Members,
+    /// Way to them.
+    pub link: Arc<dyn Link>,
+}
+
+#[async_trait]
+impl Neighbours for PeerNeighbours {
+    async fn find(&self, wanted: &Wanted) -> Option<String> {
+        let view = self.members.view();
+        let neighbours = view.alive.iter().filter(|beat| beat.zone == self.zone && !beat.leaving);
+        let ask = |address: &str| {
+            let (ask, address) = (wire::Ask::Find(wanted.into()), address.to_owned());
+            async move { tokio::time::timeout(FIND_LIMIT, self.link.call(&address, ask)).await }
+        };
+        let mut answers: FuturesUnordered<_> =
+            neighbours.map(|beat| ask(&beat.peer_address)).collect();
+        while let Some(answer) = answers.next().await {
+            match answer {
+                Ok(Ok(wire::Reply::Found(wire::Found { engine }))) if !engine.is_empty() => {
+                    return Some(engine);
+                }
+                _ => {}
+            }
+        }
+        None
+    }
+}
+
+impl From<&Wanted> for wire::Find {
+    fn from(wanted: &Wanted) -> Self {
+        let Wanted { service, model, part } = wanted.clone();
+        Self { service, model, part }
+    }
+}
+
+impl From<wire::Find> for Wanted {
+    fn from(find: wire::Find) -> Self {
+        let wire::Find { service, model, part } = find;
+        Self { service, model, part }
+    }
+}
--- a/quetzaltiller/src/entry/pull.rs
+++ b/quetzaltiller/src/entry/pull.rs
@@ -37,7 +37,9 @@
             }
         }
         let revision = self.follower.listed().revision();
-        if self.near && self.beat.revision > revision {
+        // A whole directory is long. While the store sends it, it would only crowd the peer's link.
+        let listing = revision == 0 && !self.follower.is_store_away();
+        if self.near && self.beat.revision > revision && !listing {
             let ask = wire::Ask::Upstreams(wire::Pull { number: revision });
             if let Ok(wire::Reply::Upstreams(accepted)) = self.link.call(address, ask).await
                 && let Some(news) = parse::<News>(&accepted)
--- a/quetzaltiller/src/follower.rs
+++ b/quetzaltiller/src/follower.rs
@@ -116,12 +116,16 @@
         self.routes.borrow().clone()
     }
 
-    /// Waits for a first configuration, for `limit` at most.
-    pub async fn configured(&self, limit: Duration) {
-        let mut routes = self.routes.clone();
-        let known = routes.wait_for(|table| table.number() > 0);
+    /// Waits for a first configuration and a first listing, for `limit` at most.
+    pub async fn started(&self, limit: Duration) {
+        let (mut routes, mut directory) = (self.routes.clone(), self.directory.clone());
+        let known = async {
+            let configured = routes.wait_for(|table| table.number() > 0).await.is_ok();
+            configured && directory.wait_for(|listed| listed.revision() > 0).await.is_ok()
+        };
         if tokio::time::timeout(limit, known).await.is_err() {
-            debug!("configuration_awaited_in_vain", kv: { limit_ms = limit.as_millis() as u64 });
+            let (number, revision) = (self.routes().number(), self.directory().revision());
+            debug!("start_awaited_in_vain", kv: { number, revision });
         }
     }
 
@@ -298,11 +302,17 @@
                 self.lapsed.insert(upstream.id.clone(), (upstream.clone(), until));
             }
         }
+        let first = before.revision() == 0;
+        if first {
+            let (revision, upstreams) = (self.directory.revision(), self.directory.len());
+            info!("upstreams_listed", kv: { revision, upstreams });
+        }
         for upstream in self.directory.upstreams() {
             self.lapsed.remove(&upstream.id);
             self.successors.remove(&upstream.id);
             let known = before.upstream(&upstream.id);
-            if known.is_none_or(|known| known.leaving != upstream.leaving) {
+            let news = known.is_none_or(|known| known.leaving != upstream.leaving);
+            if news && (!first || upstream.leaving) {
                 info!("upstream_listed", kv: {
                     upstream = upstream.id, service = upstream.service,
                     address:? = upstream.address, leaving = upstream.leaving,
--- a/quetzaltiller/src/members/mod.rs
+++ b/quetzaltiller/src/members/mod.rs
@@ -30,8 +30,8 @@
 use task::{Published, Task};
 use tokio::sync::{Notify, watch};
 
-/// Members that are told to a peer that misses some: about 1 kB.
-const TOLD_MEMBERS: usize = 16;
+/// Members that are told to a peer that misses some: a few hundred bytes, all of 300 in some seconds.
+const TOLD_MEMBERS: usize = 4;
 
 /// Members as known at one time.
 #[derive(Clone, Debug, Default, Serialize)]
--- a/quetzaltiller/src/placement/message.rs
+++ b/quetzaltiller/src/placement/message.rs
@@ -68,6 +68,10 @@
         service: String,
         reply: oneshot::Sender<Vec<Arc<Upstream>>>,
     },
+    OwnEngines {
+        service: String,
+        reply: oneshot::Sender<Vec<Arc<Upstream>>>,
+    },
     Dump(oneshot::Sender<BTreeMap<String, State>>),
 }
 
--- a/quetzaltiller/src/placement/placer.rs
+++ b/quetzaltiller/src/placement/placer.rs
@@ -191,6 +191,13 @@
         self.mailbox.ask(|reply| Message::Engines { service, reply }).await.unwrap_or_default()
     }
 
+    /// Those of them that this entry VM owns, also in other zones.
+    pub async fn own_engines(&self, service: &str) -> Vec<Arc<Upstream>> {
+        let service = service.to_owned();
+        let engines = self.mailbox.ask(|reply| Message::OwnEngines { service, reply }).await;
+        engines.unwrap_or_default()
+    }
+
     /// States by upstream.
     pub async fn dump(&self) -> BTreeMap<String, State> {
         self.mailbox.ask(Message::Dump).await.unwrap_or_default()
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -145,6 +145,9 @@
             Message::Engines { service, reply } => {
                 let _ = reply.send(self.table.engines(now, &service));
             }
+            Message::OwnEngines { service, reply } => {
+                let _ = reply.send(self.table.own_engines(now, &service));
+            }
             Message::Dump(reply) => {
                 let _ = reply.send(self.table.states().clone());
             }
--- /dev/null
+++ b/quetzaltiller/src/prompts/mod.rs
@@ -0,0 +1,85 @@
+//! Finds engines that still have a prompt cached.
+//!
+//! A caller whose entry VM was lost returns to another one, which knows nothing of its run. Engines
+//! keep prompts that they have read, so going on where the prompt lies costs no second prefill. All
+//! engines of the service are asked at once, and what they tell serves whoever asks shortly after:
+//! it answers the load of an entry VM's callers, or all of them, that return together.
+//!
+//! Where there are too many engines for one entry VM, each of a zone asks those that it owns, which
+//! together are all, and they ask each other for the prompt at hand.
+
+mod round;
+mod task;
+
+use crate::clock::Clock;
+use crate::mailbox::Mailbox;
+use crate::placement::Placer;
+use crate::prelude::*;
+use crate::scope::Scope;
+use crate::upstream::Client;
+use async_trait::async_trait;
+use task::{Message, Task};
+
+/// Engines that one entry VM asks at once: more cost it more than a prefill costs an engine.
+const MAX_ENGINES: usize = 400;
+
+/// A prompt to be found.
+#[derive(Clone, Debug)]
+pub struct Wanted {
+    /// Service whose engines may have it.
+    pub service: String,
+    /// Model that reads it.
+    pub model: String,
+    /// Its last part.
+    pub part: u64,
+}
+
+/// Entry VMs that own the other engines.
+#[async_trait]
+pub trait Neighbours: Send + Sync {
+    /// Engine of theirs that has the prompt cached.
+    async fn find(&self, wanted: &Wanted) -> Option<String>;
+}
+
+/// Handle to the task that asks engines.
+#[derive(Clone)]
+pub struct Finder {
+    placer: Placer,
+    neighbours: Arc<dyn Neighbours>,
+    mailbox: Mailbox<Message>,
+}
+
+impl Finder {
+    /// Starts the task in `scope`.
+    pub fn start(
+        scope: &Scope,
+        clock: Clock,
+        placer: Placer,
+        client: Arc<dyn Client>,
+        neighbours: Arc<dyn Neighbours>,
+    ) -> Self {
+        let (mailbox, messages) = Mailbox::new();
+        let task = Task::new(clock, placer.clone(), client, scope.clone(), mailbox.clone());
+        scope.spawn(task.run(messages));
+        Self { placer, neighbours, mailbox }
+    }
+
+    /// Engine that has the prompt cached.
+    pub async fn find(&self, wanted: &Wanted) -> Option<String> {
+        if self.placer.engines(&wanted.service).await.len() <= MAX_ENGINES {
+            return self.find_here(wanted).await;
+        }
+        tokio::select! {
+            biased;
+            Some(engine) = self.find_here(wanted) => Some(engine),
+            Some(engine) = self.neighbours.find(wanted) => Some(engine),
+            else => None,
+        }
+    }
+
+    /// Engine that has the prompt cached, among those that this entry VM asks.
+    pub async fn find_here(&self, wanted: &Wanted) -> Option<String> {
+        let wanted = wanted.clone();
+        self.mailbox.ask(|reply| Message::Find { wanted, reply }).await?
+    }
+}
--- a/quetzaltiller/src/proxy/mod.rs
+++ b/quetzaltiller/src/proxy/mod.rs
@@ -41,8 +41,9 @@
 /// The same for a call of a plain service.
 const CALL: Duration = Duration::from_millis(1_000);
 
-/// Longest time that requests wait for a first configuration, which the store tells in 10 ms.
-const CONFIGURATION_LIMIT: Duration = Duration::from_millis(400);
+/// Longest time that requests wait for a first configuration, which the store tells in 10 ms, and for the
+/// upstreams, which take 10 ms for each 500.
+const START_LIMIT: Duration = Duration::from_millis(400);
 
 /// What requests share.
 #[derive(Clone)]
@@ -86,7 +87,7 @@
         let entered = self.context.own.enter(&request.id);
         let began = self.context.clock.now();
         let request = Arc::new(request);
-        self.context.follower.configured(CONFIGURATION_LIMIT).await;
+        self.context.follower.started(START_LIMIT).await;
         let plan = match self.plan(&request) {
             Ok(plan) => plan,
             Err(refusal) => {
--- a/quetzaltiller/src/proxy/placing.rs
+++ b/quetzaltiller/src/proxy/placing.rs
@@ -3,6 +3,7 @@
 use super::{Context, Plan, Request};
 use crate::placement::{Demand, Placement, Run, Unplaced};
 use crate::prelude::*;
+use crate::prompts::Wanted;
 use crate::routes::Kind;
 use tokio::sync::mpsc;
 
@@ -53,7 +54,9 @@
         self.context.scope.spawn(async move {
             let allowed = !spent && (!repeats || context.pacer.may_repeat(&service).await);
             if let (true, Some(run), Some(prompt)) = (returned, &mut demand.run, &request.prompt) {
-                run.cached = context.finder.find(&service, &prompt.model, run.affinity).await;
+                let (model, part) = (prompt.model.clone(), run.affinity);
+                let wanted = Wanted { service: service.clone(), model, part };
+                run.cached = context.finder.find(&wanted).await;
                 info!("prompt_located", kv: { request = request.id, engine:? = run.cached });
             }
             let placed =
--- a/quetzaltiller/src/router/mod.rs
+++ b/quetzaltiller/src/router/mod.rs
@@ -350,6 +350,7 @@
                 wire::Reply::Cancelled(wire::Cancelled { found })
             }
             wire::Ask::Pull(pull) => wire::Reply::Accepted(self.catalog.pull(pull.number)),
+            wire::Ask::Find(_) => wire::Reply::Found(wire::Found::default()),
             wire::Ask::Upstreams(_) => wire::Reply::Upstreams(wire::Accepted::default()),
             wire::Ask::Book(_) => wire::Reply::Booked(wire::Booked::default()),
         }
--- a/quetzaltiller/src/wire.rs
+++ b/quetzaltiller/src/wire.rs
@@ -10,7 +10,7 @@
     #[prost(uint64, tag = "1")]
     pub sequence: u64,
     /// Content.
-    #[prost(oneof = "Ask", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "Ask", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub ask: Option<Ask>,
 }
 
@@ -41,6 +41,9 @@
     /// Book the reading of a prompt at an engine.
     #[prost(message, tag = "9")]
     Book(Book),
+    /// Find a cached prompt at the engines that you own.
+    #[prost(message, tag = "10")]
+    Find(Find),
 }
 
 /// Answer to a request.
@@ -50,7 +53,7 @@
     #[prost(uint64, tag = "1")]
     pub sequence: u64,
     /// Content.
-    #[prost(oneof = "Reply", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "Reply", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub reply: Option<Reply>,
 }
 
@@ -81,6 +84,9 @@
     /// Result of a booking.
     #[prost(message, tag = "9")]
     Booked(Booked),
+    /// Where a prompt is cached.
+    #[prost(message, tag = "10")]
+    Found(Found),
 }
 
 /// State of a member.
@@ -171,6 +177,26 @@
     pub reported_unread: u32,
 }
 
+/// A prompt that an engine may keep.
+#[derive(Clone, Message, PartialEq)]
+pub struct Find {
+    #[prost(string, tag = "1")]
+    pub service: String,
+    #[prost(string, tag = "2")]
+    pub model: String,
+    /// Its last part.
+    #[prost(uint64, tag = "3")]
+    pub part: u64,
+}
+
+/// Engine that keeps a prompt.
+#[derive(Clone, Message, PartialEq)]
+pub struct Found {
+    /// Its id, empty where none does.
+    #[prost(string, tag = "1")]
+    pub engine: String,
+}
+
 /// A prompt to be read at an engine.
 #[derive(Clone, Message, PartialEq)]
 pub struct Book {
--- a/quetzaltiller/tests/entry.rs
+++ b/quetzaltiller/tests/entry.rs
@@ -487,3 +487,36 @@
     assert!(refused.iter().all(|r| r.ran == Ran::No && r.retry_after_ms >= 500));
     assert!(latest < Duration::from_millis(9_000), "{latest:?}");
 }
+
+/// Load: all entry VMs start again at once, and the listing of all upstreams takes long.
+#[tokio::test(start_paused = true)]
+async fn requests_that_come_before_the_upstreams_are_listed_wait_for_them() {
+    let mut site = Site::start(2).await;
+    site.store.set_listing_time(Duration::from_millis(200));
+
+    site.lose_entry("a");
+    let started = site.join("a", 2);
+    let seen = generate(started, draft("early")).await;
+
+    assert!(seen.is_on_time(), "{seen:?}");
+}
+
+/// The same: while the store sends the listing, peers are not asked for it too.
+#[tokio::test(start_paused = true)]
+async fn a_vm_that_starts_asks_peers_for_all_upstreams_only_where_the_store_is_away() {
+    let mut site = Site::start(2).await;
+    site.store.set_listing_time(Duration::from_secs(2));
+    let before = site.hub.pulls();
+
+    site.lose_entry("a");
+    site.join("a", 2);
+    sleep(Duration::from_secs(3)).await;
+    let while_listing = site.hub.pulls() - before;
+    site.store.set_away(true);
+    site.lose_entry("b");
+    let started = site.join("b", 2);
+    sleep(Duration::from_secs(3)).await;
+
+    assert_eq!(while_listing, 0);
+    assert!(started.is_ready(), "learned from peers");
+}
--- /dev/null
+++ b/quetzaltiller/tests/prompts.rs
@@ -0,0 +1,190 @@
+//! Finding cached prompts: among few engines, and among more than one entry VM can ask.
+
+use async_trait::async_trait;
+use quetzaltiller::clock::Clock;
+use quetzaltiller::fleet::{Change, Directory, Upstream};
+use quetzaltiller::placement::{self, Booked, Booking, Peer, Placer, Registrar, Table};
+use quetzaltiller::prompts::{Finder, Neighbours, Wanted};
+use quetzaltiller::routes;
+use quetzaltiller::scope::Scope;
+use quetzaltiller::upstream::{Call, Client, Copy, Error, Report, Response};
+use rstest::rstest;
+use standin::site::configuration;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Engines that keep one prompt each, numbered like their ports.
+#[derive(Clone, Default)]
+struct Engines {
+    asked: Arc<AtomicUsize>,
+}
+
+#[async_trait]
+impl Client for Engines {
+    async fn send(&self, _call: Call<'_>) -> Result<Response, Error> {
+        Err(Error::Unsent)
+    }
+
+    async fn check(&self, _address: SocketAddr, _limit: Duration) -> bool {
+        true
+    }
+
+    async fn copy_run(
+        &self,
+        _from: SocketAddr,
+        _request: &str,
+        _to: SocketAddr,
+        _limit: Duration,
+    ) -> Option<Copy> {
+        None
+    }
+
+    async fn report(&self, _address: SocketAddr, _limit: Duration) -> Option<Report> {
+        None
+    }
+
+    async fn kept_parts(
+        &self,
+        address: SocketAddr,
+        _model: &str,
+        _limit: Duration,
+    ) -> Option<Vec<u64>> {
+        self.asked.fetch_add(1, Ordering::Relaxed);
+        tokio::time::sleep(Duration::from_millis(2)).await;
+        Some(vec![u64::from(address.port())])
+    }
+
+    async fn identify(
+        &self,
+        _address: SocketAddr,
+        _path: &str,
+        _limit: Duration,
+    ) -> Option<String> {
+        None
+    }
+}
+
+struct NoRegistrar;
+
+#[async_trait]
+impl Registrar for NoRegistrar {
+    async fn book(&self, _booking: &Booking) -> Option<Booked> {
+        None
+    }
+}
+
+/// The other entry VMs of a zone, in this process.
+#[derive(Clone, Default)]
+struct Others(Arc<Mutex<Vec<Finder>>>);
+
+#[async_trait]
+impl Neighbours for Others {
+    async fn find(&self, wanted: &Wanted) -> Option<String> {
+        let others = self.0.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        for other in others {
+            if let Some(engine) = other.find_here(wanted).await {
+                return Some(engine);
+            }
+        }
+        None
+    }
+}
+
+struct Node {
+    finder: Finder,
+    engines: Engines,
+}
+
+fn upstream(number: u16) -> Upstream {
+    let zone = ["a", "b", "c"][usize::from(number % 3)];
+    Upstream {
+        id: format!("engine-{number}"),
+        service: "drafts".to_owned(),
+        address: ([10, 0, 0, 1], number).into(),
+        zone: zone.to_owned(),
+        slots: 64,
+        leaving: false,
+        incarnation: 1,
+    }
+}
+
+fn peer(number: usize) -> Peer {
+    let name = format!("entry-{number}");
+    Peer { name: name.clone(), zone: "a".to_owned(), address: name, leaving: false }
+}
+
+/// Entry VMs of one zone before engines of three.
+fn start(scope: &Scope, entries: usize, engines: u16) -> Vec<Node> {
+    quetzaltiller::logs::stop();
+    let mut directory = Directory::default();
+    directory.apply(1, (1..=engines).map(|number| Change::Set(upstream(number))).collect());
+    let clock = Clock::default();
+    let node = |number: usize, others: &Others| {
+        let mut table = Table::new(&peer(number).name, "a");
+        table.configure(Arc::new(routes::Table::from(configuration(1))));
+        table.set_members((0..entries).filter(|other| *other != number).map(peer).collect());
+        table.set_upstreams(&directory);
+        let client = Engines::default();
+        let parts = placement::Parts {
+            clock,
+            table,
+            client: Arc::new(client.clone()),
+            reuse_after: Duration::from_secs(2),
+            successors: mpsc::unbounded_channel().0,
+            registrar: Arc::new(NoRegistrar),
+        };
+        let placer = Placer::start(scope, parts);
+        let neighbours = Arc::new(others.clone());
+        let finder = Finder::start(scope, clock, placer, Arc::new(client.clone()), neighbours);
+        Node { finder, engines: client }
+    };
+    let others: Vec<_> = (0..entries).map(|_| Others::default()).collect();
+    let nodes: Vec<_> = (0..entries).map(|number| node(number, &others[number])).collect();
+    for (number, others) in others.iter().enumerate() {
+        let finders = nodes.iter().enumerate().filter(|(other, _)| *other != number);
+        let finders = finders.map(|(_, node)| node.finder.clone()).collect();
+        *others.0.lock().unwrap_or_else(PoisonError::into_inner) = finders;
+    }
+    nodes
+}
+
+/// Load: callers of lost entry VMs return to one of three, before few engines and before more than
+/// one entry VM asks.
+#[rstest]
+#[case::few_engines(200)]
+#[case::many_engines(1_100)]
+#[tokio::test(start_paused = true)]
+async fn a_cached_prompt_is_found_at_any_engine(#[case] engines: u16) {
+    let scope = Scope::default();
+    let nodes = start(&scope, 3, engines);
+
+    for number in (1..=engines).step_by(37) {
+        let (service, model) = ("drafts".to_owned(), "drafts".to_owned());
+        let wanted = Wanted { service, model, part: u64::from(number) };
+        let found = nodes[usize::from(number % 3)].finder.find(&wanted).await;
+        assert_eq!(found, Some(format!("engine-{number}")));
+    }
+
+    for node in nodes {
+        let asked = node.engines.asked.load(Ordering::Relaxed);
+        assert!(asked <= 400, "one entry VM asked {asked} times within 300 ms");
+    }
+}
+
+#[rstest]
+#[case::few_engines(200)]
+#[case::many_engines(1_100)]
+#[tokio::test(start_paused = true)]
+async fn a_prompt_that_no_engine_keeps_is_not_found(#[case] engines: u16) {
+    let scope = Scope::default();
+    let nodes = start(&scope, 3, engines);
+    let wanted =
+        Wanted { service: "drafts".to_owned(), model: "drafts".to_owned(), part: u64::MAX };
+
+    let found = nodes[0].finder.find(&wanted).await;
+
+    assert_eq!(found, None);
+}
--- a/standin/src/control.rs
+++ b/standin/src/control.rs
@@ -26,6 +26,8 @@
     members: Vec<Member>,
     away: bool,
     calls: u64,
+    /// Time that a listing of all upstreams takes besides.
+    listing_time: Duration,
 }
 
 /// Store; clones are the same one.
@@ -78,6 +80,11 @@
         self.revision.send_modify(|_| {});
     }
 
+    /// Sets how long a listing of all upstreams takes besides.
+    pub fn set_listing_time(&self, time: Duration) {
+        self.lock().listing_time = time;
+    }
+
     /// Calls so far.
     pub fn calls(&self) -> u64 {
         self.lock().calls
@@ -142,6 +149,8 @@
 
     async fn upstreams(&self) -> Result<Listing, Error> {
         self.enter().await?;
+        let time = self.lock().listing_time;
+        sleep(time).await;
         let upstreams = self.lock().upstreams.values().cloned().collect();
         Ok(Listing { revision: *self.revision.borrow(), upstreams })
     }
--- a/standin/src/hub.rs
+++ b/standin/src/hub.rs
@@ -15,6 +15,8 @@
 struct State {
     handlers: BTreeMap<String, Arc<dyn Handler>>,
     cut: BTreeSet<String>,
+    /// Questions for upstreams.
+    pulls: usize,
 }
 
 /// Entry VMs by peer address; clones are the same.
@@ -39,6 +41,11 @@
         }
     }
 
+    /// How often entry VMs asked others for upstreams.
+    pub fn pulls(&self) -> usize {
+        self.lock().pulls
+    }
+
     /// The hub as one entry VM reaches it.
     pub fn link(&self, own_address: &str) -> Arc<dyn Link> {
         Arc::new(HubLink { hub: self.clone(), own_address: own_address.to_owned() })
@@ -59,7 +66,8 @@
     async fn call(&self, address: &str, ask: Ask) -> Result<Reply, Error> {
         sleep(ROUND_TRIP).await;
         let handler = {
-            let state = self.hub.lock();
+            let mut state = self.hub.lock();
+            state.pulls += usize::from(matches!(ask, Ask::Upstreams(_)));
             if state.cut.contains(address) || state.cut.contains(&self.own_address) {
                 return Err(Error::Timeout);
             }
