--- /dev/null
+++ b/quetzaltiller/src/follower/mod.rs
@@ -0,0 +1,148 @@
+//! Follows the platform's configuration and directory of upstreams.
+//!
+//! Both only move forward: a configuration by its number, the directory by the store's revision,
+//! whoever brings them. The store is watched; peers offer what they have when it is newer.
+//!
+//! While the store was away it may have dropped upstreams that live. They are kept for
+//! `LAPSE_GRACE` after its return, in which those that live are listed again. An outage may pass
+//! unnoticed while a watch waits, so upstreams are also kept when half of a service vanishes at once.
+//!
+//! A service starts a new process where one was lost. Whoever asks at the address knows it before
+//! the store does, and while the store is away nobody else tells: such successors are used until
+//! the store lists them, or for `SUCCESSOR_TERM` where it could have.
+
+mod message;
+mod source;
+mod task;
+mod told;
+
+use crate::clock::Clock;
+use crate::control::{Changes, Store};
+use crate::fleet::{Directory, News};
+use crate::mailbox::Mailbox;
+use crate::metrics::Metrics;
+use crate::placement::Successor;
+use crate::prelude::*;
+use crate::routes::Table;
+use crate::scope::Scope;
+use message::Message;
+use source::Source;
+use task::{Published, Task};
+use tokio::sync::watch;
+use told::Told;
+
+/// Handle to what is followed.
+#[derive(Clone, Debug)]
+pub struct Follower {
+    mailbox: Mailbox<Message>,
+    routes: watch::Receiver<Arc<Table>>,
+    directory: watch::Receiver<Arc<Directory>>,
+    told: watch::Receiver<Told>,
+    relays: Arc<watch::Sender<bool>>,
+}
+
+impl Follower {
+    /// Starts following the store in `scope`.
+    pub fn start(
+        scope: &Scope,
+        clock: Clock,
+        store: Arc<dyn Store>,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        let (mailbox, messages) = Mailbox::new();
+        let (routes_sender, routes) = watch::channel(Arc::default());
+        let (directory_sender, directory) = watch::channel(Arc::default());
+        let (told_sender, told) = watch::channel(Told::default());
+        let published =
+            Published { routes: routes_sender, directory: directory_sender, told: told_sender };
+        let task = Task::new(clock, published);
+        scope.spawn(task.run(messages));
+        let (relays, relayed) = watch::channel(true);
+        let source = Source {
+            store,
+            metrics,
+            mailbox: mailbox.clone(),
+            told: told.clone(),
+            relays: relayed,
+        };
+        scope.spawn(source.clone().follow_routes());
+        scope.spawn(source.follow_upstreams());
+        Self { mailbox, routes, directory, told, relays: Arc::new(relays) }
+    }
+
+    /// Configuration in force.
+    pub fn routes(&self) -> Arc<Table> {
+        self.routes.borrow().clone()
+    }
+
+    /// Waits for a first configuration and a first listing, for `limit` at most.
+    pub async fn started(&self, limit: Duration) {
+        let (mut routes, mut directory) = (self.routes.clone(), self.directory.clone());
+        let known = async {
+            let configured = routes.wait_for(|table| table.number() > 0).await.is_ok();
+            configured && directory.wait_for(|listed| listed.revision() > 0).await.is_ok()
+        };
+        if tokio::time::timeout(limit, known).await.is_err() {
+            let (number, revision) = (self.routes().number(), self.directory().revision());
+            debug!("start_awaited_in_vain", kv: { number, revision });
+        }
+    }
+
+    /// Upstreams as known now.
+    pub fn directory(&self) -> Arc<Directory> {
+        self.directory.borrow().clone()
+    }
+
+    /// Notices of changed configurations.
+    pub fn watch_routes(&self) -> watch::Receiver<Arc<Table>> {
+        self.routes.clone()
+    }
+
+    /// Notices of changed upstreams.
+    pub fn watch_directory(&self) -> watch::Receiver<Arc<Directory>> {
+        self.directory.clone()
+    }
+
+    /// Takes a peer's configuration, if it is newer.
+    pub fn offer_routes(&self, table: Table) {
+        self.mailbox.tell(Message::Offered(table));
+    }
+
+    /// Takes the successor of a lost upstream.
+    pub fn succeed(&self, successor: Successor) {
+        self.mailbox.tell(Message::Succeeded(successor));
+    }
+
+    /// Upstreams as the store lists them, for peers.
+    pub fn listed(&self) -> Arc<Directory> {
+        self.told.borrow().listed.clone()
+    }
+
+    /// Sets whether this entry VM gathers changes for its neighbours, or is told by one that does.
+    pub fn set_relay(&self, relays: bool) {
+        self.relays.send_replace(relays);
+    }
+
+    /// Successors that the store does not list yet.
+    pub fn successors(&self) -> Vec<Successor> {
+        self.told.borrow().successors.clone()
+    }
+
+    /// Whether the store can't be reached.
+    pub fn is_store_away(&self) -> bool {
+        self.told.borrow().away
+    }
+
+    /// Takes a peer's upstreams, if they are newer.
+    pub fn offer_upstreams(&self, news: News) {
+        self.mailbox.tell(match news {
+            News::Listed(listing) => Message::Listed(listing),
+            News::Changed { revision, changes } => Message::Changed(Changes { revision, changes }),
+        });
+    }
+
+    /// What a peer gets that knows the revision `known` of the store's upstreams.
+    pub async fn news_since(&self, known: u64) -> Option<News> {
+        self.mailbox.ask(|reply| Message::Asked { known, reply }).await?
+    }
+}
