--- a/quetzaltiller/src/placement/engines.rs
+++ b/quetzaltiller/src/placement/engines.rs
@@ -3,11 +3,12 @@
 //! Costs are milliseconds until the next event of the run at hand, with what a choice costs others
 //! added as if it were its own delay.
 
+use super::choice::Choice;
 use super::demand::Run;
+use super::pick::Pick;
 use super::shares::Shares;
 use super::speed::Speed;
 use super::state::State;
-use super::table::{Choice, Pick};
 use crate::fleet::Upstream;
 use crate::routes;
 use coordination::rendezvous::score;
--- a/quetzaltiller/src/placement/message.rs
+++ b/quetzaltiller/src/placement/message.rs
@@ -2,10 +2,11 @@
 
 use super::booking::{Booked, Booking};
 use super::demand::{Demand, Run};
+use super::hold::Hold;
+use super::pick::Pick;
 use super::place::{Copy, Placement, Unplaced};
 use super::shares::Peer;
 use super::state::{Load, State};
-use super::table::{Hold, Pick};
 use crate::fleet::{Directory, Upstream};
 use crate::prelude::*;
 use crate::routes;
--- a/quetzaltiller/src/placement/mod.rs
+++ b/quetzaltiller/src/placement/mod.rs
@@ -7,9 +7,12 @@
 //! dropped.
 
 mod booking;
+mod choice;
 mod demand;
 mod engines;
+mod hold;
 mod message;
+mod pick;
 mod place;
 mod placer;
 mod shares;
@@ -20,10 +23,13 @@
 mod task;
 
 pub use booking::{Booked, Booking, Registrar};
+pub use choice::Choice;
 pub use demand::{Demand, Run};
+pub use hold::Hold;
+pub use pick::Pick;
 pub use place::{Copy, Permit, Placement, Unplaced};
 pub use placer::{Parts, Placer};
 pub use shares::Peer;
 pub use state::{Load, Reported, State};
 pub use succession::Successor;
-pub use table::{Choice, Hold, Pick, Table};
+pub use table::Table;
--- a/quetzaltiller/src/placement/place.rs
+++ b/quetzaltiller/src/placement/place.rs
@@ -1,7 +1,7 @@
 //! Places at upstreams.
 
+use super::hold::Hold;
 use super::message::Message;
-use super::table::Hold;
 use crate::fleet::Upstream;
 use crate::mailbox::Mailbox;
 use crate::prelude::*;
--- a/quetzaltiller/src/placement/table.rs
+++ b/quetzaltiller/src/placement/table.rs
@@ -1,8 +1,11 @@
 //! What is known of all upstreams, and the choice among them.
 
 use super::booking::{self, Booked, Booking};
+use super::choice::Choice;
 use super::demand::{Demand, Run};
 use super::engines::{self, Engines};
+use super::hold::Hold;
+use super::pick::Pick;
 use super::shares::{Peer, Shares};
 use super::speed::Speed;
 use super::state::{Load, State};
@@ -20,45 +23,6 @@
 const DOUBTFUL_ENGINES: usize = 2;
 /// Time for which a zone is doubted: about that in which engines restart.
 const DOUBT: Duration = Duration::from_millis(1_000);
-/// Result of a choice.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Choice {
-    /// These upstreams.
-    Found(Pick),
-    /// All that could serve it are full, or would be too late; some won't be after this time.
-    Full {
-        /// Time until there is room.
-        retry_after: Duration,
-    },
-    /// There is none.
-    Nowhere,
-}
-
-/// Chosen upstreams.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Pick {
-    /// Where the request goes.
-    pub upstream: Arc<Upstream>,
-    /// Where copies of its memory go.
-    pub backup: Option<Arc<Upstream>>,
-    /// The upstream holds a copy of the run's memory.
-    pub restores: bool,
-    /// Expected time until the run generates.
-    pub wait: Duration,
-    /// Its prompt need not wait for others.
-    pub alone: bool,
-}
-
-/// What one request takes of one upstream.
-#[derive(Clone, Debug)]
-pub struct Hold {
-    /// Upstream.
-    pub upstream: Arc<Upstream>,
-    /// Tokens in its memory.
-    pub tokens: u32,
-    /// The request runs there; otherwise a copy of its memory lies there.
-    pub runs: bool,
-}
 
 /// States of all upstreams.
 #[derive(Clone, Debug, Default)]
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -1,12 +1,15 @@
 //! The task that owns the table.
 
+use super::choice::Choice;
 use super::demand::{Demand, Run};
+use super::hold::Hold;
 use super::message::{Choosing, Message, Outcome};
+use super::pick::Pick;
 use super::place::{Copy, Permit, Placement, Unplaced};
 use super::placer::Parts;
 use super::state::{Load, Reported};
 use super::succession::{Finding, Inquiry, Successor};
-use super::table::{Choice, Hold, Pick, Table};
+use super::table::Table;
 use crate::clock::Clock;
 use crate::fleet::Upstream;
 use crate::mailbox::Mailbox;
