End the soak's processes when it is stopped

Cause: SIGTERM ended qt-soak itself and left its entry VMs and stand-ins running. Change: a signal ends the seed in play, and with it what it started.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -1,6 +1,7 @@
 //! Fault soak of the real programs.
 
 use argh::FromArgs;
+use quetzaltiller::daemon;
 use soak::plan::Size;
 use soak::report::Report;
 use soak::run::{self, Options};
@@ -75,7 +76,13 @@
     };
     let mut report = Report::default();
     for seed in args.from..=args.to {
-        let result = run::play(seed, &options).await?;
+        let result = tokio::select! {
+            biased;
+            result = run::play(seed, &options) => result?,
+            () = daemon::terminated() => {
+                return Err(format!("stopped in seed {seed}; its processes end").into());
+            }
+        };
         println!("{result}");
         report.results.push(result);
     }
