Wait for the own part of engines before cached prompts are looked for

Change: who looks for a prompt, and a neighbour that is asked, wait until members and engines are known, 400 ms at most. Requests wait for the listing as the choice of upstreams has it, not as the follower has it a moment earlier.

--- a/quetzaltiller/src/entry/neighbours.rs
+++ b/quetzaltiller/src/entry/neighbours.rs
@@ -9,8 +9,9 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 
-/// Time for a neighbour's answer: its question to engines, and a turn of two busy processes.
-const FIND_LIMIT: Duration = Duration::from_millis(100);
+/// Time for a neighbour's answer: its question to engines, and what it may be behind this entry VM when
+/// all have started together.
+const FIND_LIMIT: Duration = Duration::from_millis(200);
 
 /// The other entry VMs of a zone, which own its engines and a share of those of other zones.
 pub struct PeerNeighbours {
--- a/quetzaltiller/src/follower/mod.rs
+++ b/quetzaltiller/src/follower/mod.rs
@@ -75,17 +75,9 @@
         self.routes.borrow().clone()
     }
 
-    /// Waits for a first configuration and a first listing, for `limit` at most.
-    pub async fn started(&self, limit: Duration) {
-        let (mut routes, mut directory) = (self.routes.clone(), self.directory.clone());
-        let known = async {
-            let configured = routes.wait_for(|table| table.number() > 0).await.is_ok();
-            configured && directory.wait_for(|listed| listed.revision() > 0).await.is_ok()
-        };
-        if tokio::time::timeout(limit, known).await.is_err() {
-            let (number, revision) = (self.routes().number(), self.directory().revision());
-            debug!("start_awaited_in_vain", kv: { number, revision });
-        }
+    /// Waits for a first configuration.
+    pub async fn configured(&self) {
+        let _ = self.routes.clone().wait_for(|table| table.number() > 0).await;
     }
 
     /// Upstreams as known now.
--- a/quetzaltiller/src/placement/placer.rs
+++ b/quetzaltiller/src/placement/placer.rs
@@ -44,6 +44,7 @@
     withdrawn: watch::Receiver<Arc<Vec<String>>>,
     loads: watch::Receiver<BTreeMap<String, Load>>,
     settled: Arc<watch::Sender<bool>>,
+    listed: Arc<watch::Sender<bool>>,
 }
 
 impl Placer {
@@ -67,6 +68,7 @@
             withdrawn: withdrawals,
             loads: told,
             settled: Arc::default(),
+            listed: Arc::default(),
         }
     }
 
@@ -75,10 +77,20 @@
         self.settled.send_replace(true);
     }
 
+    /// Waits until it is known with whom engines are shared.
+    pub async fn settled(&self) {
+        let _ = self.settled.subscribe().wait_for(|settled| *settled).await;
+    }
+
+    /// Waits for a first listing of upstreams.
+    pub async fn listed(&self) {
+        let _ = self.listed.subscribe().wait_for(|listed| *listed).await;
+    }
+
     /// Chooses upstreams; runs wait until it is known with whom engines are shared.
     pub async fn place(&self, demand: Demand) -> Result<Placement, Unplaced> {
         if demand.run.is_some() {
-            let _ = self.settled.subscribe().wait_for(|settled| *settled).await;
+            self.settled().await;
         }
         for round in 1..=ROUNDS {
             let (books, demand) = (round < ROUNDS, demand.clone());
@@ -167,7 +179,9 @@
 
     /// Takes the upstreams of a directory.
     pub fn set_upstreams(&self, directory: Arc<Directory>) {
+        let listed = directory.revision() > 0;
         self.mailbox.tell(Message::Upstreams(directory));
+        self.listed.send_if_modified(|known| listed && !std::mem::replace(known, true));
     }
 
     /// Tells which other entry VMs are alive.
--- a/quetzaltiller/src/prompts/mod.rs
+++ b/quetzaltiller/src/prompts/mod.rs
@@ -22,6 +22,8 @@
 
 /// Engines that one entry VM asks at once: more cost it more than a prefill costs an engine.
 const MAX_ENGINES: usize = 400;
+/// Longest wait for the engines to be known after a start: less than it takes to read a prompt.
+const START_LIMIT: Duration = Duration::from_millis(400);
 
 /// A prompt to be found.
 #[derive(Clone, Debug)]
@@ -66,6 +68,7 @@
 
     /// Engine that has the prompt cached.
     pub async fn find(&self, wanted: &Wanted) -> Option<String> {
+        self.prepared().await;
         if self.placer.engines(&wanted.service).await.len() <= MAX_ENGINES {
             return self.find_here(wanted).await;
         }
@@ -79,7 +82,16 @@
 
     /// Engine that has the prompt cached, among those that this entry VM asks.
     pub async fn find_here(&self, wanted: &Wanted) -> Option<String> {
+        self.prepared().await;
         let wanted = wanted.clone();
         self.mailbox.ask(|reply| Message::Find { wanted, reply }).await?
     }
+
+    /// An entry VM that starts does not know yet which engines it owns.
+    async fn prepared(&self) {
+        let known = async { tokio::join!(self.placer.settled(), self.placer.listed()) };
+        if tokio::time::timeout(START_LIMIT, known).await.is_err() {
+            debug!("engines_awaited_in_vain", kv: { limit_ms = START_LIMIT.as_millis() as u64 });
+        }
+    }
 }
--- a/quetzaltiller/src/proxy/mod.rs
+++ b/quetzaltiller/src/proxy/mod.rs
@@ -82,12 +82,22 @@
         Self { context }
     }
 
+    /// Waits for a first configuration and a first listing of upstreams.
+    async fn await_start(&self) {
+        let Context { follower, placer, .. } = &self.context;
+        let known = async { tokio::join!(follower.configured(), placer.listed()) };
+        if tokio::time::timeout(START_LIMIT, known).await.is_err() {
+            let (number, revision) = (follower.routes().number(), follower.directory().revision());
+            debug!("start_awaited_in_vain", kv: { number, revision });
+        }
+    }
+
     /// Serves a request. Dropping the call cancels it.
     pub async fn handle(&self, request: Request) -> Reply {
         let entered = self.context.own.enter(&request.id);
         let began = self.context.clock.now();
         let request = Arc::new(request);
-        self.context.follower.started(START_LIMIT).await;
+        self.await_start().await;
         let plan = match self.plan(&request) {
             Ok(plan) => plan,
             Err(refusal) => {
