--- a/quetzaltiller/src/entry/mod.rs
+++ b/quetzaltiller/src/entry/mod.rs
@@ -7,6 +7,7 @@
 mod dump;
 mod host;
 mod neighbours;
+mod parts;
 mod pull;
 mod registrar;
 mod startup;
@@ -14,17 +15,15 @@
 pub use config::{Config, Tunables};
 pub use dump::Dump;
 
-use crate::clock::Clock;
-use crate::control::{Member, Store};
-use crate::drain::{self, Drain, Phase};
+use crate::control::Store;
+use crate::drain::{Drain, Phase};
 use crate::follower::Follower;
-use crate::members::{self, Members};
+use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::operators::Health;
 use crate::own::Own;
-use crate::pacer::{self, Pacer};
 use crate::peer::{Handler, Link};
-use crate::placement::{self, Placer, Table};
+use crate::placement::Placer;
 use crate::prelude::*;
 use crate::prompts::Finder;
 use crate::proxy::{Context, Proxy};
@@ -33,33 +32,13 @@
 use crate::upstream::Client;
 use crate::wire;
 use async_trait::async_trait;
-use coordination::detector::Bounds;
-use coordination::membership::Heartbeat;
-use host::EntryHost;
-use neighbours::PeerNeighbours;
+use parts::Parts;
 use pull::offer;
-use registrar::PeerRegistrar;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 
-/// Heartbeats between entry VMs: configuration is in force everywhere in a few periods, and a peer is
-/// left out of what callers are told after three lost ones. The fan-out lets each of 27 entry VMs call
-/// all others, and keeps 380 within 13 kB/s.
-const TIMING: members::Timing = members::Timing {
-    period: Duration::from_millis(400),
-    timeout: Duration::from_millis(1_300),
-    one_sided: true,
-    fan_out: 20,
-};
-/// Bounds of the time after which a lookup is sent to a second replica: twice the mean of a
-/// lookup, and the users' objective for them.
-const HEDGE: Bounds = Bounds { min: Duration::from_millis(60), max: Duration::from_millis(200) };
 /// Callers are told to ask again after this time; shorter than the longest allowed, so that a VM
 /// that leaves is soon forgotten.
 const ENTRIES_LIFETIME: Duration = Duration::from_millis(2_000);
-/// Time between SIGTERM and refusing connections: in it most callers ask again.
-const ANNOUNCE: Duration = Duration::from_millis(2_000);
-/// Part of the retry budget that is used, as requests that arrive count late.
-const BUDGET_SHARE: f64 = 0.8;
 /// Entry VMs of the callers' zone that suffice for them: fewer could all fail them at once.
 const ENOUGH_ENTRIES: usize = 3;
 
@@ -100,80 +79,24 @@
 impl Entry {
     /// Starts the tasks.
     pub fn start(config: Config, ports: Ports) -> Arc<Self> {
-        let (clock, scope) = (Clock::default(), Scope::default());
-        let metrics = Arc::new(Metrics::new(None));
-        let own = Arc::new(Own::new(heartbeat(&config)));
-        let follower = Follower::start(&scope, clock, ports.store.clone(), metrics.clone());
-        let table = Table::new(&config.name, &config.zone);
-        let (successors, found) = mpsc::unbounded_channel();
-        let parts = placement::Parts {
-            clock,
-            table,
-            client: ports.client.clone(),
-            reuse_after: config.reuse_after,
-            successors,
-            registrar: Arc::new(PeerRegistrar { link: ports.link.clone() }),
-        };
-        let placer = Placer::start(&scope, parts);
-        scope.spawn(startup::take_successors(found, follower.clone()));
-        scope.spawn(startup::keep_placer(placer.clone(), follower.clone()));
-        let host = EntryHost::new(
-            (&config.name, &config.zone),
-            follower.clone(),
-            placer.clone(),
-            ports.link.clone(),
-            scope.clone(),
-        );
-        let parts = members::Parts {
-            seeds: config.peer_seeds.clone(),
-            timing: TIMING,
-            own: own.clone(),
-            clock,
-            link: ports.link.clone(),
-            host: Arc::new(host),
-            metrics: metrics.clone(),
-        };
-        let members = Members::start(&scope, parts);
-        scope.spawn(startup::spread_losses(placer.clone(), members.clone()));
-        let member = Member {
-            name: config.name.clone(),
-            zone: config.zone.clone(),
-            peer_address: config.peer_address.clone(),
-        };
-        scope.spawn(startup::announce(ports.store, member, members.clone(), placer.clone()));
-        scope.spawn(startup::settle(placer.clone()));
-        let budget = pacer::Settings {
-            hedge: HEDGE,
-            retry_ratio: config.retry_ratio * BUDGET_SHARE,
-            retry_capacity: config.retry_slack * BUDGET_SHARE
-                / (config.peer_seeds.len() as f64).max(1.0),
-        };
-        let grace = config.tunables.grace;
-        let drain = Drain::new(clock, drain::Timing { grace, announce: ANNOUNCE });
-        let neighbours = PeerNeighbours {
-            zone: config.zone.clone(),
-            members: members.clone(),
-            link: ports.link.clone(),
-        };
-        let finder = Finder::start(
-            &scope,
-            clock,
-            placer.clone(),
-            ports.client.clone(),
-            Arc::new(neighbours),
-        );
+        let parts = Parts::new(&config, &ports);
+        let placer = parts.start_placer();
+        let members = parts.start_members(&placer);
+        let finder = parts.start_finder(&placer, &members);
+        let drain = parts.drain();
         let proxy = Proxy::new(Context {
-            clock,
-            follower: follower.clone(),
+            clock: parts.clock,
+            follower: parts.follower.clone(),
             placer: placer.clone(),
             finder: finder.clone(),
-            pacer: Pacer::start(&scope, budget),
-            client: ports.client,
+            pacer: parts.start_pacer(),
+            client: ports.client.clone(),
             drain: drain.clone(),
-            own: own.clone(),
-            metrics: metrics.clone(),
-            scope: scope.clone(),
+            own: parts.own.clone(),
+            metrics: parts.metrics.clone(),
+            scope: parts.scope.clone(),
         });
+        let Parts { own, follower, metrics, scope, .. } = parts;
         info!("entry_started", kv: {
             name = config.name, zone = config.zone, incarnation = config.incarnation
         });
@@ -317,14 +240,3 @@
         }
     }
 }
-
-fn heartbeat(config: &Config) -> Heartbeat {
-    Heartbeat {
-        name: config.name.clone(),
-        incarnation: config.incarnation,
-        zone: config.zone.clone(),
-        caller_address: config.caller_address.clone(),
-        peer_address: config.peer_address.clone(),
-        ..Heartbeat::default()
-    }
-}
