Forget members that are gone for good

Cause, found in reading: each address that the store or a peer had told was kept as a seed and called for ever.

Routers keep their 60 timeouts, as a silent one holds its share of limits.

Also: the soak's collecting of evidence in two functions.

--- a/quetzaltiller/src/members/task.rs
+++ b/quetzaltiller/src/members/task.rs
@@ -17,8 +17,6 @@
 const TRUST: Duration = Duration::from_millis(2_500);
 /// Incarnation of a member that was not heard.
 const UNHEARD: u64 = 0;
-/// A silent member is forgotten after this many timeouts.
-const FORGET_TIMEOUTS: u32 = 60;
 
 /// What another member says of upstreams that leave.
 struct LeavingNews {
@@ -33,7 +31,7 @@
     own: Arc<Own>,
     table: Table,
     timing: Timing,
-    seeds: BTreeSet<String>,
+    seeds: Vec<String>,
     listed: Vec<Vm>,
     news: Vec<LeavingNews>,
     host: Arc<dyn Host>,
@@ -68,7 +66,7 @@
             own,
             table: Table::new(timing.timeout),
             timing,
-            seeds: seeds.into_iter().collect(),
+            seeds,
             listed: Vec::new(),
             news: Vec::new(),
             host,
@@ -180,7 +178,6 @@
     fn introduce(&mut self, others: Vec<Member>) {
         let now = self.clock.now();
         for Member { name, zone, peer_address } in others {
-            self.seeds.insert(peer_address.clone());
             if name != self.own.beat.name {
                 let near = self.host.is_near(&zone);
                 let among = if near { self.counts.0 } else { self.counts.1 };
@@ -202,7 +199,7 @@
     fn publish(&mut self) {
         let now = self.clock.now();
         let timeout = self.timing.timeout;
-        self.table.expire(now, timeout * FORGET_TIMEOUTS);
+        self.table.expire(now, self.timing.retention);
         let alive: Vec<_> = self.table.alive(now).map(|member| member.beat.clone()).collect();
         let near = alive.iter().filter(|beat| self.host.is_near(&beat.zone)).count();
         self.counts = (near, alive.len() - near);
@@ -243,7 +240,7 @@
 
     /// Peers to call; whoever is not heard is called by all.
     fn choose_targets(&self, now: Duration) -> Vec<Target> {
-        let mut silent = self.seeds.clone();
+        let mut silent: BTreeSet<_> = self.seeds.iter().cloned().collect();
         silent.extend(self.listed.iter().filter(|vm| vm.entry).map(|vm| vm.address.clone()));
         silent.extend(self.table.members().map(|member| member.beat.peer_address.clone()));
         silent.remove(&self.own.beat.peer_address);
--- a/quetzaltiller/src/members/timing.rs
+++ b/quetzaltiller/src/members/timing.rs
@@ -12,6 +12,8 @@
     pub period: Duration,
     /// A member is alive for so long after its last heartbeat.
     pub timeout: Duration,
+    /// A silent member is called for so long before it is forgotten.
+    pub retention: Duration,
     /// Of two that hear each other only one calls: half of the messages, and news that is twice as old.
     pub one_sided: bool,
     /// Near members that are called in one period, and far ones in `FAR_PERIODS`. Where there are
--- a/quetzaltiller/src/router/builder.rs
+++ b/quetzaltiller/src/router/builder.rs
@@ -30,6 +30,9 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 
+/// A silent router keeps its share of limits for this many timeouts, then it is forgotten.
+const FORGET_TIMEOUTS: u32 = 60;
+
 /// Outside systems.
 #[derive(Clone)]
 pub struct Ports {
@@ -117,6 +120,7 @@
                 timing: members::Timing {
                     period: config.timing.heartbeat,
                     timeout: config.timing.peer_timeout,
+                    retention: config.timing.peer_timeout * FORGET_TIMEOUTS,
                     one_sided: false,
                     fan_out: usize::MAX,
                 },
--- a/quetzaltiller/tests/members.rs
+++ b/quetzaltiller/tests/members.rs
@@ -3,6 +3,7 @@
 use async_trait::async_trait;
 use coordination::membership::Heartbeat;
 use quetzaltiller::clock::Clock;
+use quetzaltiller::control::Member;
 use quetzaltiller::members::{Host, Members, Parts, Timing, View};
 use quetzaltiller::metrics::Metrics;
 use quetzaltiller::own::Own;
@@ -17,6 +18,7 @@
 
 const PERIOD: Duration = Duration::from_millis(400);
 const TIMEOUT: Duration = Duration::from_millis(1_300);
+const RETENTION: Duration = Duration::from_secs(600);
 
 /// Host that counts what it takes; members of other zones than its own are far.
 #[derive(Default)]
@@ -104,7 +106,13 @@
         let host = Arc::new(CountingHost { zone: zone.to_string(), ..CountingHost::default() });
         let parts = Parts {
             seeds: vec![name(0, 0)],
-            timing: Timing { period: PERIOD, timeout: TIMEOUT, one_sided: true, fan_out },
+            timing: Timing {
+                period: PERIOD,
+                timeout: TIMEOUT,
+                retention: RETENTION,
+                one_sided: true,
+                fan_out,
+            },
             own: Arc::new(own),
             clock: Clock::default(),
             link: Arc::new(End { net: net.clone(), address: address.clone() }),
@@ -209,3 +217,29 @@
         assert!(nodes[0][7].sees(&told));
     }
 }
+
+/// Load: a thousand VMs are replaced a day, and the store still lists them to those that start.
+#[tokio::test(start_paused = true)]
+async fn members_that_are_gone_for_good_are_not_called_for_ever() {
+    let (net, scope) = (Net::default(), Scope::default());
+    let nodes = start(&net, &scope, 1, 2, 20);
+    let gone = (100..300).map(|number| Member {
+        name: name(0, number),
+        zone: "0".to_owned(),
+        peer_address: name(0, number),
+    });
+    nodes[0][0].members.introduce(gone.collect());
+
+    pass(RETENTION / 2).await;
+    lock(&net.calls).clear();
+    pass(10 * PERIOD).await;
+    let while_kept = lock(&net.calls).get(&name(0, 0)).copied().unwrap_or_default();
+    pass(RETENTION).await;
+    lock(&net.calls).clear();
+    pass(10 * PERIOD).await;
+    let at_last = lock(&net.calls).get(&name(0, 0)).copied().unwrap_or_default();
+
+    assert!(while_kept > 20, "{while_kept} calls");
+    assert!(at_last <= 10, "{at_last} calls to one member in ten rounds");
+    assert!(nodes[0][0].sees(&name(0, 1)));
+}
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -5,7 +5,7 @@
 use crate::deployment::{Deployment, Programs};
 use crate::injector::{Injector, key};
 use crate::plan::{Plan, Size};
-use crate::record::Calm;
+use crate::record::{Attempt, Calm, Outcome};
 use platform_standin::{operator, upstream};
 use quetzaltiller::evidence::{Line, read};
 use serde::Serialize;
@@ -79,9 +79,7 @@
         let attempts = serde_json::to_string_pretty(&evidence.attempts)?;
         std::fs::write(folder.join("attempts.json"), attempts)?;
     }
-    let success = |attempt: &&crate::record::Attempt| {
-        matches!(attempt.outcome, crate::record::Outcome::Success { .. })
-    };
+    let success = |attempt: &&Attempt| matches!(attempt.outcome, Outcome::Success { .. });
     Ok(Result {
         plan,
         attempts: evidence.attempts.len(),
@@ -137,10 +135,21 @@
     while let Ok(attempt) = received.try_recv() {
         attempts.push(attempt);
     }
-    let (running, ended) = look(&injector, plan.size).await;
+    gather(&injector, plan.size, attempts, calm).await
+}
+
+/// Stops what still runs and reads its logs.
+async fn gather(
+    injector: &Injector,
+    size: Size,
+    attempts: Vec<Attempt>,
+    calm: Calm,
+) -> io::Result<Evidence> {
+    let (running, ended) = look(injector, size).await;
     let restarts = injector.restarts();
-    let restarts = restarts.into_iter().map(|(entry, at)| (layout.entry(entry), at)).collect();
     let mut deployment = injector.deployment().await;
+    let layout = deployment.layout;
+    let restarts = restarts.into_iter().map(|(entry, at)| (layout.entry(entry), at)).collect();
     let log = |process: &crate::process::Process| process.log().to_owned();
     let upstreams: Vec<_> = deployment.upstreams.iter().map(|u| log(&u.process)).collect();
     let entries: Vec<_> = deployment.entries.iter().map(|e| log(&e.process)).collect();
