--- a/quetzaltiller/src/entry/parts.rs
+++ b/quetzaltiller/src/entry/parts.rs
@@ -22,8 +22,7 @@
 
 /// Heartbeats between entry VMs: configuration is in force everywhere in a few periods, and a peer is
 /// left out of what callers are told after three lost ones. Regions part for an hour, after which both
-/// sides must still know each other. The fan-out lets each of 27 entry VMs call
-/// all others, and keeps 380 within 13 kB/s.
+/// sides must still know each other. The fan-out lets each of 27 entry VMs call all others in a round.
 const TIMING: members::Timing = members::Timing {
     period: Duration::from_millis(400),
     timeout: Duration::from_millis(1_300),
