--- a/quetzaltiller/src/placement/placer.rs
+++ b/quetzaltiller/src/placement/placer.rs
@@ -205,7 +205,7 @@
         self.mailbox.ask(|reply| Message::Engines { service, reply }).await.unwrap_or_default()
     }
 
-    /// Those of them that this entry VM owns, also in other zones.
+    /// Engines of a service that this entry VM owns, in any zone, not lost or leaving.
     pub async fn own_engines(&self, service: &str) -> Vec<Arc<Upstream>> {
         let service = service.to_owned();
         let engines = self.mailbox.ask(|reply| Message::OwnEngines { service, reply }).await;
--- a/quetzaltiller/src/placement/table.rs
+++ b/quetzaltiller/src/placement/table.rs
@@ -326,15 +326,15 @@
         sound.map(|state| state.upstream.clone()).collect()
     }
 
-    /// Those of them that this entry VM owns, also in other zones.
+    /// Engines of a service that this entry VM owns, in any zone, not lost or leaving.
     pub fn own_engines(&self, now: Duration, service: &str) -> Vec<Arc<Upstream>> {
         let mut engines = self.engines(now, service);
         engines.retain(|upstream| self.shares.owns(&upstream.id));
         engines
     }
 
-    /// Engines of its zone that this entry VM owns and that are not lost.
-    pub fn owned_engines(&self, now: Duration) -> Vec<Arc<Upstream>> {
+    /// Engines that this entry VM asks what they hold: those of its zone that it owns and that are not lost.
+    pub fn engines_to_ask(&self, now: Duration) -> Vec<Arc<Upstream>> {
         let has_engines = |service: &str| {
             self.routes.service(service).is_some_and(|service| service.engine.is_some())
         };
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -220,7 +220,7 @@
 
     /// Asks the engines that this entry VM owns what they hold, for itself and for peers.
     fn ask_reports(&self) {
-        for upstream in self.table.owned_engines(self.clock.now()) {
+        for upstream in self.table.engines_to_ask(self.clock.now()) {
             let (client, mailbox) = (self.client.clone(), self.mailbox.clone());
             self.scope.spawn(async move {
                 let id = upstream.id.clone();
