Let binaries share how they log and end

Change: daemon::exit, and logs::start takes whether it is verbose. qt-demo's help said that logs go to standard error; they go to standard output.

--- a/demo/src/main.rs
+++ b/demo/src/main.rs
@@ -7,7 +7,6 @@
 use bench::sockets::System;
 use quetzaltiller::scope::Scope;
 use quetzaltiller::{daemon, logs};
-use spdlog::LevelFilter;
 use std::process::ExitCode;
 
 /// Key of the account that the demo uses.
@@ -23,7 +22,7 @@
     /// check a draft, an order and a lookup, and end
     #[argh(switch)]
     once: bool,
-    /// write logs to standard error
+    /// write logs to standard output
     #[argh(switch)]
     logs: bool,
 }
@@ -44,7 +43,7 @@
 async fn run(args: &Args) -> Result<bool, Box<dyn std::error::Error>> {
     let scope = Scope::default();
     if args.logs {
-        logs::start(&scope, LevelFilter::All)?;
+        logs::start(&scope, true)?;
     } else {
         logs::stop();
     }
--- a/quetzaltiller/src/bin/qt-router.rs
+++ b/quetzaltiller/src/bin/qt-router.rs
@@ -9,7 +9,6 @@
 use quetzaltiller::scope::Scope;
 use quetzaltiller::{daemon, front, logs, operators};
 use serde_json::Value;
-use spdlog::LevelFilter;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -67,24 +66,13 @@
         println!("{}: no faults", args.config.display());
         return ExitCode::SUCCESS;
     }
-    let level = if args.verbose {
-        LevelFilter::All
-    } else {
-        LevelFilter::MoreSevereEqual(spdlog::Level::Info)
-    };
-    match run(config, level) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("qt-router: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    daemon::exit("qt-router", run(config, args.verbose))
 }
 
 #[tokio::main]
-async fn run(config: Config, level: LevelFilter) -> Result<(), Box<dyn std::error::Error>> {
+async fn run(config: Config, verbose: bool) -> Result<(), Box<dyn std::error::Error>> {
     let scope = Scope::default();
-    let log = logs::start(&scope, level)?;
+    let log = logs::start(&scope, verbose)?;
     let callers = TcpListener::bind(&config.caller_address).await?;
     let peers = TcpListener::bind(&config.peer_address).await?;
     let operators = TcpListener::bind(&config.operator_address).await?;
--- a/quetzaltiller/src/bin/qt-steward.rs
+++ b/quetzaltiller/src/bin/qt-steward.rs
@@ -10,7 +10,6 @@
 use quetzaltiller::steward::Steward;
 use quetzaltiller::{daemon, logs, operators};
 use serde_json::{Value, json};
-use spdlog::{Level, LevelFilter};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -66,19 +65,13 @@
         println!("{}: no faults", args.config.display());
         return ExitCode::SUCCESS;
     }
-    match run(config) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("qt-steward: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    daemon::exit("qt-steward", run(config))
 }
 
 #[tokio::main]
 async fn run(config: config::Steward) -> Result<(), Box<dyn std::error::Error>> {
     let scope = Scope::default();
-    let log = logs::start(&scope, LevelFilter::MoreSevereEqual(Level::Info))?;
+    let log = logs::start(&scope, false)?;
     let operators = TcpListener::bind(&config.operator_address).await?;
     let metrics = Arc::new(Metrics::new(config.metrics_address.as_deref()));
     let store = Arc::new(HttpStore::new(&config.platform_address));
--- a/quetzaltiller/src/daemon.rs
+++ b/quetzaltiller/src/daemon.rs
@@ -6,6 +6,7 @@
 use salvo::server::ServerHandle;
 use salvo::{Router, Server};
 use spdlog::prelude::*;
+use std::error::Error;
 use std::process::ExitCode;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
@@ -20,6 +21,17 @@
     ExitCode::from(EXIT_FAULTS)
 }
 
+/// Exit status of `binary`; says why it failed.
+pub fn exit(binary: &str, result: Result<(), Box<dyn Error>>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{binary}: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 /// Milliseconds since 1970: rises from one start of a process to the next.
 pub fn incarnation() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |time| time.as_millis() as u64)
--- a/quetzaltiller/src/logs.rs
+++ b/quetzaltiller/src/logs.rs
@@ -5,9 +5,9 @@
 
 use crate::prelude::*;
 use crate::scope::Scope;
-use spdlog::LevelFilter;
 use spdlog::formatter::{PatternFormatter, pattern};
 use spdlog::sink::WriteSink;
+use spdlog::{Level, LevelFilter};
 use std::io::{self, Write};
 use std::sync::{Mutex, PoisonError};
 use tokio::io::AsyncWriteExt as _;
@@ -71,8 +71,9 @@
     }
 }
 
-/// Sends logs to standard output, written by a task in `scope`.
-pub fn start(scope: &Scope, level: LevelFilter) -> spdlog::Result<Buffer> {
+/// Sends logs to standard output, written by a task in `scope`; debugging events too if `verbose`.
+pub fn start(scope: &Scope, verbose: bool) -> spdlog::Result<Buffer> {
+    let level = if verbose { LevelFilter::All } else { LevelFilter::MoreSevereEqual(Level::Info) };
     let buffer = Buffer::default();
     let form =
         pattern!("time={date}T{time}.{millisecond}Z level={level} event={payload} {kv}{eol}");
--- a/standin/src/bin/qt-standin.rs
+++ b/standin/src/bin/qt-standin.rs
@@ -3,7 +3,6 @@
 use argh::FromArgs;
 use quetzaltiller::scope::Scope;
 use quetzaltiller::{daemon, logs};
-use spdlog::LevelFilter;
 use standin::engine::{Engine, Settings};
 use standin::gate::Gate;
 use standin::platform::Platform;
@@ -90,19 +89,13 @@
 
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    match run(args.kind) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("qt-standin: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    daemon::exit("qt-standin", run(args.kind))
 }
 
 #[tokio::main]
 async fn run(kind: Kind) -> Result<(), Box<dyn std::error::Error>> {
     let (scope, gate) = (Scope::default(), Gate::new(Duration::ZERO));
-    let log = logs::start(&scope, LevelFilter::MoreSevereEqual(spdlog::Level::Info))?;
+    let log = logs::start(&scope, false)?;
     match kind {
         Kind::Engine(args) => {
             let listener = TcpListener::bind(&args.listen).await?;
