Simplify what the change wrote twice or carried in vain

Found in reading the whole change, behaviour kept: - The follower kept a second copy of the directory for peers, of which only the revision was read since they get changes: a revision is told now. Each change of the directory is one copy of it cheaper. - Each heartbeat copied the map of loads; it is shared now. Choosing a place copied the demand twice a round. - Who watches the store for its zone was found by ranking all; the first is enough, by the function that shares use. - Placement's table selected a service's upstreams in five places, two of them without those that leave: one function each. - Two copies of the least suspension that counts, and of the comparison: Clock::slept_since. Two of what "ready" means: Follower::is_ready. Two of near and how many: members::Task::kind. - A search for a cached prompt waited twice for the start to be over, 0.8 s at most instead of 0.4. - The stream's task held receivers in options, only to take them out when it ran: they are its inbox.

--- a/quetzaltiller/src/clock.rs
+++ b/quetzaltiller/src/clock.rs
@@ -4,6 +4,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Suspension that counts; less is the difference between two readings of the clocks.
+const MIN_SUSPENSION: Duration = Duration::from_millis(20);
+
 /// Origin of the times that state machines see.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
@@ -29,6 +32,11 @@
         boot.saturating_sub(read(ClockId::CLOCK_MONOTONIC))
     }
 
+    /// Whether this VM was suspended since it had been for the time `suspended` in all.
+    pub fn slept_since(&self, suspended: Duration) -> bool {
+        self.suspended().saturating_sub(suspended) >= MIN_SUSPENSION
+    }
+
     /// Sleeps until a time since the origin.
     pub async fn sleep_until(&self, at: Duration) {
         tokio::time::sleep_until(self.epoch + at).await;
--- a/quetzaltiller/src/entry/host.rs
+++ b/quetzaltiller/src/entry/host.rs
@@ -9,8 +9,7 @@
 use crate::prelude::*;
 use crate::scope::Scope;
 use crate::wire;
-use coordination::membership::Heartbeat;
-use coordination::rendezvous::rank;
+use coordination::rendezvous::first;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 /// Up to so many other entry VMs, all hear of everything; more share loads and losses by zone.
@@ -18,9 +17,8 @@
 /// Up to so many other entry VMs, those of other zones hear what engines hold; where there are more,
 /// their turns are so far apart that it would be too old.
 const FRESH: usize = 40;
-/// Entry VMs of a zone that watch the store's upstreams closely, for the others too.
-const RELAYS: usize = 1;
-/// Key by which these are ranked.
+/// Key for which the entry VM of a zone ranks first that watches the store's upstreams closely, for the
+/// others too.
 const STORE: &str = "store";
 
 /// An entry VM's part in membership.
@@ -66,8 +64,8 @@
 
     fn describe(&self, beat: &mut wire::Heartbeat, near: bool) {
         beat.number = self.follower.routes().number();
-        beat.revision = self.follower.listed().revision();
-        beat.ready = beat.number > 0 && !self.follower.directory().is_empty();
+        beat.revision = self.follower.revision();
+        beat.ready = self.follower.is_ready();
         if near || self.follower.is_store_away() {
             let tell = |successor: &Successor| wire::Successor {
                 lost: successor.lost.clone(),
@@ -76,8 +74,8 @@
             beat.successors = self.follower.successors().iter().map(tell).collect();
         }
         // Far members only need what engines hold, to place copies.
-        let load = |(upstream, load): (String, Load)| wire::Load {
-            upstream,
+        let load = |(upstream, load): (&String, &Load)| wire::Load {
+            upstream: upstream.clone(),
             in_flight: if near { load.in_flight } else { 0 },
             backlog_ms: if near { load.backlog.as_millis() as u32 } else { 0 },
             tokens: if near { load.tokens } else { 0 },
@@ -86,8 +84,8 @@
             reported_unread: load.reported.map_or(0, |reported| reported.unread),
         };
         let fresh = self.members.load(Ordering::Relaxed) <= FRESH;
-        let told = |(_, load): &(String, Load)| near || fresh && load.reported.is_some();
-        beat.loads = self.placer.loads().into_iter().filter(told).map(load).collect();
+        let told = |(_, load): &(&String, &Load)| near || fresh && load.reported.is_some();
+        beat.loads = self.placer.loads().iter().filter(told).map(load).collect();
         if near {
             beat.lost_upstreams = self.placer.lost().borrow().as_ref().clone();
         }
@@ -115,7 +113,7 @@
         // are dear.
         let near = self.is_near(&beat.zone);
         let is_newer = beat.number > self.follower.routes().number()
-            || near && beat.revision > self.follower.listed().revision();
+            || near && beat.revision > self.follower.revision();
         if !is_newer || self.pulls.swap(true, Ordering::Relaxed) {
             return;
         }
@@ -133,9 +131,6 @@
     }
 
     fn changed(&self, _known: Vec<String>, view: &View) {
-        let names = |beats: &mut dyn Iterator<Item = &Heartbeat>| {
-            beats.map(|beat| beat.name.clone()).collect::<Vec<_>>()
-        };
         let peers = view.alive.iter().map(|beat| Peer {
             name: beat.name.clone(),
             zone: beat.zone.clone(),
@@ -144,9 +139,8 @@
         });
         let peers: Vec<_> = peers.collect();
         let of_zone = view.alive.iter().filter(|beat| beat.zone == self.zone && !beat.leaving);
-        let neighbours = names(&mut of_zone.into_iter());
-        let ranked = rank(neighbours.iter().chain([&self.name]).map(String::as_str), STORE);
-        let relays = ranked.into_iter().take(RELAYS).any(|name| name == self.name);
+        let names = of_zone.map(|beat| beat.name.as_str()).chain([self.name.as_str()]);
+        let relays = first(names, STORE) == Some(&self.name);
         self.follower.set_relay(relays || peers.len() <= SMALL);
         self.members.store(peers.len(), Ordering::Relaxed);
         self.placer.set_members(peers);
--- a/quetzaltiller/src/entry/mod.rs
+++ b/quetzaltiller/src/entry/mod.rs
@@ -143,8 +143,7 @@
 
     /// Whether callers should come.
     pub fn is_ready(&self) -> bool {
-        let knows = self.follower.routes().number() > 0 && !self.follower.directory().is_empty();
-        knows && !self.own.is_leaving()
+        self.follower.is_ready() && !self.own.is_leaving()
     }
 
     /// Health for operators.
@@ -223,7 +222,7 @@
             }
             wire::Ask::Upstreams(pull) => {
                 let news = self.follower.news_since(pull.number).await;
-                wire::Reply::Upstreams(offer(self.follower.listed().revision(), news.as_ref()))
+                wire::Reply::Upstreams(offer(self.follower.revision(), news.as_ref()))
             }
             wire::Ask::Book(book) => {
                 let booked = self.placer.book(book.into()).await;
--- a/quetzaltiller/src/entry/pull.rs
+++ b/quetzaltiller/src/entry/pull.rs
@@ -36,7 +36,7 @@
                 self.follower.offer_routes(table);
             }
         }
-        let revision = self.follower.listed().revision();
+        let revision = self.follower.revision();
         // A whole directory is long. While the store sends it, it would only crowd the peer's link.
         let listing = revision == 0 && !self.follower.is_store_away();
         if self.near && self.beat.revision > revision && !listing {
--- a/quetzaltiller/src/follower/mod.rs
+++ b/quetzaltiller/src/follower/mod.rs
@@ -105,9 +105,14 @@
         self.mailbox.tell(Message::Succeeded(successor));
     }
 
-    /// Upstreams as the store lists them, for peers.
-    pub fn listed(&self) -> Arc<Directory> {
-        self.told.borrow().listed.clone()
+    /// Revision of the upstreams as the store lists them.
+    pub fn revision(&self) -> u64 {
+        self.told.borrow().revision
+    }
+
+    /// Whether a configuration and upstreams are known, so that requests can be served.
+    pub fn is_ready(&self) -> bool {
+        self.routes().number() > 0 && !self.directory().is_empty()
     }
 
     /// Sets whether this entry VM gathers changes for its neighbours, or is told by one that does.
--- a/quetzaltiller/src/follower/source.rs
+++ b/quetzaltiller/src/follower/source.rs
@@ -83,7 +83,7 @@
                     pause = RETRY;
                     tokio::time::sleep(self.gather()).await;
                     // Peers may have told more meanwhile.
-                    revision = Some(newest.max(self.told.borrow().listed.revision()));
+                    revision = Some(newest.max(self.told.borrow().revision));
                 }
                 Err(Error::Expired) => {
                     info!("store_history_gone", kv: { kind = "upstreams" });
--- a/quetzaltiller/src/follower/task.rs
+++ b/quetzaltiller/src/follower/task.rs
@@ -219,7 +219,7 @@
         self.published.directory.send_replace(Arc::new(directory));
         let successors = self.successors.values().map(|(successor, _)| successor.clone());
         let (successors, away) = (successors.collect(), self.away);
-        let listed = Arc::new(self.directory.clone());
-        self.published.told.send_replace(Told { listed, successors, away });
+        let revision = self.directory.revision();
+        self.published.told.send_replace(Told { revision, successors, away });
     }
 }
--- a/quetzaltiller/src/members/task.rs
+++ b/quetzaltiller/src/members/task.rs
@@ -113,8 +113,7 @@
         changes |= self.take_leaving(now, &beat);
         changes |= self.doubt(now, &beat);
         let beat = Heartbeat::from(beat);
-        let near = self.host.is_near(&beat.zone);
-        let among = if near { self.counts.0 } else { self.counts.1 };
+        let (near, among) = self.kind(&beat.zone);
         let known = self.table.member(&beat.name);
         changes |= known.is_none_or(|known| !known.is_alive(now) || !known.beat.is_like(&beat));
         self.unreachable.retain(|(name, _)| *name != beat.name);
@@ -175,12 +174,17 @@
         self.table.member(&beat.name).is_some_and(|member| member.heard + patience < now)
     }
 
+    /// Whether members of a zone are near, and how many of that kind are alive.
+    fn kind(&self, zone: &str) -> (bool, usize) {
+        let near = self.host.is_near(zone);
+        (near, if near { self.counts.0 } else { self.counts.1 })
+    }
+
     fn introduce(&mut self, others: Vec<Member>) {
         let now = self.clock.now();
         for Member { name, zone, peer_address } in others {
             if name != self.own.beat.name {
-                let near = self.host.is_near(&zone);
-                let among = if near { self.counts.0 } else { self.counts.1 };
+                let (_, among) = self.kind(&zone);
                 let trust = TRUST * self.timing.turns(among);
                 let beat = Heartbeat { name, zone, peer_address, ..Heartbeat::default() };
                 self.table.hear_for(now, beat, trust);
--- a/quetzaltiller/src/placement/placer.rs
+++ b/quetzaltiller/src/placement/placer.rs
@@ -42,7 +42,7 @@
     registrar: Arc<dyn Registrar>,
     lost: watch::Receiver<Arc<Vec<String>>>,
     withdrawn: watch::Receiver<Arc<Vec<String>>>,
-    loads: watch::Receiver<BTreeMap<String, Load>>,
+    loads: watch::Receiver<Arc<BTreeMap<String, Load>>>,
     settled: Arc<watch::Sender<bool>>,
     listed: Arc<watch::Sender<bool>>,
 }
@@ -93,7 +93,7 @@
             self.settled().await;
         }
         for round in 1..=ROUNDS {
-            let (books, demand) = (round < ROUNDS, demand.clone());
+            let books = round < ROUNDS;
             let choosing =
                 self.mailbox.ask(|reply| Message::Place { demand: demand.clone(), books, reply });
             let (mut pick, booking) = match choosing.await.unwrap_or(Err(Unplaced::Nowhere))? {
@@ -195,7 +195,7 @@
     }
 
     /// What this entry VM has given to upstreams.
-    pub fn loads(&self) -> BTreeMap<String, Load> {
+    pub fn loads(&self) -> Arc<BTreeMap<String, Load>> {
         self.loads.borrow().clone()
     }
 
--- a/quetzaltiller/src/placement/succession.rs
+++ b/quetzaltiller/src/placement/succession.rs
@@ -20,8 +20,6 @@
 ];
 /// Limit of a question: a round trip between zones many times over.
 const QUESTION_LIMIT: Duration = Duration::from_millis(80);
-/// Suspension that counts; less is the difference between two readings of the clocks.
-const MIN_SUSPENSION: Duration = Duration::from_millis(20);
 
 /// A lost upstream and the one that the same service has started at its address.
 #[derive(Clone, Debug)]
@@ -67,7 +65,7 @@
             let Some(id) = found else {
                 continue;
             };
-            let slept = self.clock.suspended().saturating_sub(suspended) >= MIN_SUSPENSION;
+            let slept = self.clock.slept_since(suspended);
             let in_time = !slept && self.clock.now() < self.own_until;
             let succeeds = id != self.lost.id && (in_time || self.is_engine().await);
             info!("upstream_rechecked", kv: {
--- a/quetzaltiller/src/placement/table.rs
+++ b/quetzaltiller/src/placement/table.rs
@@ -148,11 +148,7 @@
 
     /// Chooses for `demand` at `now`.
     pub fn choose(&self, now: Duration, demand: &Demand) -> Choice {
-        let able: Vec<_> = self
-            .states
-            .values()
-            .filter(|state| state.upstream.service == demand.service && !state.upstream.leaving)
-            .collect();
+        let able: Vec<_> = self.staying(&demand.service).collect();
         let preferred: Vec<_> = able
             .iter()
             .copied()
@@ -181,12 +177,7 @@
     ) -> Option<Arc<Upstream>> {
         let run = demand.run.as_ref()?;
         self.engine(&demand.service).filter(|engine| engine.moves)?;
-        let able: Vec<_> = self
-            .states
-            .values()
-            .filter(|state| state.upstream.service == demand.service && !state.upstream.leaving)
-            .filter(|state| !state.is_suspect(now))
-            .collect();
+        let able = self.staying(&demand.service).filter(|state| !state.is_suspect(now)).collect();
         let doubted = self.doubted_zones(now, &demand.service);
         let engines = self.engines_for(now, &demand.service, run, (able, doubted));
         engines.choose_backup(&engines.candidates, primary)
@@ -308,8 +299,7 @@
             let zone =
                 if state.upstream.zone == self.shares.own_zone() { 0.0 } else { ZONE_REQUESTS };
             let failing = state.failure_rate(now) - least_failing;
-            (f64::from(state.in_flight) + zone) * ZONE_REQUESTS.max(1.0) / slots
-                + failing * FAILURE_REQUESTS
+            (f64::from(state.in_flight) + zone) * ZONE_REQUESTS / slots + failing * FAILURE_REQUESTS
         };
         let best = candidates.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
         best.map_or(Choice::Nowhere, |state| {
@@ -321,8 +311,7 @@
 
     /// Engines of a service that are not lost or leaving.
     pub fn engines(&self, now: Duration, service: &str) -> Vec<Arc<Upstream>> {
-        let of_service = self.states.values().filter(|state| state.upstream.service == service);
-        let sound = of_service.filter(|state| !state.upstream.leaving && !state.is_lost(now));
+        let sound = self.staying(service).filter(|state| !state.is_lost(now));
         sound.map(|state| state.upstream.clone()).collect()
     }
 
@@ -357,9 +346,8 @@
     /// Engines in doubted zones that have not shown life since `since` and are not known as lost.
     pub fn unproven(&self, now: Duration, service: &str, since: Duration) -> Vec<Arc<Upstream>> {
         let doubted = self.doubted_zones(now, service);
-        let unproven = self.states.values().filter(|state| {
-            state.upstream.service == service
-                && doubted.contains(&state.upstream.zone)
+        let unproven = self.of_service(service).filter(|state| {
+            doubted.contains(&state.upstream.zone)
                 && state.alive_at < since
                 && !state.is_lost(now)
                 && (state.own_memory() > 0 || self.watches(&state.upstream))
@@ -370,15 +358,22 @@
     /// Zones in which several engines became unreachable lately: probably all of it.
     fn doubted_zones(&self, now: Duration, service: &str) -> BTreeSet<String> {
         let mut lost: BTreeMap<&str, usize> = BTreeMap::new();
-        for state in self.states.values() {
-            if state.lost_within(now, DOUBT) && state.upstream.service == service {
-                *lost.entry(&state.upstream.zone).or_default() += 1;
-            }
+        for state in self.of_service(service).filter(|state| state.lost_within(now, DOUBT)) {
+            *lost.entry(&state.upstream.zone).or_default() += 1;
         }
         let doubted = lost.into_iter().filter(|(_, count)| *count >= DOUBTFUL_ENGINES);
         doubted.map(|(zone, _)| zone.to_owned()).collect()
     }
 
+    fn of_service(&self, service: &str) -> impl Iterator<Item = &State> {
+        self.states.values().filter(move |state| state.upstream.service == service)
+    }
+
+    /// Upstreams of a service that are not leaving.
+    fn staying(&self, service: &str) -> impl Iterator<Item = &State> {
+        self.of_service(service).filter(|state| !state.upstream.leaving)
+    }
+
     fn share_upstreams(&mut self) {
         self.shares.share(self.states.values().map(|state| &state.upstream));
     }
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -34,9 +34,6 @@
 /// Limit of such a question.
 const REPORT_LIMIT: Duration = Duration::from_millis(300);
 
-/// Suspension that counts; less is the difference between two readings of the clocks.
-const MIN_SUSPENSION: Duration = Duration::from_millis(20);
-
 /// What the task tells whoever watches.
 pub struct Published {
     /// Upstreams that are gone.
@@ -44,7 +41,7 @@
     /// Upstreams that are gone or leaving.
     pub withdrawn: watch::Sender<Arc<Vec<String>>>,
     /// What this entry VM has given to upstreams.
-    pub loads: watch::Sender<BTreeMap<String, Load>>,
+    pub loads: watch::Sender<Arc<BTreeMap<String, Load>>>,
 }
 
 /// The task.
@@ -105,7 +102,7 @@
                     self.notice_suspension();
                     self.publish_lost(self.clock.now());
                     let loads = self.table.loads(self.clock.now());
-                    self.published.loads.send_replace(loads);
+                    self.published.loads.send_replace(Arc::new(loads));
                 }
                 _ = reporting.tick() => self.ask_reports(),
             }
@@ -272,8 +269,8 @@
 
     /// Whether this VM was suspended since the last look: what was seen before it is old then.
     fn notice_suspension(&mut self) -> bool {
+        let slept = self.clock.slept_since(self.suspended);
         let suspended = self.clock.suspended();
-        let slept = suspended.saturating_sub(self.suspended) >= MIN_SUSPENSION;
         self.suspended = suspended;
         if slept {
             info!("suspension_noticed", kv: { total_ms = suspended.as_millis() as u64 });
--- a/quetzaltiller/src/prompts/mod.rs
+++ b/quetzaltiller/src/prompts/mod.rs
@@ -70,11 +70,11 @@
     pub async fn find(&self, wanted: &Wanted) -> Option<String> {
         self.prepared().await;
         if self.placer.engines(&wanted.service).await.len() <= MAX_ENGINES {
-            return self.find_here(wanted).await;
+            return self.ask_engines(wanted).await;
         }
         tokio::select! {
             biased;
-            Some(engine) = self.find_here(wanted) => Some(engine),
+            Some(engine) = self.ask_engines(wanted) => Some(engine),
             Some(engine) = self.neighbours.find(wanted) => Some(engine),
             else => None,
         }
@@ -83,6 +83,10 @@
     /// Engine that has the prompt cached, among those that this entry VM asks.
     pub async fn find_here(&self, wanted: &Wanted) -> Option<String> {
         self.prepared().await;
+        self.ask_engines(wanted).await
+    }
+
+    async fn ask_engines(&self, wanted: &Wanted) -> Option<String> {
         let wanted = wanted.clone();
         self.mailbox.ask(|reply| Message::Find { wanted, reply }).await?
     }
--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -45,6 +45,8 @@
 /// Wait that a refused caller is told where nothing better is known: about half the prefill of a
 /// prompt.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Limit of a check; a round trip between zones many times over.
+const CHECK_LIMIT: Duration = Duration::from_millis(100);
 /// How often a stream tells that its engine lives.
 const LIFE_PERIOD: Duration = Duration::from_millis(100);
 /// Urgency of work at stake, and of new work of the highest rank.
@@ -55,15 +57,21 @@
 /// Serves a generation.
 pub async fn run(context: Context, request: Arc<Request>, plan: Plan, entered: Entered) -> Reply {
     let (reply, answer) = oneshot::channel();
-    let (notices, received) = mpsc::channel(NOTICE_QUEUE);
     let scope = context.scope.clone();
-    let (task, effects) = Task::new(context, request, plan, entered, reply, notices);
-    scope.spawn(task.run(effects, received));
+    let (task, effects, inbox) = Task::new(context, request, plan, entered, reply);
+    scope.spawn(task.run(effects, inbox));
     answer.await.unwrap_or_else(|_| {
         Reply::Refused(Refusal::new(Code::UpstreamFailed, Ran::Unknown, "the process is ending"))
     })
 }
 
+/// What comes to the task.
+struct Inbox {
+    notices: mpsc::Receiver<Notice>,
+    placements: mpsc::UnboundedReceiver<Placed>,
+    ordered: mpsc::UnboundedReceiver<Ordered>,
+}
+
 struct Task {
     context: Context,
     request: Arc<Request>,
@@ -73,7 +81,6 @@
     failure: Option<Answer>,
     placed: BTreeMap<String, Placement>,
     copies: Copies,
-    ordered: Option<mpsc::UnboundedReceiver<Ordered>>,
     connections: BTreeMap<u32, AbortHandle>,
     sent: u32,
     events: u32,
@@ -82,7 +89,6 @@
     retry_after: Duration,
     outcome: Option<Outcome>,
     placing: Placing,
-    placements: Option<mpsc::UnboundedReceiver<Placed>>,
     notices: mpsc::Sender<Notice>,
     _entered: Entered,
 }
@@ -94,8 +100,7 @@
         plan: Plan,
         entered: Entered,
         reply: oneshot::Sender<Reply>,
-        notices: mpsc::Sender<Notice>,
-    ) -> (Self, Vec<Effect>) {
+    ) -> (Self, Vec<Effect>, Inbox) {
         let now = context.clock.now();
         let prompt_tokens = request.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
         let prefill = Duration::from_secs_f64(f64::from(prompt_tokens) / PREFILL_TOKENS_PER_S);
@@ -115,6 +120,8 @@
         let plan = Arc::new(plan);
         let (placing, placements) = Placing::new(context.clone(), request.clone(), plan.clone());
         let (copies, ordered) = Copies::new(&request.id);
+        let (notices, received) = mpsc::channel(NOTICE_QUEUE);
+        let inbox = Inbox { notices: received, placements, ordered };
         let task = Self {
             context,
             request,
@@ -124,7 +131,6 @@
             failure: None,
             placed: BTreeMap::new(),
             copies,
-            ordered: Some(ordered),
             connections: BTreeMap::new(),
             sent: 0,
             events: 0,
@@ -133,19 +139,13 @@
             retry_after: RETRY_AFTER,
             outcome: None,
             placing,
-            placements: Some(placements),
             notices,
             _entered: entered,
         };
-        (task, effects)
+        (task, effects, inbox)
     }
 
-    async fn run(mut self, effects: Vec<Effect>, mut notices: mpsc::Receiver<Notice>) {
-        let (Some(mut placements), Some(mut ordered)) =
-            (self.placements.take(), self.ordered.take())
-        else {
-            return;
-        };
+    async fn run(mut self, effects: Vec<Effect>, mut inbox: Inbox) {
         let mut withdrawn = self.context.placer.withdrawn();
         withdrawn.mark_unchanged();
         self.perform(effects);
@@ -156,9 +156,9 @@
             let renewal = self.copies.renew_at();
             tokio::select! {
                 biased;
-                Some(placed) = placements.recv() => self.placed(placed),
-                Some(notice) = notices.recv() => self.notice(notice).await,
-                Some(ordered) = ordered.recv() => self.take_copy(ordered),
+                Some(placed) = inbox.placements.recv() => self.placed(placed),
+                Some(notice) = inbox.notices.recv() => self.notice(notice).await,
+                Some(ordered) = inbox.ordered.recv() => self.take_copy(ordered),
                 Ok(()) = withdrawn.changed() => {
                     let withdrawn = withdrawn.borrow_and_update().clone();
                     withdrawn.iter().for_each(|id| self.input(Input::Gone(id.clone())));
@@ -500,6 +500,3 @@
         Reply::Refused(Refusal { retry_after_ms, ..refusal })
     }
 }
-
-/// Limit of a check; a round trip between zones many times over.
-const CHECK_LIMIT: Duration = Duration::from_millis(100);
