Keep the daemons' tests of two checkouts apart, and let them fail instead of hang

Its second router was a defunct process: it had ended at its start, its settings name ports 21015 to 21018, and both test processes hand out ports from 21,000 on of 127.0.0.1, so one's daemon had bound them between the other's look and its own bind. The fixture then waited for the dead router for ever.

Change: each test process takes its ports of a loopback network by its id, and the fixture fails when a router has ended at its start, naming its settings.

No assertion is changed.

--- a/quetzaltiller/tests/daemons.rs
+++ b/quetzaltiller/tests/daemons.rs
@@ -116,7 +116,7 @@
             "platform_address": platform_address,
         });
         let steward = Daemon::start(env!("CARGO_BIN_EXE_qt-steward"), &folder, settings);
-        let fixture = Self {
+        let mut fixture = Self {
             engines,
             service,
             platform,
@@ -149,9 +149,14 @@
         tokio::task::spawn_blocking(move || command.output().unwrap()).await.unwrap()
     }
 
-    async fn wait_for_peers(&self) {
-        for router in &self.routers {
+    async fn wait_for_peers(&mut self) {
+        for index in 0..self.routers.len() {
             loop {
+                for daemon in &mut self.routers {
+                    let ended = daemon.child.try_wait().unwrap();
+                    assert_eq!(ended, None, "a router ended at its start: {}", daemon.settings);
+                }
+                let router = &self.routers[index];
                 let output = self.qtctl(&["dump", &router.address("operator_address")]).await;
                 let dump: Value = serde_json::from_slice(&output.stdout).unwrap_or_default();
                 if dump["members"]["alive"].as_array().is_some_and(|alive| alive.len() == 1) {
@@ -183,10 +188,13 @@
 }
 
 /// An address that nothing else gets before a daemon binds it: below the ports that the kernel
-/// hands out for outgoing connections, and never twice in this process.
+/// hands out for outgoing connections, never twice in this process, and of a loopback network that
+/// another process with these tests does not use.
 async fn free_address() -> String {
+    let [.., high, low] = std::process::id().to_be_bytes();
     loop {
-        let address = format!("127.0.0.1:{}", NEXT_PORT.fetch_add(1, Ordering::Relaxed));
+        let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let address = format!("127.{}.{high}.{}:{port}", 1 + low / 2, 1 + low % 2);
         if TcpListener::bind(&address).await.is_ok() {
             return address;
         }
