Leave upstreams alone that say they are leaving or full; bound what any peer may send

An upstream that leaves says so in each of its answers, one that turns a request away may say for how long it wants nothing, and a faulty one may send bytes without end. Nothing in the tree knew any of it: answers and listings were collected to whatever length, and the directory alone told who leaves. Also: incarnations of entry VMs come from the time of day, so one whose clock had jumped back was not believed after a restart until its earlier life was forgotten (70 minutes).

Change: Standing (leaving, closed for) is read from every answer and goes to the choice of upstreams before the answer is passed on; closed upstreams get no request, copy, question or inquiry, and where all are closed callers are refused at once with the time until the first opens. Departures travel to other entry VMs with the incarnation that said it. An older incarnation is believed where the newer has been silent for 1 s.

Ruled out: telling others of closed upstreams, as the pause concerns one sender; trusting the directory over the upstream.

--- a/coordination/src/membership.rs
+++ b/coordination/src/membership.rs
@@ -2,7 +2,8 @@
 //!
 //! Facts come from heartbeats and from a lagging directory. A heartbeat of an older incarnation
 //! is ignored; either source may say that a member is leaving, and a member does not come back
-//! from leaving within one incarnation.
+//! from leaving within one incarnation. Incarnations come from clocks, which may jump back between
+//! two starts: an older one is believed where the newer one has been silent.
 //!
 //! ```
 //! use coordination::membership::{Heartbeat, Table};
@@ -20,6 +21,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// Nothing that a process sent arrives later than this after its end: the limit of a call between peers.
+const OUTDATED: Duration = Duration::from_secs(1);
+
 /// What a member says of itself.
 #[derive(Clone, Debug, Default, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -96,7 +100,7 @@
     /// Takes a heartbeat of a member whose next one is due within `timeout`.
     pub fn hear_for(&mut self, now: Duration, beat: Heartbeat, timeout: Duration) -> bool {
         if let Some(known) = self.members.get_mut(&beat.name) {
-            if beat.incarnation < known.beat.incarnation {
+            if beat.incarnation < known.beat.incarnation && now < known.heard + OUTDATED {
                 return false;
             }
             let same = beat.incarnation == known.beat.incarnation;
--- /dev/null
+++ b/coordination/tests/membership.rs
@@ -0,0 +1,38 @@
+//! Incarnations of members whose clocks jump.
+
+use coordination::membership::{Heartbeat, Table};
+use rstest::rstest;
+use std::time::Duration;
+
+const TIMEOUT: Duration = Duration::from_secs(20);
+const HOUR_MS: u64 = 3_600_000;
+
+fn beat(incarnation: u64, leaving: bool) -> Heartbeat {
+    Heartbeat { name: "vm-1".into(), incarnation, leaving, ..Heartbeat::default() }
+}
+
+#[rstest]
+#[case::back(HOUR_MS, 0)]
+#[case::forward(0, HOUR_MS)]
+fn a_process_that_starts_after_a_jump_of_its_clock_is_believed(
+    #[case] before: u64,
+    #[case] after: u64,
+) {
+    let mut table = Table::new(TIMEOUT);
+    assert!(table.hear(Duration::ZERO, beat(before, true)));
+
+    let heard = table.hear(Duration::from_millis(1_500), beat(after, false));
+
+    let member = table.member("vm-1").unwrap();
+    assert!(heard && !member.beat.leaving, "{member:?}");
+}
+
+#[test]
+fn what_an_ended_process_sent_last_is_not_believed() {
+    let mut table = Table::new(TIMEOUT);
+    assert!(table.hear(Duration::ZERO, beat(7, false)));
+
+    let heard = table.hear(Duration::from_millis(900), beat(6, true));
+
+    assert!(!heard && !table.member("vm-1").unwrap().beat.leaving);
+}
--- a/quetzaltiller/src/adapters/tcp_peer.rs
+++ b/quetzaltiller/src/adapters/tcp_peer.rs
@@ -17,7 +17,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 const QUEUE: usize = 1_024;
-const MAX_FRAME_BYTES: usize = 64 << 20;
+/// Longest frame: a directory of 11,000 upstreams of 0.33 kB, four times over.
+const MAX_FRAME_BYTES: usize = 16 << 20;
 
 type Socket = Framed<TcpStream, LengthDelimitedCodec>;
 
--- a/quetzaltiller/src/entry/host.rs
+++ b/quetzaltiller/src/entry/host.rs
@@ -86,6 +86,11 @@
         let fresh = self.members.load(Ordering::Relaxed) <= FRESH;
         let told = |(_, load): &(&String, &Load)| near || fresh && load.reported.is_some();
         beat.loads = self.placer.loads().iter().filter(told).map(load).collect();
+        let departure = |(id, incarnation): (&String, &u64)| wire::Departure {
+            upstream: id.clone(),
+            incarnation: *incarnation,
+        };
+        beat.departures = self.placer.departing().iter().map(departure).collect();
         if near {
             beat.lost_upstreams = self.placer.lost().borrow().as_ref().clone();
         }
@@ -93,6 +98,9 @@
 
     fn heard(&self, beat: &wire::Heartbeat) {
         beat.lost_upstreams.iter().for_each(|id| self.placer.reported_gone(id));
+        for departure in &beat.departures {
+            self.placer.reported_departing(&departure.upstream, departure.incarnation);
+        }
         let load = |load: &wire::Load| {
             let backlog = Duration::from_millis(u64::from(load.backlog_ms));
             let (requests, unread) = (load.reported_requests, load.reported_unread);
--- a/quetzaltiller/src/placement/message.rs
+++ b/quetzaltiller/src/placement/message.rs
@@ -10,8 +10,9 @@
 use crate::fleet::{Directory, Upstream};
 use crate::prelude::*;
 use crate::routes;
-use crate::upstream::Report;
+use crate::upstream::{Report, Standing};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use tokio::sync::oneshot;
 
 /// Message; those with a reply are questions.
@@ -49,6 +50,17 @@
         id: String,
         outcome: Outcome,
     },
+    /// What an upstream says of itself; without an `id`, whoever has the address.
+    Stands {
+        address: SocketAddr,
+        id: Option<String>,
+        standing: Standing,
+    },
+    /// A peer heard an incarnation of an upstream say that it leaves.
+    Departs {
+        id: String,
+        incarnation: u64,
+    },
     /// A prompt was read that did not wait.
     Read {
         tokens: u32,
--- a/quetzaltiller/src/placement/placer.rs
+++ b/quetzaltiller/src/placement/placer.rs
@@ -15,8 +15,9 @@
 use crate::prelude::*;
 use crate::routes;
 use crate::scope::Scope;
-use crate::upstream::Client;
+use crate::upstream::{Client, Listener, Standing};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use tokio::sync::{mpsc, watch};
 
 /// What the task uses.
@@ -42,6 +43,7 @@
     registrar: Arc<dyn Registrar>,
     lost: watch::Receiver<Arc<Vec<String>>>,
     withdrawn: watch::Receiver<Arc<Vec<String>>>,
+    departing: watch::Receiver<Arc<BTreeMap<String, u64>>>,
     loads: watch::Receiver<Arc<BTreeMap<String, Load>>>,
     settled: Arc<watch::Sender<bool>>,
     listed: Arc<watch::Sender<bool>>,
@@ -55,17 +57,22 @@
         let watched = lost.subscribe();
         let withdrawn = watch::Sender::default();
         let withdrawals = withdrawn.subscribe();
+        let departing = watch::Sender::default();
+        let departures = departing.subscribe();
         let loads = watch::Sender::default();
         let told = loads.subscribe();
         let registrar = parts.registrar.clone();
-        let published = Published { lost, withdrawn, loads };
+        let client = parts.client.clone();
+        let published = Published { lost, withdrawn, departing, loads };
         let task = Task::new(parts, published, scope.clone(), mailbox.clone());
         scope.spawn(task.run(messages));
+        client.tell(Arc::new(Standings(mailbox.clone())));
         Self {
             mailbox,
             registrar,
             lost: watched,
             withdrawn: withdrawals,
+            departing: departures,
             loads: told,
             settled: Arc::default(),
             listed: Arc::default(),
@@ -172,6 +179,16 @@
         self.withdrawn.clone()
     }
 
+    /// Upstreams that leave by their own word and are not listed as leaving yet, with incarnations.
+    pub fn departing(&self) -> Arc<BTreeMap<String, u64>> {
+        self.departing.borrow().clone()
+    }
+
+    /// Takes a peer's word that an incarnation of an upstream leaves.
+    pub fn reported_departing(&self, id: &str, incarnation: u64) {
+        self.mailbox.tell(Message::Departs { id: id.to_owned(), incarnation });
+    }
+
     /// Puts a configuration in force.
     pub fn configure(&self, routes: Arc<routes::Table>) {
         self.mailbox.tell(Message::Configure(routes));
@@ -221,3 +238,12 @@
         self.mailbox.tell(Message::Outcome { id: id.to_owned(), outcome });
     }
 }
+
+/// Passes what upstreams say of themselves on to the task.
+struct Standings(Mailbox<Message>);
+
+impl Listener for Standings {
+    fn hear(&self, address: SocketAddr, id: Option<&str>, standing: Standing) {
+        self.0.tell(Message::Stands { address, id: id.map(str::to_owned), standing });
+    }
+}
--- a/quetzaltiller/src/placement/state.rs
+++ b/quetzaltiller/src/placement/state.rs
@@ -80,6 +80,10 @@
     pub alive_at: Duration,
     /// When its own process last showed life.
     pub proven_at: Duration,
+    /// It has said itself that it takes no new work.
+    departing: bool,
+    /// It has turned this VM away until then.
+    closed_until: Duration,
     /// When it was found to be gone, while it has not answered since.
     lost_at: Option<Duration>,
     /// Last report, when it was made, and what this entry VM held then.
@@ -106,6 +110,8 @@
             suspect_until: Duration::ZERO,
             alive_at: Duration::ZERO,
             proven_at: Duration::ZERO,
+            departing: false,
+            closed_until: Duration::ZERO,
             lost_at: None,
             reported: None,
             others: BTreeMap::new(),
@@ -120,6 +126,36 @@
         now < self.suspect_until || self.is_lost(now)
     }
 
+    /// Whether it takes no new work, by the directory or by its own word.
+    pub fn is_leaving(&self) -> bool {
+        self.upstream.leaving || self.departing
+    }
+
+    /// Whether only its own word, or that of a peer that heard it, tells that it leaves.
+    pub fn is_departing_unlisted(&self) -> bool {
+        self.departing && !self.upstream.leaving
+    }
+
+    /// Notes its word that it takes no new work; true when that is news.
+    pub fn depart(&mut self) -> bool {
+        !std::mem::replace(&mut self.departing, true)
+    }
+
+    /// Whether it wants nothing from this VM now.
+    pub fn is_closed(&self, now: Duration) -> bool {
+        now < self.closed_until
+    }
+
+    /// Time until it may be asked again.
+    pub fn closed_for(&self, now: Duration) -> Duration {
+        self.closed_until.saturating_sub(now)
+    }
+
+    /// Notes that it wants nothing from this VM until then.
+    pub fn close(&mut self, until: Duration) {
+        self.closed_until = self.closed_until.max(until);
+    }
+
     /// Whether it was found to be gone within `LOSS`.
     pub fn is_lost(&self, now: Duration) -> bool {
         self.lost_within(now, LOSS)
--- a/quetzaltiller/src/placement/table.rs
+++ b/quetzaltiller/src/placement/table.rs
@@ -12,6 +12,7 @@
 use crate::fleet::{Directory, Upstream};
 use crate::routes;
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -141,6 +142,18 @@
         &self.states
     }
 
+    /// Id of the upstream at an address that was not lost, for answers that do not name it.
+    pub fn at(&self, address: SocketAddr) -> Option<String> {
+        let mut states = self.states.values().filter(|state| state.upstream.address == address);
+        states.find(|state| !state.is_unproven()).map(|state| state.upstream.id.clone())
+    }
+
+    /// Incarnations of upstreams that leave by their own word and are not listed as leaving yet.
+    pub fn departing(&self) -> BTreeMap<String, u64> {
+        let departing = self.states.iter().filter(|(_, state)| state.is_departing_unlisted());
+        departing.map(|(id, state)| (id.clone(), state.upstream.incarnation)).collect()
+    }
+
     /// State of one upstream, while it is known.
     pub fn state_mut(&mut self, id: &str) -> Option<&mut State> {
         self.states.get_mut(id)
@@ -148,7 +161,13 @@
 
     /// Chooses for `demand` at `now`.
     pub fn choose(&self, now: Duration, demand: &Demand) -> Choice {
-        let able: Vec<_> = self.staying(&demand.service).collect();
+        let staying: Vec<_> = self.staying(&demand.service).collect();
+        let able: Vec<_> = staying.iter().copied().filter(|state| !state.is_closed(now)).collect();
+        if able.is_empty()
+            && let Some(retry_after) = staying.iter().map(|state| state.closed_for(now)).min()
+        {
+            return Choice::Full { retry_after };
+        }
         let preferred: Vec<_> = able
             .iter()
             .copied()
@@ -177,7 +196,8 @@
     ) -> Option<Arc<Upstream>> {
         let run = demand.run.as_ref()?;
         self.engine(&demand.service).filter(|engine| engine.moves)?;
-        let able = self.staying(&demand.service).filter(|state| !state.is_suspect(now)).collect();
+        let able = |state: &&State| !state.is_suspect(now) && !state.is_closed(now);
+        let able = self.staying(&demand.service).filter(able).collect();
         let doubted = self.doubted_zones(now, &demand.service);
         let engines = self.engines_for(now, &demand.service, run, (able, doubted));
         engines.choose_backup(&engines.candidates, primary)
@@ -309,9 +329,10 @@
         })
     }
 
-    /// Engines of a service that are not lost or leaving.
+    /// Engines of a service that may be asked: those that are not lost, leaving or closed.
     pub fn engines(&self, now: Duration, service: &str) -> Vec<Arc<Upstream>> {
-        let sound = self.staying(service).filter(|state| !state.is_lost(now));
+        let sound = self.staying(service);
+        let sound = sound.filter(|state| !state.is_lost(now) && !state.is_closed(now));
         sound.map(|state| state.upstream.clone()).collect()
     }
 
@@ -322,14 +343,16 @@
         engines
     }
 
-    /// Engines that this entry VM asks what they hold: those of its zone that it owns and that are not lost.
+    /// Engines that this entry VM asks what they hold: those of its zone that it owns and that are
+    /// neither lost nor closed.
     pub fn engines_to_ask(&self, now: Duration) -> Vec<Arc<Upstream>> {
         let has_engines = |service: &str| {
             self.routes.service(service).is_some_and(|service| service.engine.is_some())
         };
         let owned = self.states.values().filter(|state| {
             let upstream = &state.upstream;
-            has_engines(&upstream.service) && !state.is_lost(now) && self.is_own(upstream)
+            let able = !state.is_lost(now) && !state.is_closed(now);
+            has_engines(&upstream.service) && able && self.is_own(upstream)
         });
         owned.map(|state| state.upstream.clone()).collect()
     }
@@ -371,7 +394,7 @@
 
     /// Upstreams of a service that are not leaving.
     fn staying(&self, service: &str) -> impl Iterator<Item = &State> {
-        self.of_service(service).filter(|state| !state.upstream.leaving)
+        self.of_service(service).filter(|state| !state.is_leaving())
     }
 
     fn share_upstreams(&mut self) {
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -15,8 +15,9 @@
 use crate::mailbox::Mailbox;
 use crate::prelude::*;
 use crate::scope::Scope;
-use crate::upstream::{Client, Report};
+use crate::upstream::{Client, Report, Standing};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use tokio::sync::{mpsc, watch};
 use tokio::time::MissedTickBehavior;
 
@@ -40,6 +41,8 @@
     pub lost: watch::Sender<Arc<Vec<String>>>,
     /// Upstreams that are gone or leaving.
     pub withdrawn: watch::Sender<Arc<Vec<String>>>,
+    /// Upstreams that leave by their own word, and their incarnations.
+    pub departing: watch::Sender<Arc<BTreeMap<String, u64>>>,
     /// What this entry VM has given to upstreams.
     pub loads: watch::Sender<Arc<BTreeMap<String, Load>>>,
 }
@@ -133,6 +136,13 @@
             Message::Outcome { id, outcome } => {
                 self.judge(now, &id, outcome);
             }
+            Message::Stands { address, id, standing } => self.stand(now, address, id, standing),
+            Message::Departs { id, incarnation } => {
+                let known = self.table.states().get(&id);
+                if known.is_some_and(|state| state.is_incarnation(incarnation)) {
+                    self.depart(now, &id, "peer");
+                }
+            }
             Message::Read { tokens, took } => self.table.observe_prefill(tokens, took),
             Message::Configure(routes) => self.table.configure(routes),
             Message::Upstreams(directory) => {
@@ -181,14 +191,14 @@
             }
             Outcome::Gone => {
                 if state.lose(now) {
-                    let proven_at = state.proven_at;
+                    let (proven_at, closed) = (state.proven_at, state.is_closed(now));
                     let upstream = state.upstream.clone();
                     info!("upstream_lost", kv: {
                         upstream = upstream.id, zone = upstream.zone,
                         alive_ago_ms = now.saturating_sub(state.alive_at).as_millis() as u64
                     });
                     let service = upstream.service.clone();
-                    if self.table.watches(&upstream) {
+                    if !closed && self.table.watches(&upstream) {
                         self.inquire(upstream, proven_at);
                     }
                     self.check_zone(now, &service);
@@ -200,6 +210,40 @@
         }
     }
 
+    /// Takes what an upstream says of itself.
+    fn stand(
+        &mut self,
+        now: Duration,
+        address: SocketAddr,
+        id: Option<String>,
+        standing: Standing,
+    ) {
+        let Some(id) = id.or_else(|| self.table.at(address)) else {
+            return;
+        };
+        if let Some(pause) = standing.closed_for
+            && let Some(state) = self.table.state_mut(&id)
+        {
+            state.close(now + pause);
+            let pause_ms = pause.as_millis() as u64;
+            info!("upstream_closed", kv: { upstream = id, pause_ms });
+        }
+        if standing.leaving {
+            self.depart(now, &id, "upstream");
+        }
+    }
+
+    fn depart(&mut self, now: Duration, id: &str, source: &str) {
+        let Some(state) = self.table.state_mut(id) else {
+            return;
+        };
+        if state.depart() {
+            let listed = state.upstream.leaving;
+            info!("upstream_departs", kv: { upstream = id, source, listed });
+            self.publish_lost(now);
+        }
+    }
+
     fn report(&mut self, now: Duration, id: &str, report: &Report) {
         let Some(state) = self.table.state_mut(id) else {
             return;
@@ -292,11 +336,12 @@
         let lost = self.table.states().values().filter(|state| state.is_lost(now));
         let lost = lost.map(|state| state.upstream.id.clone());
         let lost: Vec<_> = lost.chain(self.departed.iter().cloned()).collect();
-        let leaving = self.table.states().values().filter(|state| state.upstream.leaving);
+        let leaving = self.table.states().values().filter(|state| state.is_leaving());
         let leaving = leaving.map(|state| state.upstream.id.clone());
         let withdrawn: Vec<_> = lost.iter().cloned().chain(leaving).collect();
         publish(&self.published.lost, lost);
         publish(&self.published.withdrawn, withdrawn);
+        publish(&self.published.departing, self.table.departing());
     }
 
     fn place(&mut self, now: Duration, demand: &Demand, books: bool) -> Result<Choosing, Unplaced> {
@@ -335,7 +380,7 @@
 }
 
 /// Tells who watches, if it is news.
-fn publish(sender: &watch::Sender<Arc<Vec<String>>>, ids: Vec<String>) {
+fn publish<T: PartialEq>(sender: &watch::Sender<Arc<T>>, ids: T) {
     sender.send_if_modified(|known| {
         let changed = **known != ids;
         if changed {
--- a/quetzaltiller/src/proxy/call.rs
+++ b/quetzaltiller/src/proxy/call.rs
@@ -9,8 +9,7 @@
 use crate::placement::{Demand, Placement, Unplaced};
 use crate::prelude::*;
 use crate::routes::Kind;
-use crate::upstream::{Call, Error, Response};
-use bytes::{Bytes, BytesMut};
+use crate::upstream::{Call, Error};
 use futures::StreamExt as _;
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
@@ -198,8 +197,12 @@
             Refusal::new(Code::UpstreamFailed, Ran::Unknown, "the upstream did not answer")
         } else {
             let code = self.unplaced.map_or(Code::Overloaded, Unplaced::code);
+            let retry_after_ms = match self.unplaced {
+                Some(Unplaced::Full { retry_after }) => retry_after.as_millis() as u64,
+                _ => RETRY_AFTER_MS,
+            };
             let refusal = Refusal::not_run(code, "no replica takes the request now");
-            Refusal { retry_after_ms: RETRY_AFTER_MS, ..refusal }
+            Refusal { retry_after_ms, ..refusal }
         };
         self.refuse(refusal)
     }
@@ -239,14 +242,20 @@
     let response = match context.client.send(call).await {
         Ok(response) => response,
         Err(Error::Unsent | Error::Misdirected) => return Tried::Unsent,
-        Err(Error::Broken | Error::Foreign) => return Tried::Unknown,
+        Err(Error::Broken | Error::Foreign | Error::Oversized) => return Tried::Unknown,
     };
     if response.not_run {
         return Tried::Rejected;
     }
-    let Response { status, headers, body, .. } = response;
-    let Some(body) = collect(body).await else {
-        return Tried::Unknown;
+    let (status, headers) = (response.status, response.headers.clone());
+    let body = match response.collect().await {
+        Ok(body) => body,
+        Err(reason) => {
+            debug!("answer_broke", kv: {
+                request = request.id, upstream = placement.upstream.id, reason:? = reason
+            });
+            return Tried::Unknown;
+        }
     };
     context.pacer.answered(&plan.service, context.clock.now().saturating_sub(began));
     let answer = Answer { status, headers, body };
@@ -256,13 +265,3 @@
         Tried::Answered(answer)
     }
 }
-
-async fn collect(
-    mut body: futures::stream::BoxStream<'static, Result<Bytes, Error>>,
-) -> Option<Bytes> {
-    let mut collected = BytesMut::new();
-    while let Some(chunk) = body.next().await {
-        collected.extend_from_slice(&chunk.ok()?);
-    }
-    Some(collected.freeze())
-}
--- a/quetzaltiller/src/proxy/event.rs
+++ b/quetzaltiller/src/proxy/event.rs
@@ -5,8 +5,8 @@
 use std::io;
 use tokio_util::codec::Decoder;
 
-/// Longest event; longer ones are noise.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Longest event, 500 times the longest on the users' sheets (480 bytes); longer ones are noise.
+const MAX_EVENT_BYTES: usize = 256 << 10;
 const END: &[u8] = b"\n\n";
 const ID: &[u8] = b"id:";
 
--- a/quetzaltiller/src/proxy/reader.rs
+++ b/quetzaltiller/src/proxy/reader.rs
@@ -112,19 +112,17 @@
     }
 
     async fn read(&self, response: Response) -> Notice {
-        let Response { status, headers, not_run, body } = response;
-        if not_run {
+        if response.not_run {
             return Notice::Failed(self.conn, engine::Error::Busy);
         }
-        if !status.is_success() {
-            return match body.try_collect::<Vec<_>>().await {
-                Ok(chunks) => {
-                    let body = chunks.concat().into();
-                    Notice::Answered(self.conn, Answer { status, headers, body })
-                }
+        if !response.status.is_success() {
+            let (status, headers) = (response.status, response.headers.clone());
+            return match response.collect().await {
+                Ok(body) => Notice::Answered(self.conn, Answer { status, headers, body }),
                 Err(error) => Notice::Failed(self.conn, translate(error)),
             };
         }
+        let Response { status, headers, body, .. } = response;
         if !self.tell(Notice::Opened(self.conn, Head { status, headers })).await {
             return Notice::Failed(self.conn, engine::Error::Reset);
         }
@@ -152,6 +150,6 @@
     match error {
         Error::Unsent | Error::Misdirected => engine::Error::Refused,
         Error::Broken => engine::Error::Reset,
-        Error::Foreign => engine::Error::Protocol("answer of another request".into()),
+        Error::Foreign | Error::Oversized => engine::Error::Protocol(error.to_string()),
     }
 }
--- a/quetzaltiller/src/upstream.rs
+++ b/quetzaltiller/src/upstream.rs
@@ -3,13 +3,19 @@
 use crate::fleet::Upstream;
 use crate::proxy::Request;
 use async_trait::async_trait;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use futures::StreamExt as _;
 use futures::stream::BoxStream;
 use hyper::{HeaderMap, StatusCode};
 use quick_error::quick_error;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+/// Longest reply that is read to its end before it is passed on, in bytes: a hundred times the
+/// longest on the users' sheets (5 kB), and 50 MB where fifty faulty upstreams send it at once.
+pub const MAX_REPLY_BYTES: usize = 1 << 20;
+
 quick_error! {
     /// Why there is no answer.
     #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -30,9 +36,28 @@
         Foreign {
             display("answer of another request")
         }
+        /// It was sent, and more came than any answer holds; it may have run.
+        Oversized {
+            display("answer without end")
+        }
     }
 }
 
+/// What an upstream says of itself along with an answer.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Standing {
+    /// It takes no new work.
+    pub leaving: bool,
+    /// It wants nothing more from this VM for so long.
+    pub closed_for: Option<Duration>,
+}
+
+/// Takes what upstreams say of themselves, before the answer that told it is passed on.
+pub trait Listener: Send + Sync {
+    /// Takes the standing of the upstream at `address`; `id` names it where the answer proves who sent it.
+    fn hear(&self, address: SocketAddr, id: Option<&str>, standing: Standing);
+}
+
 /// Memory of a run to go on from.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Copy {
@@ -77,6 +102,21 @@
     pub body: BoxStream<'static, Result<Bytes, Error>>,
 }
 
+impl Response {
+    /// Reads the body to its end, up to [`MAX_REPLY_BYTES`].
+    pub async fn collect(mut self) -> Result<Bytes, Error> {
+        let mut collected = BytesMut::new();
+        while let Some(chunk) = self.body.next().await {
+            let chunk = chunk?;
+            if collected.len() + chunk.len() > MAX_REPLY_BYTES {
+                return Err(Error::Oversized);
+            }
+            collected.extend_from_slice(&chunk);
+        }
+        Ok(collected.freeze())
+    }
+}
+
 /// What an engine tells of itself, some hundred milliseconds late.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Report {
@@ -106,6 +146,9 @@
 /// Access to upstreams. Dropping a call or a body closes its connection.
 #[async_trait]
 pub trait Client: Send + Sync {
+    /// Names who takes what upstreams say of themselves; the first one is kept.
+    fn tell(&self, listener: Arc<dyn Listener>);
+
     /// Sends a request; returns when the head of the answer is there.
     async fn send(&self, call: Call<'_>) -> Result<Response, Error>;
 
--- a/quetzaltiller/src/wire.rs
+++ b/quetzaltiller/src/wire.rs
@@ -138,6 +138,19 @@
     /// Number of others that it takes as alive.
     #[prost(uint32, tag = "18")]
     pub alive: u32,
+    /// Upstreams that leave by their own word.
+    #[prost(message, repeated, tag = "19")]
+    pub departures: Vec<Departure>,
+}
+
+/// An upstream that has said that it leaves.
+#[derive(Clone, Message, PartialEq)]
+pub struct Departure {
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Which start of its process said so; 0 where that is not known.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
 }
 
 /// A member that another knows.
--- a/quetzaltiller/tests/entry.rs
+++ b/quetzaltiller/tests/entry.rs
@@ -525,3 +525,54 @@
     assert_eq!(while_listing, 0);
     assert!(started.is_ready(), "learned from peers");
 }
+
+/// Load: all replicas are full and say for how long.
+#[tokio::test(start_paused = true)]
+async fn closed_replicas_get_nothing_and_callers_learn_when_they_open() {
+    let site = Site::start(1).await;
+    for zone in ["a", "b", "c"] {
+        let close = Fault::Close(Duration::from_secs(3));
+        site.fleet.change(&format!("desk-{zone}"), |node| node.fault = Some(close));
+    }
+
+    for n in 0..4 {
+        status_of(&site, request(&format!("first-{n}"), "/order/1")).await;
+    }
+    let before = site.fleet.counts().turned_away;
+    let mut waits = Vec::new();
+    for n in 0..20 {
+        let asked = request(&format!("then-{n}"), "/order/1");
+        if let Reply::Refused(refusal) = site.entries[0].proxy().handle(asked).await {
+            assert_eq!(refusal.ran, Ran::No);
+            waits.push(refusal.retry_after_ms);
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+
+    assert_eq!(site.fleet.counts().turned_away, before);
+    assert_eq!(waits.len(), 20);
+    assert!(waits.iter().all(|wait| (1_500..=3_000).contains(wait)), "{waits:?}");
+}
+
+/// The store lists a replica as ready that has said in an answer that it leaves.
+#[tokio::test(start_paused = true)]
+async fn a_replica_that_says_it_leaves_gets_nothing_more_whatever_the_store_lists() {
+    let site = Site::start(1).await;
+    site.fleet.change("desk-a", |node| node.departing = true);
+    let reached = |site: &Site| {
+        let mut reached = 0;
+        site.fleet.change("desk-a", |node| reached = node.reached);
+        reached
+    };
+
+    for n in 0..40 {
+        status_of(&site, request(&format!("lookup-{n}"), "/status/1")).await;
+        if n == 20 {
+            let listed = site.fleet.listing().into_iter().find(|u| u.id == "desk-a").unwrap();
+            site.store.list(listed);
+            sleep(Duration::from_millis(500)).await;
+        }
+    }
+
+    assert_eq!(reached(&site), 1);
+}
--- a/quetzaltiller/tests/placement.rs
+++ b/quetzaltiller/tests/placement.rs
@@ -1,6 +1,6 @@
 //! The choice of upstreams, without I/O: loads and losses that it answers.
 
-use quetzaltiller::fleet::{Change, Directory};
+use quetzaltiller::fleet::{Change, Directory, Upstream};
 use quetzaltiller::placement::{Booking, Choice, Demand, Load, Peer, Pick, Reported, Run, Table};
 use quetzaltiller::routes;
 use rstest::rstest;
@@ -289,3 +289,87 @@
     let memory = ["engine-a-0", "engine-a-1"].map(|id| table.states()[id].memory(NOW));
     assert_eq!(memory, expected);
 }
+
+fn lookup() -> Demand {
+    Demand { service: "desk".to_owned(), ..Demand::default() }
+}
+
+/// Table of zone a with one replica in each zone.
+fn desk() -> Table {
+    let mut table = Table::new("entry-a", "a");
+    table.configure(Arc::new(routes::Table::from(configuration(1))));
+    let mut directory = Directory::default();
+    let listed = ZONES.iter().enumerate();
+    let replica = |(z, zone): (usize, &&str)| {
+        Change::Set(standin::site::replica(&format!("desk-{zone}"), zone, 200 + z as u8))
+    };
+    directory.apply(1, listed.map(replica).collect());
+    table.set_upstreams(&directory);
+    table
+}
+
+/// Load: replicas that are full turn requests away and say for how long.
+#[test]
+fn a_replica_that_wants_nothing_is_left_alone_until_then() {
+    let mut table = desk();
+    let until = NOW + Duration::from_secs(2);
+    table.state_mut("desk-a").unwrap().close(until);
+
+    let during: Vec<_> =
+        (0..20).map(|_| pick(&table, NOW, &lookup()).upstream.id.clone()).collect();
+    let after = pick(&table, until, &lookup()).upstream.id.clone();
+
+    assert!(during.iter().all(|id| id != "desk-a"), "{during:?}");
+    assert_eq!(after, "desk-a");
+}
+
+#[test]
+fn where_all_replicas_are_closed_the_wait_is_that_for_the_first_to_open() {
+    let mut table = desk();
+    for (id, seconds) in [("desk-a", 5), ("desk-b", 2), ("desk-c", 9)] {
+        table.state_mut(id).unwrap().close(NOW + Duration::from_secs(seconds));
+    }
+
+    let choice = table.choose(NOW, &lookup());
+
+    assert_eq!(choice, Choice::Full { retry_after: Duration::from_secs(2) });
+}
+
+/// Load: work at stake when all engines with room have closed.
+#[test]
+fn engines_that_want_nothing_get_no_run_no_copy_and_no_question() {
+    let mut table = table(2);
+    let closed: Vec<_> =
+        table.states().keys().filter(|id| !id.starts_with("engine-b")).cloned().collect();
+    for id in &closed {
+        table.state_mut(id).unwrap().close(NOW + Duration::from_secs(3));
+    }
+
+    let picks: Vec<_> = (0..20).map(|n| pick(&table, NOW, &demand(n))).collect();
+    let asked = table.engines_to_ask(NOW);
+
+    for pick in picks {
+        assert!(pick.upstream.id.starts_with("engine-b"), "{pick:?}");
+        assert!(pick.backup.iter().all(|copy| copy.id.starts_with("engine-b")), "{pick:?}");
+    }
+    assert!(asked.iter().all(|engine| engine.id.starts_with("engine-b")), "{asked:?}");
+}
+
+/// The directory is late: it lists an upstream as ready that has said that it leaves.
+#[test]
+fn the_word_of_an_upstream_that_it_leaves_outlasts_listings_of_its_incarnation() {
+    let mut table = desk();
+    let listed = table.states()["desk-a"].upstream.clone();
+    assert!(table.state_mut("desk-a").unwrap().depart());
+    let mut directory = Directory::default();
+    let ready = |incarnation| Change::Set(Upstream { incarnation, ..(*listed).clone() });
+
+    directory.apply(2, vec![ready(listed.incarnation)]);
+    table.set_upstreams(&directory);
+    let same = table.states()["desk-a"].is_leaving();
+    directory.apply(3, vec![ready(listed.incarnation + 1)]);
+    table.set_upstreams(&directory);
+    let restarted = table.states()["desk-a"].is_leaving();
+
+    assert!(same && !restarted, "{same} {restarted}");
+}
--- a/quetzaltiller/tests/prompts.rs
+++ b/quetzaltiller/tests/prompts.rs
@@ -7,7 +7,7 @@
 use quetzaltiller::prompts::{Finder, Neighbours, Wanted};
 use quetzaltiller::routes;
 use quetzaltiller::scope::Scope;
-use quetzaltiller::upstream::{Call, Client, Copy, Error, Report, Response};
+use quetzaltiller::upstream::{Call, Client, Copy, Error, Listener, Report, Response};
 use rstest::rstest;
 use standin::site::configuration;
 use std::net::SocketAddr;
@@ -24,6 +24,8 @@
 
 #[async_trait]
 impl Client for Engines {
+    fn tell(&self, _listener: Arc<dyn Listener>) {}
+
     async fn send(&self, _call: Call<'_>) -> Result<Response, Error> {
         Err(Error::Unsent)
     }
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -15,7 +15,7 @@
 use futures::StreamExt as _;
 use hyper::{HeaderMap, StatusCode};
 use quetzaltiller::fleet::Upstream;
-use quetzaltiller::upstream::{Call, Client, Copy, Error, Report, Response};
+use quetzaltiller::upstream::{Call, Client, Copy, Error, Listener, Report, Response, Standing};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -42,6 +42,7 @@
     nodes: Arc<Mutex<BTreeMap<SocketAddr, Node>>>,
     counts: Arc<Mutex<Counts>>,
     carrier: Option<Arc<dyn Carrier>>,
+    listeners: Arc<Mutex<Vec<Arc<dyn Listener>>>>,
 }
 
 /// What happened.
@@ -150,6 +151,27 @@
         if listens { Ok(()) } else { Err(Error::Unsent) }
     }
 
+    /// Tells all entry VMs of this process what an upstream says of itself.
+    fn tell_standing(&self, call: &Call<'_>) {
+        let address = call.upstream.address;
+        let standing = {
+            let mut nodes = self.lock();
+            let Some(node) = nodes.get_mut(&address) else {
+                return;
+            };
+            node.reached += 1;
+            let closed_for = match node.fault {
+                Some(Fault::Close(pause)) => Some(pause),
+                _ => None,
+            };
+            Standing { leaving: node.departing, closed_for }
+        };
+        if standing != Standing::default() {
+            let listeners = self.listeners.lock().unwrap_or_else(PoisonError::into_inner);
+            listeners.iter().for_each(|l| l.hear(address, Some(&call.upstream.id), standing));
+        }
+    }
+
     async fn answer(&self, call: &Call<'_>) -> Result<Response, Error> {
         let fault = self.lock().get(&call.upstream.address).and_then(|node| node.fault);
         let respond = |status, not_run| {
@@ -159,7 +181,7 @@
             Response { status, headers: HeaderMap::new(), not_run, body }
         };
         match fault {
-            Some(Fault::Shed) => {
+            Some(Fault::Shed | Fault::Close(_)) => {
                 self.count().turned_away += 1;
                 Ok(respond(StatusCode::SERVICE_UNAVAILABLE, true))
             }
@@ -194,6 +216,10 @@
 
 #[async_trait]
 impl Client for Fleet {
+    fn tell(&self, listener: Arc<dyn Listener>) {
+        self.listeners.lock().unwrap_or_else(PoisonError::into_inner).push(listener);
+    }
+
     async fn send(&self, call: Call<'_>) -> Result<Response, Error> {
         let address = call.upstream.address;
         self.connect(address).await?;
@@ -205,6 +231,7 @@
         if !found {
             return Err(Error::Misdirected);
         }
+        self.tell_standing(&call);
         if !is_engine {
             return self.answer(&call).await;
         }
--- a/standin/src/fleet/node.rs
+++ b/standin/src/fleet/node.rs
@@ -20,6 +20,8 @@
 pub enum Fault {
     /// Does not run them.
     Shed,
+    /// Does not run them, and wants no more for so long.
+    Close(Duration),
     /// Answers none.
     Hang,
     /// Runs them and loses the answer.
@@ -49,6 +51,10 @@
     pub events: u32,
     /// How it fails requests.
     pub fault: Option<Fault>,
+    /// Says in each answer that it takes no new work.
+    pub departing: bool,
+    /// Requests that reached it.
+    pub reached: u32,
     pub(super) life: watch::Sender<Life>,
     reading_until: Instant,
     runs: BTreeMap<String, u32>,
@@ -63,6 +69,8 @@
             upstream,
             events,
             fault: None,
+            departing: false,
+            reached: 0,
             life: watch::Sender::new(Life::Up),
             reading_until: Instant::now(),
             runs: BTreeMap::new(),
--- a/standin/src/fleet/stream.rs
+++ b/standin/src/fleet/stream.rs
@@ -35,7 +35,7 @@
         let fault = fleet.lock().get(&address).and_then(|node| node.fault);
         match fault {
             Some(Fault::Hang) => return std::future::pending().await,
-            Some(Fault::Shed) => return Ok(turned_away(&fleet)),
+            Some(Fault::Shed | Fault::Close(_)) => return Ok(turned_away(&fleet)),
             _ => {}
         }
         let prompt = call.request.prompt.clone().unwrap_or_default();
