Serve late what is late anywhere, where nobody waits; refuse at once what can't begin before its deadline

Cause: the largest prompts take longer to read than the objective allows on an idle engine. They were refused a millisecond after they came, with engines idle and 25 s left, and told to come back in 0.5 s, when the same happened again.

Change: Engines::refuses tells three cases apart. A run that would be on time elsewhere or later gives way as before; one whose prompt alone takes too long is served where no more than 250 ms of other prompts wait, or told when those are read; one that can't begin before its deadline is refused at once, also where it goes on. A registrar no longer declines the former for an objective that no engine can meet.

Ruled out: serving late also under load, as each such prompt would push others past their objective.

Callers get their draft instead of nothing.

--- a/quetzaltiller/src/placement/demand.rs
+++ b/quetzaltiller/src/placement/demand.rs
@@ -28,8 +28,10 @@
     pub footprint: u32,
     /// Equal for requests that share a prompt.
     pub affinity: u64,
-    /// Time until the first event, after which the run is of little use; none for work at stake.
+    /// Time until the first event after which the run is late; none for work at stake.
     pub objective: Option<Duration>,
+    /// Time until the answer is of no use at all; none where that is not known.
+    pub deadline: Option<Duration>,
     /// Choose a second engine for copies of the memory.
     pub wants_backup: bool,
 }
--- a/quetzaltiller/src/placement/engines.rs
+++ b/quetzaltiller/src/placement/engines.rs
@@ -18,6 +18,9 @@
 
 /// Time in which a full engine ends a run: the length of one over the runs of one engine.
 const FULL_RETRY: Duration = Duration::from_millis(500);
+/// Wait for others' prompts up to which a run is begun that is late wherever it goes: a part of a prefill,
+/// which delays none of them.
+const LATE_BACKLOG: Duration = Duration::from_millis(250);
 /// Slowdown of the others in a batch by one more run, over the length of a run: 0.15 ms of about
 /// 5 ms a step (users' sheet of engines), 4 s a run.
 const NEIGHBOUR_MS: f64 = 120.0;
@@ -83,11 +86,10 @@
             return Choice::Full { retry_after: FULL_RETRY };
         };
         let prefill = self.speed.prefill(self.run.prompt_tokens);
-        let wait = best.backlog(self.now, self.speed) + prefill;
-        if let Some(late) = self.run.objective.and_then(|objective| wait.checked_sub(objective))
-            && !late.is_zero()
-        {
-            return Choice::Full { retry_after: late.max(FULL_RETRY) };
+        let backlog = best.backlog(self.now, self.speed);
+        let wait = backlog + prefill;
+        if let Some(retry_after) = self.refuses(best, backlog) {
+            return Choice::Full { retry_after };
         }
         let backs_up = self.run.wants_backup && self.engine.is_some_and(|engine| engine.backups);
         let backup = if backs_up { self.choose_backup(&open, &best.upstream) } else { None };
@@ -96,6 +98,24 @@
         Choice::Found(Pick { upstream: best.upstream.clone(), backup, restores, wait, alone })
     }
 
+    /// Why a run is refused at the best engine: the time until it could be taken. A run that would be on
+    /// time elsewhere or later gives way to those that still can be; one whose prompt alone takes too
+    /// long is late wherever and whenever it begins, so it is served where nobody waits.
+    fn refuses(&self, best: &State, backlog: Duration) -> Option<Duration> {
+        let first_event = self.speed.prefill(tokens_to_read(self.run, &best.upstream.id));
+        let left = self.run.deadline.map(|deadline| deadline.saturating_sub(backlog + first_event));
+        if left.is_some_and(|left| left.is_zero()) {
+            return Some(backlog.max(FULL_RETRY));
+        }
+        let objective = self.run.objective?;
+        let prefill = self.speed.prefill(self.run.prompt_tokens);
+        if prefill > objective {
+            return (backlog > LATE_BACKLOG).then_some(backlog);
+        }
+        let late = (backlog + prefill).saturating_sub(objective);
+        (!late.is_zero()).then(|| late.max(FULL_RETRY))
+    }
+
     /// Engine for copies of a run at `primary`: in another zone, one that holds little. Where all
     /// others are crowded, as after the loss of a zone, copies take the room that is left there rather
     /// than share the zone of their run.
--- a/quetzaltiller/src/placement/table.rs
+++ b/quetzaltiller/src/placement/table.rs
@@ -230,7 +230,7 @@
         let registrar = self.shares.registrar(&pick.upstream)?;
         let state = self.states.get(&pick.upstream.id);
         let backlog = state.map(|state| state.backlog(now, self.speed));
-        let latest = run.objective.map(|objective| objective.saturating_sub(prefill));
+        let latest = run.objective.and_then(|objective| objective.checked_sub(prefill));
         let limit = backlog.unwrap_or_default() + booking::TOLERANCE;
         Some(Booking {
             registrar: registrar.address.clone(),
--- a/quetzaltiller/src/proxy/placing.rs
+++ b/quetzaltiller/src/proxy/placing.rs
@@ -77,6 +77,7 @@
             prompt_tokens: prompt.map_or(0, |prompt| prompt.tokens),
             footprint: prompt.map_or(0, |prompt| prompt.footprint()),
             affinity: prompt.map_or(0, |prompt| prompt.own_part()),
+            deadline: Some(self.plan.until.saturating_sub(self.context.clock.now())),
             objective: (!resumed && self.request.last_event.is_none()).then_some(objective),
             wants_backup: route.kind == Kind::Generation { resumable: true },
         };
--- a/quetzaltiller/tests/placement.rs
+++ b/quetzaltiller/tests/placement.rs
@@ -373,3 +373,52 @@
 
     assert!(same && !restarted, "{same} {restarted}");
 }
+
+/// Load: a prompt that takes longer to read than its objective allows, on engines that stand idle. Refused,
+/// it would come back and be refused again until its caller gives up.
+#[test]
+fn a_prompt_that_is_late_anywhere_is_served_where_nobody_waits() {
+    let table = table(2);
+    let mut huge = demand(1);
+    let run = huge.run.as_mut().unwrap();
+    run.prompt_tokens = 40_000;
+    run.objective = Some(Duration::from_millis(4_500));
+    run.deadline = Some(Duration::from_secs(25));
+
+    let pick = pick(&table, NOW, &huge);
+
+    assert_eq!(pick.wait, Duration::from_secs(5));
+}
+
+/// The same where others' prompts wait, which it would push past theirs.
+#[test]
+fn a_prompt_that_is_late_anywhere_waits_until_others_have_been_read() {
+    let mut table = table(1);
+    (0..6).for_each(|n| drop(place(&mut table, NOW, n)));
+    let mut huge = demand(1);
+    let run = huge.run.as_mut().unwrap();
+    run.prompt_tokens = 40_000;
+    run.objective = Some(Duration::from_millis(4_500));
+
+    let choice = table.choose(NOW, &huge);
+
+    let Choice::Full { retry_after } = choice else { panic!("{choice:?}") };
+    assert!(retry_after >= Duration::from_secs(1), "{retry_after:?}");
+}
+
+/// Nobody gains from a prompt that is read for a caller who will be gone.
+#[rstest]
+#[case::in_time(1_200, true)]
+#[case::too_late(900, false)]
+fn a_run_that_can_not_begin_before_its_deadline_is_refused_at_once(
+    #[case] left_ms: u64,
+    #[case] served: bool,
+) {
+    let table = table(2);
+    let mut demand = demand(1);
+    demand.run.as_mut().unwrap().deadline = Some(Duration::from_millis(left_ms));
+
+    let choice = table.choose(NOW, &demand);
+
+    assert_eq!(matches!(choice, Choice::Found(_)), served, "{choice:?}");
+}
