Count a request as unsent only where its own connection was refused

A check that finds nobody at the engine was counted as if the run had never been sent. So a begun draft was taken for a new one, and one whose engine may have run it could be refused with the promise that it had not.

Change: the task of a generation remembers which connection carries a run; only its refusal takes back a send. A draft that has events is never refused for leaving. The stand-in's dark engines now fall silent; they broke connections before. Also, engines of unknown speed: the mean length of prompts is learned beside the speed, and recovery uses the learned speed instead of that of one users' sheet.

Ruled out: the caller's patience and the grace time; 3.3 s of it were left.

--- a/quetzaltiller/src/placement/mod.rs
+++ b/quetzaltiller/src/placement/mod.rs
@@ -30,6 +30,7 @@
 pub use place::{Copy, Permit, Placement, Unplaced};
 pub use placer::{Parts, Placer};
 pub use shares::Peer;
+pub use speed::Speed;
 pub use state::{Load, Reported, State};
 pub use succession::Successor;
 pub use table::Table;
--- a/quetzaltiller/src/placement/place.rs
+++ b/quetzaltiller/src/placement/place.rs
@@ -2,6 +2,7 @@
 
 use super::hold::Hold;
 use super::message::Message;
+use super::speed::Speed;
 use crate::fleet::Upstream;
 use crate::mailbox::Mailbox;
 use crate::prelude::*;
@@ -22,6 +23,8 @@
     pub wait: Duration,
     /// Its prompt need not wait for others.
     pub alone: bool,
+    /// How fast engines read.
+    pub speed: Speed,
     /// Place.
     pub permit: Permit,
 }
--- a/quetzaltiller/src/placement/speed.rs
+++ b/quetzaltiller/src/placement/speed.rs
@@ -1,4 +1,5 @@
-//! How fast engines read prompts, learned from runs that had an engine to themselves.
+//! How fast engines read prompts, learned from runs that had an engine to themselves, and how long
+//! prompts are.
 
 use std::time::Duration;
 
@@ -13,18 +14,24 @@
 const SLOWER: f64 = 0.03;
 /// Shorter prompts tell more of round trips and first steps than of reading.
 const MIN_TOKENS: u32 = 1_000;
-/// Prompt tokens left of a request that has not generated anything, on average.
-const UNREAD_TOKENS: u32 = 5_600;
+/// Length of prompts in tokens, until that is learned (users' sheet of requests).
+const FIRST_PROMPT: f64 = 8_000.0;
+/// Weight of one prompt in their mean length.
+const PROMPT_GAIN: f64 = 0.05;
+/// Part that is left to read of a request that has not generated anything: some wait, one is read.
+const UNREAD_SHARE: f64 = 0.7;
 
 /// Speed of reading.
 #[derive(Clone, Copy, Debug)]
 pub struct Speed {
     tokens_per_ms: f64,
+    /// Mean length of prompts.
+    prompt_tokens: f64,
 }
 
 impl Default for Speed {
     fn default() -> Self {
-        Self { tokens_per_ms: FIRST_GUESS }
+        Self { tokens_per_ms: FIRST_GUESS, prompt_tokens: FIRST_PROMPT }
     }
 }
 
@@ -36,7 +43,17 @@
 
     /// Time to read what is left of a request that has not generated anything.
     pub fn unread(&self) -> Duration {
-        self.prefill(UNREAD_TOKENS)
+        self.prefill((self.prompt_tokens * UNREAD_SHARE) as u32)
+    }
+
+    /// Tokens that an engine reads in a second.
+    pub fn tokens_per_s(&self) -> f64 {
+        self.tokens_per_ms * 1_000.0
+    }
+
+    /// Takes the length of a prompt that is to be read.
+    pub fn observe_prompt(&mut self, tokens: u32) {
+        self.prompt_tokens += PROMPT_GAIN * (f64::from(tokens) - self.prompt_tokens);
     }
 
     /// Takes the time that a prompt took which did not wait.
--- a/quetzaltiller/src/placement/table.rs
+++ b/quetzaltiller/src/placement/table.rs
@@ -263,6 +263,11 @@
         self.speed.observe(tokens, took);
     }
 
+    /// How fast engines read.
+    pub fn speed(&self) -> Speed {
+        self.speed
+    }
+
     /// Notes a request begun; returns what it takes.
     pub fn begin(&mut self, now: Duration, pick: &Pick, run: Option<&Run>) -> Vec<Hold> {
         let tokens = run.map_or(0, |run| run.footprint);
@@ -271,6 +276,9 @@
             holds.push(Hold { upstream: backup.clone(), tokens, runs: false });
         }
         holds.iter().for_each(|hold| self.take(hold));
+        if let Some(run) = run.filter(|run| run.copy.is_none() && run.prompt_tokens > 0) {
+            self.speed.observe_prompt(run.prompt_tokens);
+        }
         let registers = self.shares.registrar(&pick.upstream).is_none();
         let given = run.map(|run| self.prefill_of(pick, run)).unwrap_or_default();
         if let Some(state) = self.known(&pick.upstream) {
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -361,7 +361,8 @@
         let holds = self.table.begin(now, &pick, run);
         let Pick { upstream, backup, restores, wait, alone } = pick;
         let permit = Permit { holds, mailbox: self.mailbox.clone() };
-        Placement { upstream, backup, restores, wait, alone, permit }
+        let speed = self.table.speed();
+        Placement { upstream, backup, restores, wait, alone, speed, permit }
     }
 
     fn place_copy(&mut self, now: Duration, demand: &Demand, primary: &Upstream) -> Option<Copy> {
--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -20,7 +20,7 @@
 };
 use crate::metrics::{Counter, Latency};
 use crate::own::Entered;
-use crate::placement::Placement;
+use crate::placement::{Placement, Speed};
 use crate::prelude::*;
 use crate::routes::Kind;
 use coordination::detector::Bounds;
@@ -34,8 +34,6 @@
 /// Silence that is worth a check: an event takes 30 ms alone and 180 ms beside one prefill (users'
 /// sheet of engines).
 const SILENCE: Bounds = Bounds { min: Duration::from_millis(120), max: Duration::from_millis(300) };
-/// Prompt tokens that an engine reads in a second (users' sheet of engines).
-const PREFILL_TOKENS_PER_S: f64 = 8_000.0;
 /// Weight of waiting: a run that can't go on from a copy is given four times its prefill, as
 /// others' prefills may go before.
 const WAIT_WEIGHT: f64 = 0.25;
@@ -72,17 +70,39 @@
     ordered: mpsc::UnboundedReceiver<Ordered>,
 }
 
+/// How a generation goes on, at engines of such a speed.
+fn settings(request: &Request, plan: &Plan, deadline: Duration, speed: Speed) -> Settings {
+    let prompt_tokens = request.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
+    let longest = MAX_WAIT.max(speed.prefill(prompt_tokens) * 2);
+    Settings {
+        patience: Patience { weight: WAIT_WEIGHT, max: longest },
+        prefill_tokens_per_s: speed.tokens_per_s(),
+        prompt_tokens,
+        open_timeout: MAX_WAIT,
+        deadline,
+        silence: SILENCE,
+        probe: Probe::Connect,
+        pause: plan.route.pause_ms.map(Duration::from_millis),
+        resumable: plan.route.kind == Kind::Generation { resumable: true },
+    }
+}
+
 struct Task {
     context: Context,
     request: Arc<Request>,
     plan: Arc<Plan>,
     machine: Machine<Sequence>,
+    /// Time that the request had when it came.
+    limit: Duration,
     caller: Caller,
     failure: Option<Answer>,
     placed: BTreeMap<String, Placement>,
     copies: Copies,
     connections: BTreeMap<u32, AbortHandle>,
+    /// Requests that engines got or may have got.
     sent: u32,
+    /// Connection of the newest of these; checks are none.
+    run: Option<u32>,
     events: u32,
     pauses: Pauses,
     life_told: Duration,
@@ -102,19 +122,8 @@
         reply: oneshot::Sender<Reply>,
     ) -> (Self, Vec<Effect>, Inbox) {
         let now = context.clock.now();
-        let prompt_tokens = request.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
-        let prefill = Duration::from_secs_f64(f64::from(prompt_tokens) / PREFILL_TOKENS_PER_S);
-        let settings = Settings {
-            patience: Patience { weight: WAIT_WEIGHT, max: MAX_WAIT.max(prefill * 2) },
-            prefill_tokens_per_s: PREFILL_TOKENS_PER_S,
-            prompt_tokens,
-            open_timeout: MAX_WAIT,
-            deadline: plan.until.saturating_sub(now),
-            silence: SILENCE,
-            probe: Probe::Connect,
-            pause: plan.route.pause_ms.map(Duration::from_millis),
-            resumable: plan.route.kind == Kind::Generation { resumable: true },
-        };
+        let limit = plan.until.saturating_sub(now);
+        let settings = settings(&request, &plan, limit, Speed::default());
         let next = request.last_event.map(|last| last as u32 + 1);
         let (machine, effects) = Machine::new(now, Sequence::new(next), settings, Start::Fresh);
         let plan = Arc::new(plan);
@@ -127,12 +136,14 @@
             request,
             plan,
             machine,
+            limit,
             caller: Caller::new(reply),
             failure: None,
             placed: BTreeMap::new(),
             copies,
             connections: BTreeMap::new(),
             sent: 0,
+            run: None,
             events: 0,
             pauses: Pauses::new(now),
             life_told: Duration::ZERO,
@@ -276,6 +287,8 @@
                 if let Some(backup) = &placement.backup {
                     self.copies.back_up(backup);
                 }
+                let settings = settings(&self.request, &self.plan, self.limit, placement.speed);
+                self.machine.configure(settings);
                 self.placed.insert(id, placement);
                 self.input(Input::Placed(place));
             }
@@ -284,7 +297,8 @@
 
     /// Whether a run that has not begun would outlive this process, which is leaving.
     fn is_too_late_for_leaving(&self, placement: &Placement) -> bool {
-        self.sent == 0 && !self.context.drain.admits(placement.wait + super::RUN)
+        let is_new = self.sent == 0 && self.events == 0;
+        is_new && !self.context.drain.admits(placement.wait + super::RUN)
     }
 
     fn open(&mut self, conn: u32, opening: Opening, upstream: &str) {
@@ -307,6 +321,7 @@
         };
         if !asks {
             self.sent += 1;
+            self.run = Some(conn);
             self.pauses.send(self.context.clock.now());
         }
         let task = async move {
@@ -375,7 +390,8 @@
             engine::Error::Refused => self.context.placer.gone(&upstream),
             _ => self.context.placer.broken(&upstream),
         }
-        if error == engine::Error::Refused {
+        if error == engine::Error::Refused && self.run == Some(conn) {
+            self.run = None;
             self.sent = self.sent.saturating_sub(1);
         }
         self.input(Input::Failed(conn, error));
--- a/quetzaltiller/tests/entry.rs
+++ b/quetzaltiller/tests/entry.rs
@@ -576,3 +576,42 @@
 
     assert_eq!(reached(&site), 1);
 }
+
+/// An engine that got a request and is gone may have run it, although a check finds nobody there.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_reached_an_engine_is_not_said_to_be_unrun_when_the_engine_is_gone() {
+    let site = Site::start(1).await;
+    for zone in ["b", "c"] {
+        site.fleet.crash(&format!("engine-{zone}-0"), false);
+    }
+    sleep(Duration::from_millis(300)).await;
+    let running = tokio::spawn(generate(site.entries[0].clone(), draft("draft")));
+    sleep(Duration::from_millis(200)).await;
+
+    for zone in ["a", "b", "c"] {
+        let id = format!("engine-{zone}-0");
+        site.fleet.crash(&id, true);
+        site.store.remove(&id);
+    }
+    let seen = running.await.unwrap();
+
+    assert_eq!(site.fleet.counts().runs.get("draft"), Some(&1));
+    assert_eq!(seen.refused.map(|refusal| refusal.ran), Some(Ran::Unknown));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_leaving_vm_carries_a_draft_it_has_begun_over_the_loss_of_its_engine() {
+    let site = Site::start(3).await;
+    let entry = site.entries[0].clone();
+    let running = tokio::spawn(generate(entry.clone(), draft("draft")));
+    sleep(Duration::from_millis(100)).await;
+
+    let leaving = tokio::spawn(async move { entry.leave().await });
+    sleep(Duration::from_millis(3_600)).await;
+    let primary = site.fleet.place_of("draft").expect("the run has a place");
+    site.fleet.crash(&primary, true);
+    let seen = running.await.unwrap();
+    leaving.await.unwrap();
+
+    assert!(seen.is_whole(), "{seen:?}");
+}
--- a/quetzaltiller/tests/placement.rs
+++ b/quetzaltiller/tests/placement.rs
@@ -422,3 +422,27 @@
 
     assert_eq!(matches!(choice, Choice::Found(_)), served, "{choice:?}");
 }
+
+/// Load: prompts of another length than those of the first users; reports tell only how many wait.
+#[rstest]
+#[case::shorter(2_000)]
+#[case::longer(32_000)]
+fn the_wait_behind_a_report_follows_the_length_of_prompts(#[case] tokens: u32) {
+    let mut table = table(1);
+    let mut short = demand(1);
+    short.run.as_mut().unwrap().prompt_tokens = tokens;
+    for _ in 0..150 {
+        let pick = pick(&table, NOW, &short);
+        let holds = table.begin(NOW, &pick, short.run.as_ref());
+        holds.iter().for_each(|hold| table.give_back(hold));
+    }
+    let later = NOW + Duration::from_secs(3_600);
+    let waiting = Reported { tokens: 9_000, requests: 2, unread: 2 };
+    table.state_mut("engine-a-0").unwrap().report(later, waiting);
+
+    let backlog = table.states()["engine-a-0"].backlog(later, table.speed());
+
+    let expected = 2.0 * 0.7 * f64::from(tokens) / 8.0;
+    let ratio = backlog.as_secs_f64() * 1_000.0 / expected;
+    assert!((0.9..1.1).contains(&ratio), "{backlog:?} for {expected} ms");
+}
--- a/standin/src/fleet/stream.rs
+++ b/standin/src/fleet/stream.rs
@@ -92,6 +92,9 @@
             error = broken(&mut life) => return Some((Err(error), self)),
             () = sleep(pace) => {}
         }
+        if *life.borrow() == Life::Dark {
+            return std::future::pending().await;
+        }
         if !self.fleet.lock().get(&self.address).is_some_and(|node| node.has_run(&self.request)) {
             return Some((Err(Error::Broken), self));
         }
