Take configurations from the store again; let entry VMs share the search for prompts before 200 engines

All watch the configuration again, and a watch that fails ends the rest of the upstreams'. Besides: of more than 200 engines (400 before) each entry VM asks those that it owns, and its neighbours theirs.

--- a/quetzaltiller/src/entry/host.rs
+++ b/quetzaltiller/src/entry/host.rs
@@ -98,7 +98,6 @@
         beat.number = self.follower.routes().number();
         beat.revision = self.follower.revision();
         beat.ready = self.follower.is_ready();
-        beat.store_away = self.follower.is_store_away();
         if near || self.follower.is_store_away() {
             let tell = |successor: &Successor| wire::Successor {
                 lost: successor.lost.clone(),
@@ -151,7 +150,7 @@
             }
         }
         if self.watchers().names.contains(&beat.name) {
-            self.follower.hear_relay(beat.store_away);
+            self.follower.hear_relay();
         }
         let upstreams = self.has_newer_upstreams(beat);
         let is_newer = upstreams || beat.number > self.follower.routes().number();
--- a/quetzaltiller/src/follower/message.rs
+++ b/quetzaltiller/src/follower/message.rs
@@ -28,8 +28,6 @@
     },
     /// The store can't be reached.
     Lost,
-    /// One that watches the store for this entry VM can't reach it.
-    Doubted,
     /// The store is back.
     Regained,
 }
--- a/quetzaltiller/src/follower/mod.rs
+++ b/quetzaltiller/src/follower/mod.rs
@@ -32,7 +32,7 @@
 use rest::Rest;
 use source::Source;
 use task::{Published, Task};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use told::Told;
 
 /// Handle to what is followed.
@@ -70,6 +70,7 @@
             mailbox: mailbox.clone(),
             told: told.clone(),
             rest: rests,
+            doubt: Arc::new(Notify::new()),
         };
         scope.spawn(source.clone().follow_routes());
         scope.spawn(source.follow_upstreams());
@@ -126,12 +127,9 @@
         self.rest.send_if_modified(|rest| std::mem::replace(&mut rest.role, role) != role);
     }
 
-    /// Notes that one that watches the store for this entry VM was heard, and whether it can't reach it.
-    pub fn hear_relay(&self, store_away: bool) {
+    /// Notes that one that watches the store for this entry VM was heard.
+    pub fn hear_relay(&self) {
         self.rest.send_modify(|rest| rest.heard_at = self.clock.now());
-        if store_away {
-            self.mailbox.tell(Message::Doubted);
-        }
     }
 
     /// Successors that the store does not list yet.
--- a/quetzaltiller/src/follower/rest.rs
+++ b/quetzaltiller/src/follower/rest.rs
@@ -1,9 +1,10 @@
-//! How long an entry VM rests between watches of the store.
+//! How long an entry VM rests between watches of the store's upstreams.
 //!
-//! Load: a fleet of over a hundred entry VMs before hundreds of engines that restart, and configurations
-//! in quick succession. Each change ends every watch that waits, and each watch is a call that is paid
-//! for. So one VM of a zone watches closely and one more a little less; the others learn from them and
-//! watch only where neither is heard.
+//! Load: a fleet of over a hundred entry VMs before hundreds of engines that restart. Each change ends
+//! every watch that waits, and each watch is a call that is paid for. So one VM of a zone watches
+//! closely and one more a little less; the others learn from them and watch only where neither is
+//! heard. Configurations are watched by all: one that grew by a thousand routes would crowd the links
+//! of those that tell it.
 
 use std::time::Duration;
 
--- a/quetzaltiller/src/follower/source.rs
+++ b/quetzaltiller/src/follower/source.rs
@@ -1,14 +1,14 @@
 //! Calls the store and passes on what it tells.
 
 use super::message::Message;
-use super::rest::{Rest, Role};
+use super::rest::Rest;
 use super::told::Told;
 use crate::clock::Clock;
 use crate::control::{Error, Store};
 use crate::mailbox::Mailbox;
 use crate::metrics::{Counter, Metrics};
 use crate::prelude::*;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// Pause after a failed call of the store; doubles up to [`MAX_RETRY`].
 const RETRY: Duration = Duration::from_millis(150);
@@ -28,13 +28,15 @@
     pub mailbox: Mailbox<Message>,
     /// What is known by now.
     pub told: watch::Receiver<Told>,
-    /// Pause between watches.
+    /// Pause between watches of the upstreams.
     pub rest: watch::Receiver<Rest>,
+    /// Ends a rest: the store may be away.
+    pub doubt: Arc<Notify>,
 }
 
 impl Source {
     /// Follows the configuration until the process ends.
-    pub async fn follow_routes(mut self) {
+    pub async fn follow_routes(self) {
         let mut revision = None;
         let mut pause = RETRY;
         loop {
@@ -48,16 +50,13 @@
                     revision = Some(configuration.revision);
                     pause = RETRY;
                     self.mailbox.tell(Message::Configured(configuration));
-                    // A configuration must be in force soon: who brings it does not gather.
-                    if self.rest.borrow().role != Role::Relay {
-                        self.rest().await;
-                    }
                 }
                 Err(Error::Expired) => {
                     info!("store_history_gone", kv: { kind = "configuration" });
                     revision = None;
                 }
                 Err(_) => {
+                    self.doubt.notify_one();
                     tokio::time::sleep(pause).await;
                     pause = (pause * 2).min(MAX_RETRY);
                 }
@@ -112,6 +111,7 @@
             tokio::select! {
                 biased;
                 () = self.clock.sleep_until(due) => return,
+                () = self.doubt.notified() => return,
                 Ok(()) = self.rest.changed() => {}
             }
         }
--- a/quetzaltiller/src/follower/task.rs
+++ b/quetzaltiller/src/follower/task.rs
@@ -122,9 +122,6 @@
                 self.published.told.send_modify(|told| told.away = true);
                 self.successors.values_mut().for_each(|(_, until)| *until = None);
             }
-            Message::Doubted => {
-                self.grace_until = self.grace_until.max(self.clock.now() + LAPSE_GRACE);
-            }
             Message::Regained => {
                 let now = self.clock.now();
                 self.away = false;
--- a/quetzaltiller/src/prompts/mod.rs
+++ b/quetzaltiller/src/prompts/mod.rs
@@ -20,6 +20,9 @@
 use async_trait::async_trait;
 use task::{Message, Task};
 
+/// Engines up to which one entry VM asks all: where there are more, its zone has neighbours to share them
+/// with, and each question is paid for.
+const UNSHARED_ENGINES: usize = 200;
 /// Engines that one entry VM asks at once: more cost it more than a prefill costs an engine.
 const MAX_ENGINES: usize = 400;
 /// Longest wait for the engines to be known after a start: less than it takes to read a prompt.
@@ -69,7 +72,7 @@
     /// Engine that has the prompt cached.
     pub async fn find(&self, wanted: &Wanted) -> Option<String> {
         self.prepared().await;
-        if self.placer.engines(&wanted.service).await.len() <= MAX_ENGINES {
+        if self.placer.engines(&wanted.service).await.len() <= UNSHARED_ENGINES {
             return self.ask_engines(wanted).await;
         }
         tokio::select! {
--- a/quetzaltiller/src/prompts/task.rs
+++ b/quetzaltiller/src/prompts/task.rs
@@ -1,7 +1,7 @@
 //! The task that asks engines.
 
 use super::round::Round;
-use super::{MAX_ENGINES, Wanted};
+use super::{MAX_ENGINES, UNSHARED_ENGINES, Wanted};
 use crate::clock::Clock;
 use crate::fleet::Upstream;
 use crate::mailbox::Mailbox;
@@ -114,7 +114,7 @@
     /// All engines, or where they are too many those that this entry VM owns.
     async fn engines(&self, service: &str) -> Vec<Arc<Upstream>> {
         let all = self.placer.engines(service).await;
-        if all.len() <= MAX_ENGINES {
+        if all.len() <= UNSHARED_ENGINES {
             return all;
         }
         let owned = self.placer.own_engines(service).await;
--- a/quetzaltiller/src/wire.rs
+++ b/quetzaltiller/src/wire.rs
@@ -141,9 +141,6 @@
     /// Upstreams that leave by their own word.
     #[prost(message, repeated, tag = "19")]
     pub departures: Vec<Departure>,
-    /// The member can't reach the platform's store.
-    #[prost(bool, tag = "20")]
-    pub store_away: bool,
 }
 
 /// An upstream that has said that it leaves.
--- a/quetzaltiller/tests/prompts.rs
+++ b/quetzaltiller/tests/prompts.rs
@@ -169,6 +169,7 @@
 /// one entry VM asks.
 #[rstest]
 #[case::few_engines(200)]
+#[case::some_hundred_engines(306)]
 #[case::many_engines(1_100)]
 #[tokio::test(start_paused = true)]
 async fn a_cached_prompt_is_found_at_any_engine(#[case] engines: u16) {
@@ -191,6 +192,7 @@
 
 #[rstest]
 #[case::few_engines(200)]
+#[case::some_hundred_engines(306)]
 #[case::many_engines(1_100)]
 #[tokio::test(start_paused = true)]
 async fn a_prompt_that_no_engine_keeps_is_not_found(#[case] engines: u16) {
