Learn how long runs last, for the last moment at which a leaving entry VM takes one

At Kayal's engines runs last up to 8.7 s.

Change: Speed learns the length of whole runs, mean and mean deviation; a leaving VM reckons with their sum.

Ruled out: two deviations and more, by which a leaving VM would take nothing although all others leave too; handing streams over, for lack of time.

--- a/quetzaltiller/src/placement/message.rs
+++ b/quetzaltiller/src/placement/message.rs
@@ -66,6 +66,10 @@
         tokens: u32,
         took: Duration,
     },
+    /// A run was whole.
+    Ran {
+        took: Duration,
+    },
     Configure(Arc<routes::Table>),
     Upstreams(Arc<Directory>),
     Members(Vec<Peer>),
--- a/quetzaltiller/src/placement/place.rs
+++ b/quetzaltiller/src/placement/place.rs
@@ -23,7 +23,7 @@
     pub wait: Duration,
     /// Its prompt need not wait for others.
     pub alone: bool,
-    /// How fast engines read.
+    /// How fast engines read and generate.
     pub speed: Speed,
     /// Place.
     pub permit: Permit,
--- a/quetzaltiller/src/placement/placer.rs
+++ b/quetzaltiller/src/placement/placer.rs
@@ -144,6 +144,11 @@
         self.mailbox.tell(Message::Read { tokens, took });
     }
 
+    /// Notes how long a whole run took from its first event to its last.
+    pub fn ran(&self, took: Duration) {
+        self.mailbox.tell(Message::Ran { took });
+    }
+
     /// Notes that an upstream failed a request.
     pub fn failed(&self, id: &str) {
         self.tell(id, Outcome::Failed);
--- a/quetzaltiller/src/placement/speed.rs
+++ b/quetzaltiller/src/placement/speed.rs
@@ -1,5 +1,5 @@
 //! How fast engines read prompts, learned from runs that had an engine to themselves, and how long
-//! prompts are.
+//! prompts and runs are.
 
 use std::time::Duration;
 
@@ -21,17 +21,31 @@
 /// Part that is left to read of a request that has not generated anything: some wait, one is read.
 const UNREAD_SHARE: f64 = 0.7;
 
-/// Speed of reading.
+/// Time from the first event of a run to its last, until that is learned (users' sheet of engines).
+const FIRST_RUN: Duration = Duration::from_millis(5_000);
+/// Weight of one run in their mean length, and in the mean deviation from it.
+const RUN_GAIN: f64 = 0.1;
+
+/// Speed of engines.
 #[derive(Clone, Copy, Debug)]
 pub struct Speed {
     tokens_per_ms: f64,
     /// Mean length of prompts.
     prompt_tokens: f64,
+    /// Mean length of runs, in seconds.
+    run_s: f64,
+    /// Mean deviation from that, in seconds.
+    run_deviation_s: f64,
 }
 
 impl Default for Speed {
     fn default() -> Self {
-        Self { tokens_per_ms: FIRST_GUESS, prompt_tokens: FIRST_PROMPT }
+        Self {
+            tokens_per_ms: FIRST_GUESS,
+            prompt_tokens: FIRST_PROMPT,
+            run_s: FIRST_RUN.as_secs_f64(),
+            run_deviation_s: 0.0,
+        }
     }
 }
 
@@ -51,6 +65,18 @@
         self.tokens_per_ms * 1_000.0
     }
 
+    /// Time from the first event of a run to its last, for most runs.
+    pub fn run(&self) -> Duration {
+        Duration::from_secs_f64(self.run_s + self.run_deviation_s)
+    }
+
+    /// Takes how long a whole run took.
+    pub fn observe_run(&mut self, took: Duration) {
+        let off = took.as_secs_f64() - self.run_s;
+        self.run_s += RUN_GAIN * off;
+        self.run_deviation_s += RUN_GAIN * (off.abs() - self.run_deviation_s);
+    }
+
     /// Takes the length of a prompt that is to be read.
     pub fn observe_prompt(&mut self, tokens: u32) {
         self.prompt_tokens += PROMPT_GAIN * (f64::from(tokens) - self.prompt_tokens);
--- a/quetzaltiller/src/placement/table.rs
+++ b/quetzaltiller/src/placement/table.rs
@@ -263,7 +263,12 @@
         self.speed.observe(tokens, took);
     }
 
-    /// How fast engines read.
+    /// Takes how long a whole run took.
+    pub fn observe_run(&mut self, took: Duration) {
+        self.speed.observe_run(took);
+    }
+
+    /// How fast engines read and generate.
     pub fn speed(&self) -> Speed {
         self.speed
     }
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -144,6 +144,7 @@
                 }
             }
             Message::Read { tokens, took } => self.table.observe_prefill(tokens, took),
+            Message::Ran { took } => self.table.observe_run(took),
             Message::Configure(routes) => self.table.configure(routes),
             Message::Upstreams(directory) => {
                 self.departed = self.table.set_upstreams(&directory);
--- a/quetzaltiller/src/proxy/mod.rs
+++ b/quetzaltiller/src/proxy/mod.rs
@@ -34,9 +34,7 @@
 use crate::scope::Scope;
 use crate::upstream::Client;
 
-/// Time for which a run generates at most times, for the last moment to begin one.
-const RUN: Duration = Duration::from_millis(5_000);
-/// The same with the prefill of a prompt that need not wait.
+/// Time of a generation whose prompt need not wait, for the last moment to begin one.
 const GENERATION: Duration = Duration::from_millis(6_000);
 /// The same for a call of a plain service.
 const CALL: Duration = Duration::from_millis(1_000);
--- a/quetzaltiller/src/proxy/pauses.rs
+++ b/quetzaltiller/src/proxy/pauses.rs
@@ -57,6 +57,11 @@
         self.first_at.map(|at| at.saturating_sub(self.began))
     }
 
+    /// Time from the first event to the last.
+    pub fn generating(&self) -> Option<Duration> {
+        self.first_at.map(|at| self.last_at.saturating_sub(at))
+    }
+
     /// Longest time between two events.
     pub fn longest(&self) -> Duration {
         self.longest
--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -298,7 +298,7 @@
     /// Whether a run that has not begun would outlive this process, which is leaving.
     fn is_too_late_for_leaving(&self, placement: &Placement) -> bool {
         let is_new = self.sent == 0 && self.events == 0;
-        is_new && !self.context.drain.admits(placement.wait + super::RUN)
+        is_new && !self.context.drain.admits(placement.wait + placement.speed.run())
     }
 
     fn open(&mut self, conn: u32, opening: Opening, upstream: &str) {
@@ -488,6 +488,9 @@
             longest_pause_ms = pauses.longest().as_millis() as u64
         });
         if outcome == Outcome::Whole {
+            if let (Some(took), None) = (pauses.generating(), self.request.last_event) {
+                self.context.placer.ran(took);
+            }
             self.pass(Chunk::End).await;
         }
         let mut caller = std::mem::replace(&mut self.caller, Caller::served());
--- a/quetzaltiller/tests/entry.rs
+++ b/quetzaltiller/tests/entry.rs
@@ -634,3 +634,31 @@
 
     assert_eq!(asks, asked);
 }
+
+/// Load: engines whose runs last longer than those of the first users.
+#[tokio::test(start_paused = true)]
+async fn a_leaving_vm_takes_no_draft_that_its_engines_can_not_end_in_time() {
+    let site = Site::start(1).await;
+    for zone in ["a", "b", "c"] {
+        let slow = Some(Fault::Slow(2));
+        site.fleet.change(&format!("engine-{zone}-0"), |node| node.fault = slow);
+    }
+    let entry = site.entries[0].clone();
+    for n in 0..30 {
+        generate(entry.clone(), draft(&format!("before-{n}"))).await;
+    }
+
+    let leaving = tokio::spawn({
+        let entry = entry.clone();
+        async move {
+            entry.leave().await;
+            entry.stop();
+        }
+    });
+    sleep(Duration::from_millis(50)).await;
+    let late = generate(entry.clone(), draft("late")).await;
+    leaving.await.unwrap();
+
+    let refused = late.refused.as_ref().map(|refusal| (refusal.code, refusal.ran));
+    assert_eq!(refused, Some((Code::Leaving, Ran::No)), "{late:?}");
+}
