--- a/quetzaltiller/tests/entry.rs
+++ b/quetzaltiller/tests/entry.rs
@@ -1,12 +1,13 @@
 //! Whole entry VMs over stand-ins: losses of engines, zones, the store and other entry VMs.
 
-use quetzaltiller::entry::Lag;
+use quetzaltiller::entry::{Entry, Lag};
 use quetzaltiller::fleet::Upstream;
 use quetzaltiller::proxy::{Reply, Request};
 use quetzaltiller::refusal::{Code, Ran};
 use rstest::rstest;
 use standin::fleet::Fault;
 use standin::site::{EVENTS, Seen, Site, configuration, draft, engine, generate, request};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
@@ -29,6 +30,12 @@
     seen
 }
 
+/// Ends an entry VM gracefully.
+async fn leave(entry: Arc<Entry>) {
+    entry.leave().await;
+    entry.stop();
+}
+
 async fn status_of(site: &Site, request: Request) -> (u16, Option<Ran>) {
     match site.entries[0].proxy().handle(request).await {
         Reply::Answered(answer) => (answer.status.as_u16(), None),
@@ -411,13 +418,7 @@
     let entry = site.entries[0].clone();
     let before = load(&site, 9, Duration::from_millis(10)).await;
 
-    let leaving = tokio::spawn({
-        let entry = entry.clone();
-        async move {
-            entry.leave().await;
-            entry.stop();
-        }
-    });
+    let leaving = tokio::spawn(leave(entry.clone()));
     sleep(Duration::from_millis(100)).await;
     let late = generate(entry.clone(), draft("late")).await;
     leaving.await.unwrap();
@@ -648,13 +649,7 @@
         generate(entry.clone(), draft(&format!("before-{n}"))).await;
     }
 
-    let leaving = tokio::spawn({
-        let entry = entry.clone();
-        async move {
-            entry.leave().await;
-            entry.stop();
-        }
-    });
+    let leaving = tokio::spawn(leave(entry.clone()));
     sleep(Duration::from_millis(50)).await;
     let late = generate(entry.clone(), draft("late")).await;
     leaving.await.unwrap();
