Keep upstreams that vanish no longer than the store's return allows

The follower kept what vanishes within 2 s of the store's return for 2 s from then on, so a lookup reached it 2,003 ms after its removal; 2,000 ms are allowed. It also noticed the return only with the next change that a watch told, up to 20 s later, and began the 2 s there: an upstream that left without a word long after an outage was kept for 2 s as well.

Ruled out: a slow watch (the removal was known in 20 ms by all four), peers' word.

Change: what vanishes after the return is kept until 2 s after it, not for 2 s; once a call failed, changes are read without waiting, so the return is seen with the first call that succeeds.

Before and after: the new test's cases late_in_that_time and after_it failed and pass; at_once passed before too.

--- a/quetzaltiller/src/control.rs
+++ b/quetzaltiller/src/control.rs
@@ -76,6 +76,9 @@
     /// Waits until an upstream has changed since `revision`, or for a while.
     async fn next_upstreams(&self, revision: u64) -> Result<Changes, Error>;
 
+    /// Changes of upstreams since `revision`, without waiting for any.
+    async fn upstreams_since(&self, revision: u64) -> Result<Changes, Error>;
+
     /// Entry VMs that have announced themselves, gone ones among them.
     async fn members(&self) -> Result<Vec<Member>, Error>;
 
--- a/quetzaltiller/src/follower/source.rs
+++ b/quetzaltiller/src/follower/source.rs
@@ -4,7 +4,7 @@
 use super::rest::Rest;
 use super::told::Told;
 use crate::clock::Clock;
-use crate::control::{Error, Store};
+use crate::control::{Changes, Error, Store};
 use crate::mailbox::Mailbox;
 use crate::metrics::{Counter, Metrics};
 use crate::prelude::*;
@@ -73,7 +73,9 @@
             self.metrics.count(Counter::StoreCall);
             let read = match revision {
                 None => self.list().await,
-                Some(revision) => self.changes(revision).await,
+                // A watch would tell that the store is back only with the next change.
+                Some(revision) if away => self.store.upstreams_since(revision).await.map(changed),
+                Some(revision) => self.store.next_upstreams(revision).await.map(changed),
             };
             match read {
                 Ok((newest, message)) => {
@@ -121,9 +123,8 @@
         let listing = self.store.upstreams().await?;
         Ok((listing.revision, Message::Listed(listing)))
     }
+}
 
-    async fn changes(&self, revision: u64) -> Result<(u64, Message), Error> {
-        let changes = self.store.next_upstreams(revision).await?;
-        Ok((changes.revision, Message::Changed(changes)))
-    }
+fn changed(changes: Changes) -> (u64, Message) {
+    (changes.revision, Message::Changed(changes))
 }
--- a/quetzaltiller/src/follower/task.rs
+++ b/quetzaltiller/src/follower/task.rs
@@ -147,15 +147,20 @@
         let gone = before.upstreams().filter(|old| self.directory.upstream(&old.id).is_none());
         for upstream in gone {
             self.departed.bury(&upstream.id);
-            let away = self.away || now < self.grace_until;
+            let lapsed = self.away || now < self.grace_until;
             let vanished = self.half_vanished(before, &upstream.service);
-            let keeps = (away || vanished) && !upstream.leaving;
+            let keeps = (lapsed || vanished) && !upstream.leaving;
             info!("upstream_gone", kv: {
                 upstream = upstream.id, revision = self.directory.revision(), keeps
             });
             if keeps {
-                let grace = if away { LAPSE_GRACE } else { VANISH_GRACE };
-                let until = self.grace_until.max(now + grace);
+                // Once the store is back, what is missing at the end of that time has left, whenever it
+                // vanished.
+                let until = match (self.away, lapsed) {
+                    (true, _) => now + LAPSE_GRACE,
+                    (false, true) => self.grace_until,
+                    (false, false) => now + VANISH_GRACE,
+                };
                 self.lapsed.insert(upstream.id.clone(), (upstream.clone(), until));
             }
         }
--- a/quetzaltiller/tests/follower.rs
+++ b/quetzaltiller/tests/follower.rs
@@ -80,6 +80,38 @@
     assert_eq!(ids(&follower), ["engine-a-0", "engine-b-0"]);
 }
 
+/// What an entry VM lists so long after an upstream vanished that lived when the store came back.
+async fn listed_after_return(vanishes_after: Duration, then: Duration) -> Vec<String> {
+    let listed = [engine("engine-a-0", "a", 1), engine("engine-b-0", "b", 2)];
+    let (follower, store, _scope) =
+        start(&[&listed[..], &[engine("engine-c-0", "c", 3)]].concat()).await;
+    store.set_away(true);
+    sleep(Duration::from_secs(3)).await;
+    store.set_away(false);
+    // Noticed with the next try, at the latest after FOLLOWED.
+    sleep(vanishes_after).await;
+    store.remove("engine-a-0");
+    sleep(then).await;
+    ids(&follower)
+}
+
+/// Upstreams that lapsed with the store are listed again within 2 s of its return; what is still missing
+/// then has left, also where it vanished shortly before.
+#[rstest]
+#[case::at_once(Duration::from_millis(100), Duration::from_millis(800), 3)]
+#[case::late_in_that_time(Duration::from_millis(1_500), Duration::from_millis(1_100), 2)]
+#[case::after_it(Duration::from_millis(3_000), Duration::from_millis(300), 2)]
+#[tokio::test(start_paused = true)]
+async fn an_upstream_that_vanishes_is_kept_no_longer_than_those_that_lapsed_may_take(
+    #[case] vanishes_after: Duration,
+    #[case] then: Duration,
+    #[case] listed: usize,
+) {
+    let ids = listed_after_return(vanishes_after, then).await;
+
+    assert_eq!(ids.len(), listed, "{ids:?}");
+}
+
 /// Something that may happen to the configuration that an entry VM follows.
 #[derive(Clone, Copy, Debug)]
 enum Turn {
--- a/standin/src/control.rs
+++ b/standin/src/control.rs
@@ -105,6 +105,12 @@
         if self.lock().away { Err(Error::Unavailable("away".into())) } else { Ok(()) }
     }
 
+    fn changes_since(&self, revision: u64) -> Vec<Change> {
+        let state = self.lock();
+        let since = state.changes.iter().filter(|(at, _)| *at > revision);
+        since.map(|(_, change)| change.clone()).collect()
+    }
+
     /// Waits until something is newer than `revision`, or for a while.
     async fn wait(&self, revision: u64, newer: impl Fn(&State) -> bool) -> Result<u64, Error> {
         self.enter().await?;
@@ -158,10 +164,12 @@
     async fn next_upstreams(&self, revision: u64) -> Result<Changes, Error> {
         let newer = |state: &State| state.changes.last().is_some_and(|(at, _)| *at > revision);
         let newest = self.wait(revision, newer).await?;
-        let state = self.lock();
-        let since = state.changes.iter().filter(|(at, _)| *at > revision);
-        let changes = since.map(|(_, change)| change.clone()).collect();
-        Ok(Changes { revision: newest, changes })
+        Ok(Changes { revision: newest, changes: self.changes_since(revision) })
+    }
+
+    async fn upstreams_since(&self, revision: u64) -> Result<Changes, Error> {
+        let newest = self.wait(revision, |_| true).await?;
+        Ok(Changes { revision: newest, changes: self.changes_since(revision) })
     }
 
     async fn members(&self) -> Result<Vec<Member>, Error> {
