Free copies of runs that nobody will go on from

Change: upstream::Client frees a copy by name; the proxy does it for copies that its machine can't go on from any more, for orders that come too late, and at the end of a generation. Stand-ins free what they backed up when a run has come to its end, as engines do.

--- a/quetzaltiller/src/generation/copies.rs
+++ b/quetzaltiller/src/generation/copies.rs
@@ -29,6 +29,11 @@
         self.older.as_deref()
     }
 
+    /// Whether an engine holds a copy that may still be gone on from.
+    pub fn lie_at(&self, holder: &str) -> bool {
+        [&self.current, &self.older].into_iter().any(|copy| copy.as_deref() == Some(holder))
+    }
+
     /// The current run ended after it had generated something.
     pub fn retire(&mut self) {
         self.older = self.current.take();
--- a/quetzaltiller/src/generation/machine.rs
+++ b/quetzaltiller/src/generation/machine.rs
@@ -127,6 +127,11 @@
         self.copies.current()
     }
 
+    /// Whether an engine holds a copy that may still be gone on from, or runs the generation itself.
+    pub fn needs(&self, engine: &str) -> bool {
+        self.copies.lie_at(engine) || self.upstream() == Some(engine)
+    }
+
     /// Version that generated the tokens.
     pub fn version(&self) -> Option<&str> {
         self.version.as_deref()
--- a/quetzaltiller/src/proxy/copies.rs
+++ b/quetzaltiller/src/proxy/copies.rs
@@ -1,16 +1,20 @@
-//! Copies of a run's memory at other engines: what they are called there, and orders to make them.
+//! Copies of a run's memory at other engines: what they are called there, orders to make them and to free
+//! those that nobody will go on from.
 
 use super::Context;
 use crate::fleet::Upstream;
 use crate::metrics::Counter;
 use crate::placement::{self, Demand};
 use crate::prelude::*;
-use crate::upstream;
+use crate::upstream::{self, Client};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use tokio::sync::mpsc;
 
 /// Limit of a copy of a run's memory, which takes 10 ms and waits for others on the links.
 const COPY_LIMIT: Duration = Duration::from_millis(1_000);
+/// Limit of an order to free a copy: a round trip many times over. Engines forget copies by themselves.
+const RELEASE_LIMIT: Duration = Duration::from_millis(200);
 /// Share of the time after which engines forget a copy, in which it is brought up to date: the rest is
 /// for one renewal that fails.
 const RENEWAL_SHARE: f64 = 0.6;
@@ -19,10 +23,23 @@
 
 /// A copy, and the place held for it where it was ordered.
 struct Held {
+    holder: SocketAddr,
     place: Option<placement::Copy>,
     copy: upstream::Copy,
 }
 
+impl Held {
+    /// A copy that was ordered.
+    fn ordered((place, copy): (placement::Copy, upstream::Copy)) -> Self {
+        Self { holder: place.upstream.address, place: Some(place), copy }
+    }
+
+    /// Frees the copy at its engine, then the place held for it.
+    async fn release(self, client: Arc<dyn Client>) {
+        client.drop_copy(self.holder, &self.copy, RELEASE_LIMIT).await;
+    }
+}
+
 /// What became of an order to copy the run at an engine.
 pub struct Ordered {
     /// Engine that runs it.
@@ -30,6 +47,15 @@
     made: Option<(placement::Copy, upstream::Copy)>,
 }
 
+impl Ordered {
+    /// Frees what was made for a run that has ended meanwhile.
+    pub fn discard(self, context: &Context) {
+        if let Some(made) = self.made {
+            context.scope.spawn(Held::ordered(made).release(context.client.clone()));
+        }
+    }
+}
+
 /// Copies of one generation's runs.
 pub struct Copies {
     request: String,
@@ -47,15 +73,33 @@
         (Self { request, held: BTreeMap::new(), renew_at: None, orders }, results)
     }
 
-    /// Copy that an engine holds.
-    pub fn at(&self, holder: &str) -> Option<&upstream::Copy> {
-        self.held.get(holder).map(|held| &held.copy)
+    /// Takes the copy that an engine holds, to go on from: that can be done once.
+    pub fn spend(&mut self, holder: &str) -> Option<upstream::Copy> {
+        self.held.remove(holder).map(|held| held.copy)
+    }
+
+    /// Frees the copies at engines that are not `needed`.
+    pub fn keep(&mut self, context: &Context, needed: impl Fn(&str) -> bool) {
+        let needless: Vec<_> = self.held.extract_if(.., |holder, _| !needed(holder)).collect();
+        for (_, held) in needless {
+            context.scope.spawn(held.release(context.client.clone()));
+        }
+    }
+
+    /// Frees what is left when the generation has ended. Engines free what they copy by themselves where a
+    /// run came to its end.
+    pub fn end(&mut self, context: &Context, whole: bool) {
+        if whole {
+            self.held.retain(|_, held| held.place.is_some());
+        }
+        self.keep(context, |_| false);
     }
 
     /// Notes that an engine gets copies as the run grows.
     pub fn back_up(&mut self, holder: &Upstream) {
         let copy = upstream::Copy { origin: holder.address, name: self.request.clone() };
-        self.held.insert(holder.id.clone(), Held { place: None, copy });
+        let held = Held { holder: holder.address, place: None, copy };
+        self.held.insert(holder.id.clone(), held);
     }
 
     /// Orders a copy of the run at `primary`, at an engine of the placer's choice.
@@ -71,8 +115,13 @@
                 }
                 None => None,
             };
+            let ordered = Ordered { of: primary.id.clone(), made };
             // Nobody listens once the generation has ended.
-            let _ = orders.send(Ordered { of: primary.id.clone(), made });
+            if let Err(unheard) = orders.send(ordered)
+                && let Some(made) = unheard.0.made
+            {
+                Held::ordered(made).release(client).await;
+            }
         });
     }
 
@@ -80,10 +129,11 @@
     pub fn take(&mut self, context: &Context, ordered: Ordered) -> Option<String> {
         let (place, copy) = ordered.made?;
         let holder = place.upstream.id.clone();
+        let held = Held::ordered((place, copy));
         context.metrics.count(Counter::RunCopied);
         info!("run_copied", kv: { request = self.request, of = ordered.of, holder });
-        self.renew_at = Some(context.clock.now() + period(&place));
-        self.held.insert(holder.clone(), Held { place: Some(place), copy });
+        self.renew_at = held.place.as_ref().map(|place| context.clock.now() + period(place));
+        self.held.insert(holder.clone(), held);
         Some(holder)
     }
 
--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -196,6 +196,13 @@
         let false_suspicions = after.false_suspicions - before.false_suspicions;
         metrics.add(Counter::FalseSuspicion, u64::from(false_suspicions));
         self.perform(effects);
+        self.free_copies();
+    }
+
+    /// Frees copies that can't be gone on from any more.
+    fn free_copies(&mut self) {
+        let machine = &self.machine;
+        self.copies.keep(&self.context, |engine| machine.needs(engine));
     }
 
     fn perform(&mut self, effects: Vec<Effect>) {
@@ -258,6 +265,8 @@
         if self.machine.upstream() == Some(&ordered.of) {
             let holder = self.copies.take(&self.context, ordered);
             self.input(Input::Copied(holder));
+        } else {
+            ordered.discard(&self.context);
         }
     }
 
@@ -311,7 +320,7 @@
             client: self.context.client.clone(),
             upstream: placement.upstream.clone(),
             backup: placement.backup.clone(),
-            copy: self.copies.at(upstream).filter(|_| opening == Opening::Restore).cloned(),
+            copy: if opening == Opening::Restore { self.copies.spend(upstream) } else { None },
             last_event: self.last_event(),
             urgency: self.urgency(),
             deadline: self.plan.until.saturating_sub(self.context.clock.now()),
@@ -470,6 +479,7 @@
     async fn end(&mut self) {
         self.perform_end();
         let outcome = self.outcome.unwrap_or(Outcome::Cancelled);
+        self.copies.end(&self.context, outcome == Outcome::Whole);
         let counter = match outcome {
             Outcome::Whole => Counter::GenerationWhole,
             _ => Counter::GenerationFailed,
--- a/quetzaltiller/src/upstream.rs
+++ b/quetzaltiller/src/upstream.rs
@@ -165,6 +165,9 @@
         limit: Duration,
     ) -> Option<Copy>;
 
+    /// Frees the memory that an engine holds for a copy which nobody will go on from.
+    async fn drop_copy(&self, holder: SocketAddr, copy: &Copy, limit: Duration);
+
     /// What an engine tells of itself; none without an answer in time.
     async fn report(&self, address: SocketAddr, limit: Duration) -> Option<Report>;
 
--- a/quetzaltiller/tests/entry.rs
+++ b/quetzaltiller/tests/entry.rs
@@ -158,6 +158,42 @@
     assert!(seen.is_on_time(), "{seen:?}");
 }
 
+/// Load: engines whose memory is half copies. What nobody goes on from any more takes room from runs until
+/// engines forget it after seconds.
+#[tokio::test(start_paused = true)]
+async fn a_copy_that_was_ordered_is_freed_when_its_run_has_ended() {
+    let site = Site::start(3).await;
+    let running = tokio::spawn(generate(site.entries[0].clone(), draft("draft")));
+    sleep(Duration::from_millis(2_000)).await;
+    let first = site.fleet.holders_of("draft");
+
+    for upstream in site.fleet.listing().into_iter().filter(|known| first.contains(&known.id)) {
+        site.store.list(Upstream { leaving: true, ..upstream });
+    }
+    sleep(Duration::from_millis(400)).await;
+    let both = site.fleet.holders_of("draft");
+    let seen = running.await.unwrap();
+    sleep(Duration::from_millis(100)).await;
+
+    assert!(seen.is_on_time(), "{seen:?}");
+    assert_eq!(both.len(), 2, "{both:?}");
+    assert_eq!(site.fleet.holders_of("draft"), Vec::<String>::new());
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_copy_of_a_run_is_freed_when_its_caller_has_left() {
+    let site = Site::start(3).await;
+    let running = tokio::spawn(generate(site.entries[0].clone(), draft("draft")));
+    sleep(Duration::from_millis(2_000)).await;
+    let held = site.fleet.holders_of("draft");
+
+    running.abort();
+    sleep(Duration::from_millis(100)).await;
+
+    assert_eq!(held.len(), 1, "{held:?}");
+    assert_eq!(site.fleet.holders_of("draft"), Vec::<String>::new());
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_run_whose_copy_lies_at_a_leaving_engine_is_copied_again() {
     let site = Site::start(3).await;
--- a/quetzaltiller/tests/prompts.rs
+++ b/quetzaltiller/tests/prompts.rs
@@ -44,6 +44,8 @@
         None
     }
 
+    async fn drop_copy(&self, _holder: SocketAddr, _copy: &Copy, _limit: Duration) {}
+
     async fn report(&self, _address: SocketAddr, _limit: Duration) -> Option<Report> {
         None
     }
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -278,4 +278,12 @@
         self.store_copy(to, from, &name, events);
         Some(Copy { origin: from, name })
     }
+
+    async fn drop_copy(&self, holder: SocketAddr, copy: &Copy, limit: Duration) {
+        if let Ok(Ok(())) = tokio::time::timeout(limit, self.connect(holder)).await
+            && let Some(node) = self.lock().get_mut(&holder)
+        {
+            node.free(&copy.name);
+        }
+    }
 }
--- a/standin/src/fleet/node.rs
+++ b/standin/src/fleet/node.rs
@@ -160,6 +160,11 @@
         self.copies.remove(&(origin, name.to_owned()))
     }
 
+    /// Frees copies of that name.
+    pub(super) fn free(&mut self, name: &str) {
+        self.copies.retain(|(_, known), _| known != name);
+    }
+
     /// Runs are listed from their first event on.
     pub(super) fn report(&self) -> Report {
         let generating = self.runs.iter().filter(|(_, events)| **events > 0);
--- a/standin/src/fleet/stream.rs
+++ b/standin/src/fleet/stream.rs
@@ -83,6 +83,7 @@
 
     async fn step(mut self) -> Option<(Result<Bytes, Error>, Self)> {
         if self.next > self.total {
+            self.free_backup();
             return None;
         }
         let pace = self.fleet.lock().get(&self.address).map_or(Duration::ZERO, |node| node.pace());
@@ -116,6 +117,14 @@
         }
     }
 
+    /// Engines free what they copied of a run that has come to its end.
+    fn free_backup(&self) {
+        let mut nodes = self.fleet.lock();
+        if let Some(node) = self.backup.and_then(|backup| nodes.get_mut(&backup)) {
+            node.free(&self.request);
+        }
+    }
+
     fn note_at_once(&self) {
         let nodes = self.fleet.lock();
         let running = nodes.values().filter(|node| node.has_run(&self.request)).count() as u32;
