Let requests wait for a first configuration for half of their patience

Callers return once, within a third of the time they have left, so nearly all were refused twice.

Change: a request waits until a configuration and upstreams are known, for half of the caller's patience, which leaves time for the way back; 2,000 at once at the most; none at a VM that leaves. The time counts for the route's limit and for the objective of a run. Each wait is logged with its length, those that wait beside it, and what was known.

--- a/quetzaltiller/src/proxy/mod.rs
+++ b/quetzaltiller/src/proxy/mod.rs
@@ -22,7 +22,7 @@
 pub use request::{Part, Prompt, Request};
 
 use crate::clock::Clock;
-use crate::drain::Drain;
+use crate::drain::{Drain, Phase};
 use crate::follower::Follower;
 use crate::metrics::{Counter, Metrics};
 use crate::own::Own;
@@ -33,15 +33,20 @@
 use crate::routes::Kind;
 use crate::scope::Scope;
 use crate::upstream::Client;
+use tokio::sync::Semaphore;
 
 /// Time of a generation whose prompt need not wait, for the last moment to begin one.
 const GENERATION: Duration = Duration::from_millis(6_000);
 /// The same for a call of a plain service.
 const CALL: Duration = Duration::from_millis(1_000);
 
-/// Longest time that requests wait for a first configuration, which the store tells in 10 ms, and for the
-/// upstreams, which take 10 ms for each 500.
+/// Share of a caller's patience in which its request waits for a first configuration and listing of
+/// upstreams. The rest is for a way back, as callers return once and within a third of what they have left.
+const START_SHARE: f64 = 0.5;
+/// The same for callers that don't tell their patience: 40 times what the store takes.
 const START_LIMIT: Duration = Duration::from_millis(400);
+/// Requests that wait for it; 10 kB each stay within a tenth of an entry VM's memory.
+const MAX_STARTING: usize = 2_000;
 
 /// What requests share.
 #[derive(Clone)]
@@ -72,22 +77,40 @@
 #[derive(Clone)]
 pub struct Proxy {
     context: Context,
+    /// Places of requests that wait for a first configuration.
+    starting: Arc<Semaphore>,
 }
 
 impl Proxy {
     /// Forwards with `context`.
     pub fn new(context: Context) -> Self {
-        Self { context }
+        Self { context, starting: Arc::new(Semaphore::new(MAX_STARTING)) }
     }
 
-    /// Waits for a first configuration and a first listing of upstreams.
-    async fn await_start(&self) {
-        let Context { follower, placer, .. } = &self.context;
+    /// Waits for a first configuration and a first listing of upstreams. Load: all entry VMs start while
+    /// the store is away; who is turned away then returns once, and mostly in vain.
+    async fn await_start(&self, request: &Request) {
+        let Context { follower, placer, drain, .. } = &self.context;
+        if follower.is_ready() {
+            return;
+        }
+        let began = self.context.clock.now();
+        let limit = request.patience.map_or(START_LIMIT, |patience| patience.mul_f64(START_SHARE));
+        let place = self.starting.try_acquire();
         let known = async { tokio::join!(follower.configured(), placer.listed()) };
-        if tokio::time::timeout(START_LIMIT, known).await.is_err() {
-            let (number, revision) = (follower.routes().number(), follower.directory().revision());
-            debug!("start_awaited_in_vain", kv: { number, revision });
+        if place.is_ok() {
+            tokio::select! {
+                biased;
+                _ = known => {}
+                () = drain.reached(Phase::Leaving) => {}
+                () = tokio::time::sleep(limit) => {}
+            }
         }
+        info!("start_awaited", kv: {
+            request = request.id, waited_ms = (self.context.clock.now() - began).as_millis() as u64,
+            others = MAX_STARTING - self.starting.available_permits(),
+            number = follower.routes().number(), revision = follower.directory().revision()
+        });
     }
 
     /// Serves a request. Dropping the call cancels it.
@@ -95,8 +118,8 @@
         let entered = self.context.own.enter(&request.id);
         let began = self.context.clock.now();
         let request = Arc::new(request);
-        self.await_start().await;
-        let plan = match self.plan(&request) {
+        self.await_start(&request).await;
+        let plan = match self.plan(&request, began) {
             Ok(plan) => plan,
             Err(refusal) => {
                 self.context.metrics.count(Counter::Refused);
@@ -116,8 +139,11 @@
         }
     }
 
-    fn plan(&self, request: &Request) -> Result<Plan, Refusal> {
-        let plan = Plan::new(&self.context.follower.routes(), self.context.clock.now(), request)?;
+    fn plan(&self, request: &Request, began: Duration) -> Result<Plan, Refusal> {
+        let plan = Plan::new(&self.context.follower.routes(), began, request)?;
+        if plan.until <= self.context.clock.now() {
+            return Err(Refusal::not_run(Code::Overloaded, "it waited for as long as it may"));
+        }
         let expected = match plan.route.kind {
             Kind::Generation { .. } => GENERATION,
             Kind::Lookup | Kind::Action => CALL,
--- a/quetzaltiller/src/proxy/placing.rs
+++ b/quetzaltiller/src/proxy/placing.rs
@@ -70,14 +70,16 @@
     pub fn demand(&self, need: Need) -> Demand {
         let Need { avoid, copy, cached, resumed } = need;
         let (prompt, route) = (self.request.prompt.as_ref(), &self.plan.route);
-        let objective = Duration::from_millis(route.objective_ms);
+        let now = self.context.clock.now();
+        let waited = now.saturating_sub(self.plan.came);
+        let objective = Duration::from_millis(route.objective_ms).saturating_sub(waited);
         let run = Run {
             copy,
             cached,
             prompt_tokens: prompt.map_or(0, |prompt| prompt.tokens),
             footprint: prompt.map_or(0, |prompt| prompt.footprint()),
             affinity: prompt.map_or(0, |prompt| prompt.own_part()),
-            deadline: Some(self.plan.until.saturating_sub(self.context.clock.now())),
+            deadline: Some(self.plan.until.saturating_sub(now)),
             objective: (!resumed && self.request.last_event.is_none()).then_some(objective),
             wants_backup: route.kind == Kind::Generation { resumable: true },
         };
--- a/quetzaltiller/src/proxy/plan.rs
+++ b/quetzaltiller/src/proxy/plan.rs
@@ -19,13 +19,15 @@
     pub account: Option<String>,
     /// Rank; 0 goes first.
     pub priority: u8,
+    /// When the request came.
+    pub came: Duration,
     /// End of the caller's patience and of the route's limit.
     pub until: Duration,
 }
 
 impl Plan {
-    /// Plan by `table` for a request that came at `now`.
-    pub fn new(table: &Table, now: Duration, request: &Request) -> Result<Self, Refusal> {
+    /// Plan by `table` for a request that `came` then.
+    pub fn new(table: &Table, came: Duration, request: &Request) -> Result<Self, Refusal> {
         if table.number() == 0 {
             let message = "no configuration is known yet";
             return Err(Refusal::not_run(Code::NoConfiguration, message));
@@ -48,7 +50,8 @@
             service: service.to_owned(),
             account: account.map(|account| account.name.clone()),
             priority: account.and_then(|account| account.priority).unwrap_or(route.priority),
-            until: now + patience,
+            came,
+            until: came + patience,
             route: route.clone(),
         })
     }
--- a/quetzaltiller/tests/entry.rs
+++ b/quetzaltiller/tests/entry.rs
@@ -6,7 +6,7 @@
 use quetzaltiller::refusal::{Code, Ran};
 use rstest::rstest;
 use standin::fleet::Fault;
-use standin::site::{EVENTS, Seen, Site, configuration, draft, engine, generate, request};
+use standin::site::{EVENTS, Seen, Site, ZONES, configuration, draft, engine, generate, request};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -545,6 +545,75 @@
 }
 
 /// The same: while the store sends the listing, peers are not asked for it too.
+/// Entry VMs that have all been killed and start while the store is away.
+async fn restarted_without_the_store() -> Site {
+    let mut site = Site::start(3).await;
+    ZONES.iter().for_each(|zone| site.lose_entry(zone));
+    site.store.set_away(true);
+    ZONES.iter().for_each(|zone| _ = site.join(zone, 2));
+    site
+}
+
+fn patient(patience_ms: u64, request: Request) -> Request {
+    Request { patience: Some(Duration::from_millis(patience_ms)), ..request }
+}
+
+/// Load: power is lost everywhere while the store is away. Callers return once after a refusal, within a
+/// third of what they have left: who is turned away at once mostly finds the store away again.
+#[tokio::test(start_paused = true)]
+async fn requests_are_served_where_the_store_returns_in_half_of_their_patience() {
+    let site = restarted_without_the_store().await;
+
+    let drafts = load(&site, 6, Duration::from_millis(200)).await;
+    sleep(Duration::from_millis(1_300)).await;
+    let lookup = patient(4_000, request("lookup", "/status/1"));
+    let order = patient(4_000, request("order", "/order/1"));
+    let calls = async {
+        tokio::join!(status_of(&site, lookup), async {
+            sleep(Duration::from_millis(10)).await;
+            status_of(&site, order).await
+        })
+    };
+    let back = async {
+        sleep(Duration::from_millis(500)).await;
+        site.store.set_away(false);
+    };
+    let (calls, ()) = tokio::join!(calls, back);
+    let seen = results(drafts).await;
+
+    assert_eq!(calls, ((200, None), (200, None)));
+    assert!(seen.iter().all(Seen::is_on_time), "{seen:?}");
+    assert_eq!(site.fleet.counts().runs.get("order"), Some(&1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_is_refused_in_time_for_a_way_back_where_the_store_stays_away() {
+    let site = restarted_without_the_store().await;
+    let began = Instant::now();
+
+    let refused = status_of(&site, patient(4_000, request("order", "/order/1"))).await;
+    let waited = began.elapsed();
+
+    assert_eq!(refused, (503, Some(Ran::No)));
+    assert_eq!(waited.as_millis(), 2_000);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_leaving_vm_keeps_no_request_waiting_for_the_store() {
+    let site = restarted_without_the_store().await;
+    let entry = site.entries[0].clone();
+    tokio::spawn(async move {
+        sleep(Duration::from_millis(300)).await;
+        leave(entry).await;
+    });
+    let began = Instant::now();
+
+    let refused = status_of(&site, patient(25_000, request("order", "/order/1"))).await;
+
+    assert_eq!(refused, (503, Some(Ran::No)));
+    assert!(began.elapsed() <= Duration::from_millis(400), "{:?}", began.elapsed());
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_vm_that_starts_asks_peers_for_all_upstreams_only_where_the_store_is_away() {
     let mut site = Site::start(2).await;
