Count what a prompt costs the runs beside it, and learn the speed of reading at once

Hypothesis: runs take 6.2 s (p50) to 8.2 s (p90) where an idle engine needs 5.0; those with no prompt read beside them take 4.5 to 5.5, each one more adds about 1 s, as an engine reads chunks of 25 ms between steps of 5 ms. Placing charged 120 ms for a run beside and 200 to 500 ms for another zone or entry VM, so prompts piled up in the own zone. The wait it expected was half of the real one, since the guess of 8 tokens a ms is learned away at 3% a prompt and forgotten with each restart.

Change: a run beside costs 120 ms and half of the reading of the new prompt; the first prompts that are read alone replace the guess and are averaged.

--- a/quetzaltiller/src/placement/engines.rs
+++ b/quetzaltiller/src/placement/engines.rs
@@ -24,6 +24,9 @@
 /// Slowdown of the others in a batch by one more run, over the length of a run: 0.15 ms of about
 /// 5 ms a step (users' sheet of engines), 4 s a run.
 const NEIGHBOUR_MS: f64 = 120.0;
+/// Share of a prompt's reading in which another run of its engine stands still: engines read chunks of 25 ms
+/// between steps of 5 ms (users' sheet of engines), and a run may end meanwhile.
+const STALL_SHARE: f64 = 0.5;
 /// Wait at an owned engine, whose load is known, that is better than an engine of another entry VM,
 /// whose load may have changed: most of a prefill.
 const FOREIGN_MS: f64 = 200.0;
@@ -76,6 +79,12 @@
     pub speed: Speed,
 }
 
+/// What a run loses by another at its engine: it stands still while that one's prompt is read, and its steps
+/// take longer afterwards.
+fn neighbour_ms(prefill: Duration) -> f64 {
+    NEIGHBOUR_MS + prefill.as_secs_f64() * 1_000.0 * STALL_SHARE
+}
+
 impl<'a> Engines<'a> {
     /// Chooses an engine, and another for copies.
     pub fn choose(&self) -> Choice {
@@ -199,7 +208,7 @@
         let tie = score(&upstream.id, &self.run.affinity.to_string()) as f64 / u64::MAX as f64;
         (waits + prefill).as_secs_f64() * 1_000.0
             + self.distance_ms(upstream, goes_first)
-            + f64::from(neighbours) * NEIGHBOUR_MS
+            + f64::from(neighbours) * neighbour_ms(prefill)
             + state.failure_rate(self.now) * FAILURE_MS
             + doubt
             + tie * NEIGHBOUR_MS / 2.0
--- a/quetzaltiller/src/placement/speed.rs
+++ b/quetzaltiller/src/placement/speed.rs
@@ -30,6 +30,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Speed {
     tokens_per_ms: f64,
+    /// Prompts from which that was learned.
+    learned_from: u32,
     /// Mean length of prompts.
     prompt_tokens: f64,
     /// Mean length of runs, in seconds.
@@ -42,6 +44,7 @@
     fn default() -> Self {
         Self {
             tokens_per_ms: FIRST_GUESS,
+            learned_from: 0,
             prompt_tokens: FIRST_PROMPT,
             run_s: FIRST_RUN.as_secs_f64(),
             run_deviation_s: 0.0,
@@ -88,7 +91,10 @@
             return;
         }
         let seen = f64::from(tokens) / (took.as_secs_f64() * 1_000.0);
+        self.learned_from += 1;
         let gain = if seen > self.tokens_per_ms { FASTER } else { SLOWER };
+        // The guess counts for nothing once a prompt was seen, and the first few are averaged.
+        let gain = gain.max(1.0 / f64::from(self.learned_from));
         let learned = self.tokens_per_ms + gain * (seen - self.tokens_per_ms);
         self.tokens_per_ms = learned.clamp(*BOUNDS.start(), *BOUNDS.end());
     }
--- a/quetzaltiller/tests/placement.rs
+++ b/quetzaltiller/tests/placement.rs
@@ -243,6 +243,35 @@
     assert!((0.9..1.1).contains(&ratio), "{expected:?} for {took:?}");
 }
 
+/// Load: an entry VM that has just started, before engines of another speed than the one that is guessed.
+#[rstest]
+#[case::slower(2.0)]
+#[case::faster(40.0)]
+fn the_first_prompt_tells_the_speed_of_engines(#[case] tokens_per_ms: f64) {
+    let mut table = table(1);
+    let took = Duration::from_secs_f64(8_000.0 / tokens_per_ms / 1_000.0);
+
+    table.observe_prefill(8_000, took);
+    let expected = pick(&table, NOW, &demand(1)).wait;
+
+    let ratio = expected.as_secs_f64() / took.as_secs_f64();
+    assert!((0.9..1.1).contains(&ratio), "{expected:?} for {took:?}");
+}
+
+/// Load: more runs than engines in the own zone. A prompt that is read beside a run stops it for a part of a
+/// second, which costs it more than an idle engine of another zone costs the prompt.
+#[test]
+fn a_prompt_is_read_at_an_idle_engine_of_another_zone_rather_than_beside_a_run() {
+    let mut table = table(2);
+
+    let picks: Vec<_> = (0..6)
+        .map(|n| place(&mut table, NOW + Duration::from_millis(1_500) * n, u64::from(n)))
+        .collect();
+
+    let engines: BTreeSet<_> = picks.iter().map(|pick| &pick.upstream.id).collect();
+    assert_eq!(engines.len(), 6, "{engines:?}");
+}
+
 #[test]
 fn engines_that_make_no_copies_on_order_get_no_orders() {
     let mut table = table(2);
