Leave room for runs where engines are crowded with copies; say what a full service looked like

A copy saves a run only where its engine is lost (a fifth of them), a refusal loses one for certain.

Change: in a crowded fleet copies are made up to 0.75 of an engine's memory instead of 0.9. Retry-After is the mean time until a run of each engine ends, instead of 500 ms. The line placement_full has the engines by why they were left out, their runs and the age of the oldest report.

Measured: the new test failed (24 runs, each with a copy) and passes.

--- a/quetzaltiller/src/placement/engines.rs
+++ b/quetzaltiller/src/placement/engines.rs
@@ -16,7 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time in which a full engine ends a run: the length of one over the runs of one engine.
+/// Shortest wait that is told where all engines are full: half of a prefill.
 const FULL_RETRY: Duration = Duration::from_millis(500);
 /// Wait for others' prompts up to which a run is begun that is late wherever it goes: a part of a prefill,
 /// which delays none of them.
@@ -38,8 +38,10 @@
 const DOUBT_MS: f64 = 1_500.0;
 /// Share of an engine's memory that is filled; beyond it runs are preempted.
 const MEMORY_SHARE: f64 = 0.9;
-/// Share up to which copies are made, so that runs find room before them.
+/// Share up to which copies are made, so that runs find room before them; and the same where all engines are
+/// crowded, which leaves an eighth of the memory to runs alone.
 const BACKUP_MEMORY_SHARE: f64 = 0.6;
+const CROWDED_MEMORY_SHARE: f64 = 0.75;
 /// Engines of other entry VMs that are considered in each zone.
 const DRAWN: usize = 2;
 /// Engines that are considered for a copy.
@@ -92,7 +94,7 @@
         let sample = self.sample(&open);
         let cost = |state: &&&State| self.cost(state);
         let Some(best) = sample.iter().min_by(|a, b| cost(a).total_cmp(&cost(b))) else {
-            return Choice::Full { retry_after: FULL_RETRY };
+            return Choice::Full { retry_after: self.room_in() };
         };
         let prefill = self.speed.prefill(self.run.prompt_tokens);
         let backlog = best.backlog(self.now, self.speed);
@@ -107,6 +109,13 @@
         Choice::Found(Pick { upstream: best.upstream.clone(), backup, restores, wait, alone })
     }
 
+    /// Time until an engine has room, where none has: in it one of its runs ends on average.
+    fn room_in(&self) -> Duration {
+        let runs = self.candidates.iter().map(|state| state.total_in_flight(self.now)).sum::<u32>();
+        let engines = self.candidates.len() as u32;
+        (self.speed.run() * engines / runs.max(engines)).max(FULL_RETRY)
+    }
+
     /// Why a run is refused at the best engine: the time until it could be taken. A run that would be on
     /// time elsewhere or later gives way to those that still can be; one whose prompt alone takes too
     /// long is late wherever and whenever it begins, so it is served where nobody waits.
@@ -126,8 +135,8 @@
     }
 
     /// Engine for copies of a run at `primary`: in another zone, one that holds little. Where all
-    /// others are crowded, as after the loss of a zone, copies take the room that is left there rather
-    /// than share the zone of their run.
+    /// others are crowded, as after the loss of a zone, copies take more room there rather than share the
+    /// zone of their run, but leave some to runs: a run that is refused is lost for certain.
     pub fn choose_backup(
         &self,
         candidates: &[&'a State],
@@ -145,8 +154,11 @@
             let zone = |s: &&State| !away || s.upstream.zone != primary.zone;
             sound.iter().copied().filter(fits).filter(zone).collect()
         };
-        let tiers =
-            [(BACKUP_MEMORY_SHARE, true), (MEMORY_SHARE, true), (BACKUP_MEMORY_SHARE, false)];
+        let tiers = [
+            (BACKUP_MEMORY_SHARE, true),
+            (CROWDED_MEMORY_SHARE, true),
+            (BACKUP_MEMORY_SHARE, false),
+        ];
         let mut from =
             tiers.into_iter().map(|(share, away)| within(share, away)).find(|t| !t.is_empty())?;
         let key = self.run.affinity.to_string();
--- a/quetzaltiller/src/placement/mod.rs
+++ b/quetzaltiller/src/placement/mod.rs
@@ -7,6 +7,7 @@
 //! dropped.
 
 mod booking;
+mod census;
 mod choice;
 mod demand;
 mod engines;
--- a/quetzaltiller/src/placement/state.rs
+++ b/quetzaltiller/src/placement/state.rs
@@ -303,6 +303,11 @@
         self.show_life(now);
     }
 
+    /// Age of its last report.
+    pub fn report_age(&self, now: Duration) -> Option<Duration> {
+        self.reported.map(|(_, at, _)| now.saturating_sub(at))
+    }
+
     /// Its last report, if that is not too old to tell others.
     pub fn fresh_report(&self, now: Duration) -> Option<Reported> {
         let (reported, at, _) = self.reported?;
--- a/quetzaltiller/src/placement/table.rs
+++ b/quetzaltiller/src/placement/table.rs
@@ -1,6 +1,7 @@
 //! What is known of all upstreams, and the choice among them.
 
 use super::booking::{self, Booked, Booking};
+use super::census::Census;
 use super::choice::Choice;
 use super::demand::{Demand, Run};
 use super::engines::{self, Engines};
@@ -187,6 +188,13 @@
         self.engines_for(now, &demand.service, run, (candidates, doubted)).choose()
     }
 
+    /// Counts the engines of a demand for a run by why they can't take it.
+    pub fn census(&self, now: Duration, demand: &Demand) -> Option<Census> {
+        let run = demand.run.as_ref()?;
+        let engines = self.staying(&demand.service);
+        Some(Census::new(now, engines, run, self.engine(&demand.service)))
+    }
+
     /// Chooses an engine for a copy of a run at `primary`, where engines make copies on order.
     pub fn choose_copy(
         &self,
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -348,7 +348,15 @@
     fn place(&mut self, now: Duration, demand: &Demand, books: bool) -> Result<Choosing, Unplaced> {
         let pick = match self.table.choose(now, demand) {
             Choice::Found(pick) => pick,
-            Choice::Full { retry_after } => return Err(Unplaced::Full { retry_after }),
+            Choice::Full { retry_after } => {
+                if let Some(census) = self.table.census(now, demand) {
+                    let retry_after_ms = retry_after.as_millis() as u64;
+                    info!("placement_full", kv: {
+                        service = demand.service, retry_after_ms, census = census.to_string()
+                    });
+                }
+                return Err(Unplaced::Full { retry_after });
+            }
             Choice::Nowhere => return Err(Unplaced::Nowhere),
         };
         let run = demand.run.as_ref().filter(|_| books);
--- a/quetzaltiller/tests/placement.rs
+++ b/quetzaltiller/tests/placement.rs
@@ -75,6 +75,34 @@
     }
 }
 
+/// Load: callers return after all entry VMs were killed, while a part of the engines was taken away. Memory holds
+/// 48 runs or copies; with a copy for each run it is full at 24.
+#[test]
+fn copies_leave_room_for_runs_where_all_engines_are_crowded() {
+    let mut table = table(2);
+
+    let mut placed = Vec::new();
+    let retry_after = loop {
+        let mut demand = demand(placed.len() as u64);
+        let patient = |run: Run| Run { objective: Some(Duration::from_secs(60)), ..run };
+        demand.run = demand.run.map(patient);
+        match table.choose(NOW, &demand) {
+            Choice::Found(pick) => {
+                table.begin(NOW, &pick, demand.run.as_ref());
+                placed.push(pick);
+            }
+            Choice::Full { retry_after } => break retry_after,
+            Choice::Nowhere => panic!("engines are gone"),
+        }
+    };
+
+    let copied = placed.iter().filter(|pick| pick.backup.is_some()).count();
+    assert!(placed.len() >= 27, "{} runs, {copied} of them with a copy", placed.len());
+    assert!(copied >= 18, "{} runs, {copied} of them with a copy", placed.len());
+    // A run takes 5 s, and each engine has four or five.
+    assert!(retry_after >= Duration::from_millis(900), "{retry_after:?}");
+}
+
 #[test]
 fn no_copy_goes_to_an_address_whose_process_was_lost_and_not_seen_since() {
     let mut table = table(1);
