--- a/quetzaltiller/src/placement/engines.rs
+++ b/quetzaltiller/src/placement/engines.rs
@@ -39,7 +39,7 @@
 /// Share of an engine's memory that is filled; beyond it runs are preempted.
 const MEMORY_SHARE: f64 = 0.9;
 /// Share up to which copies are made, so that runs find room before them; and the same where all engines are
-/// crowded, which leaves an eighth of the memory to runs alone.
+/// crowded, which leaves a sixth of what runs may fill to them alone.
 const BACKUP_MEMORY_SHARE: f64 = 0.6;
 const CROWDED_MEMORY_SHARE: f64 = 0.75;
 /// Engines of other entry VMs that are considered in each zone.
