--- a/quetzaltiller/src/proxy/copies.rs
+++ b/quetzaltiller/src/proxy/copies.rs
@@ -80,8 +80,11 @@
 
     /// Frees the copies at engines that are not `needed`.
     pub fn keep(&mut self, context: &Context, needed: impl Fn(&str) -> bool) {
-        let needless: Vec<_> = self.held.extract_if(.., |holder, _| !needed(holder)).collect();
-        for (_, held) in needless {
+        let held = std::mem::take(&mut self.held).into_iter();
+        let (kept, needless): (BTreeMap<_, _>, BTreeMap<_, _>) =
+            held.partition(|(holder, _)| needed(holder));
+        self.held = kept;
+        for held in needless.into_values() {
             context.scope.spawn(held.release(context.client.clone()));
         }
     }
