Log the limit that an upstream names

Ruled out: a metric alone, as the order in time at each VM matters. No choice depends on it yet. The stand-in can name a limit.

--- a/quetzaltiller/src/placement/state.rs
+++ b/quetzaltiller/src/placement/state.rs
@@ -91,6 +91,8 @@
     departing: bool,
     /// Until this time, the upstream accepts no requests from this entry VM.
     closed_until: Duration,
+    /// Requests per second that the upstream last named as its limit.
+    limit: Option<f64>,
     /// When the upstream was found unreachable; none once it has given a sign of life.
     lost_at: Option<Duration>,
     /// Last report, when it arrived, and the tokens that this entry VM held there at that time.
@@ -122,6 +124,7 @@
             proven_at: Duration::ZERO,
             departing: false,
             closed_until: Duration::ZERO,
+            limit: None,
             lost_at: None,
             reported: None,
             others: BTreeMap::new(),
@@ -167,6 +170,12 @@
         self.closed_until = self.closed_until.max(until);
     }
 
+    /// Records the limit that the upstream names, in requests per second; returns whether it is
+    /// new.
+    pub fn record_limit(&mut self, per_s: f64) -> bool {
+        self.limit.replace(per_s) != Some(per_s)
+    }
+
     /// Whether the upstream was found unreachable within the last `LOST_DURATION`.
     pub fn is_lost(&self, now: Duration) -> bool {
         self.lost_within(now, LOST_DURATION)
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -240,6 +240,12 @@
             let pause_ms = pause.as_millis() as u64;
             info!("upstream_closed", kv: { upstream = id, pause_ms });
         }
+        if let Some(per_s) = availability.limit
+            && let Some(state) = self.table.state_mut(&id)
+            && state.record_limit(per_s)
+        {
+            info!("upstream_limited", kv: { upstream = id, per_s });
+        }
         if availability.leaving {
             self.record_departure(now, &id, "upstream");
         }
--- a/quetzaltiller/src/upstream.rs
+++ b/quetzaltiller/src/upstream.rs
@@ -48,12 +48,14 @@
 }
 
 /// Availability that an upstream announces along with an answer.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Availability {
     /// The upstream accepts no new work.
     pub leaving: bool,
     /// Time for which the upstream refuses further requests from this VM.
     pub closed_for: Option<Duration>,
+    /// Requests per second that the upstream accepts from all entry VMs together.
+    pub limit: Option<f64>,
 }
 
 /// Receives the availability of upstreams, before the answer that carried it is passed on.
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -174,7 +174,7 @@
                 Some(Fault::Close(pause)) => Some(pause),
                 _ => None,
             };
-            Availability { leaving: node.departing, closed_for }
+            Availability { leaving: node.departing, closed_for, limit: node.limit }
         };
         if availability != Availability::default() {
             let listeners = self.listeners.lock().unwrap_or_else(PoisonError::into_inner);
--- a/standin/src/fleet/node.rs
+++ b/standin/src/fleet/node.rs
@@ -56,6 +56,8 @@
     pub fault: Option<Fault>,
     /// Whether each answer says that the upstream accepts no new work.
     pub departing: bool,
+    /// Requests per second that each answer names as the limit for all entry VMs together.
+    pub limit: Option<f64>,
     /// Number of requests that reached the upstream.
     pub reached: u32,
     pub(super) process_state: watch::Sender<ProcessState>,
@@ -73,6 +75,7 @@
             events,
             fault: None,
             departing: false,
+            limit: None,
             reached: 0,
             process_state: watch::Sender::new(ProcessState::Up),
             prefill_until: Instant::now(),
