--- a/quetzaltiller/tests/entry.rs
+++ b/quetzaltiller/tests/entry.rs
@@ -802,3 +802,70 @@
     let refused = late.refused.as_ref().map(|refusal| (refusal.code, refusal.ran));
     assert_eq!(refused, Some((Code::Leaving, Ran::No)), "{late:?}");
 }
+
+/// Requests per second that a limited replica names, as in incident LIMIT.
+const LIMIT: f64 = 4.5;
+
+fn reached(site: &Site, id: &str) -> u32 {
+    let mut reached = 0;
+    site.fleet.change(id, |node| reached = node.reached);
+    reached
+}
+
+/// Sends 45 lookups and orders a second to the entry VMs in turn; returns how many requests had
+/// reached the replica `id` after each tenth of a second.
+async fn press(site: &Site, id: &str, tenths: usize) -> Vec<u32> {
+    const GAP: Duration = Duration::from_millis(22);
+    let began = Instant::now();
+    let mut counts = Vec::new();
+    let mut sent = 0;
+    while counts.len() < tenths {
+        let entry = site.entries[sent % site.entries.len()].clone();
+        let path = if sent % 3 == 0 { "/status/1" } else { "/order/1" };
+        let pressed = request(&format!("pressed-{id}-{began:?}-{sent}"), path);
+        tokio::spawn(async move { entry.proxy().handle(pressed).await });
+        sent += 1;
+        sleep(GAP).await;
+        if began.elapsed() >= Duration::from_millis(100) * (counts.len() as u32 + 1) {
+            counts.push(reached(site, id));
+        }
+    }
+    counts
+}
+
+/// Largest number of requests in four seconds, from `since` tenths of a second on.
+fn most_in_four_seconds(counts: &[u32], since: usize) -> u32 {
+    counts[since..].windows(41).map(|window| window[40] - window[0]).max().unwrap()
+}
+
+/// Each entry VM alone is within the limit that a replica names for all of them together.
+#[tokio::test(start_paused = true)]
+async fn a_limited_replica_does_not_get_its_limit_from_each_entry_vm() {
+    let site = Site::start(1).await;
+    site.fleet.change("desk-a", |node| node.limit = Some(LIMIT));
+
+    let counts = press(&site, "desk-a", 150).await;
+
+    // The users' rule: one and a half times the limit, and 5 requests, from 3 s on.
+    let allowed = (1.5 * LIMIT * 4.0) as u32 + 5;
+    let most = most_in_four_seconds(&counts, 30);
+    assert!(most <= allowed, "{most} in 4 s, {allowed} allowed");
+    let total = counts[149] - counts[30];
+    assert!(f64::from(total) >= 0.5 * LIMIT * 12.0, "starved: {total} in 12 s");
+}
+
+/// Guards against a limit that is kept for ever after the replica has stopped naming it.
+#[tokio::test(start_paused = true)]
+async fn a_replica_that_no_longer_names_a_limit_is_used_as_before() {
+    let site = Site::start(1).await;
+    site.fleet.change("desk-a", |node| node.limit = Some(LIMIT));
+    press(&site, "desk-a", 80).await;
+
+    site.fleet.change("desk-a", |node| node.limit = None);
+    press(&site, "desk-a", 40).await;
+    let before = reached(&site, "desk-a");
+    press(&site, "desk-a", 40).await;
+
+    let served = reached(&site, "desk-a") - before;
+    assert!(f64::from(served) > 2.0 * LIMIT * 4.0, "{served} in 4 s");
+}
