Divide a limit that an upstream states among all entry VMs

Cause: the limit was dropped unread, and no code divided a figure for all entry VMs between them. Class: a bound on a sum that no process sees. Change: coordination::quota has the parts and the credit, pure. The entry VMs of the upstream's zone hold equal parts, few where the limit is low; a silent VM keeps its part as long as it is known; if no holder is alive, one successor in each group of a quarter of all sends at a quarter of the limit times the group's fraction. placement::Limit numbers the statements, which heartbeats carry; an answer to an earlier request changes nothing, and only an answer to a caller's request ends a limit. The choice leaves out upstreams without credit, whether a request is the first, repeated, resumed or hedged; a booked run needs credit when it is reserved. If all are out of credit, callers are told to return one after the other.

--- a/quetzaltiller/src/entry/delegate.rs
+++ b/quetzaltiller/src/entry/delegate.rs
@@ -3,13 +3,15 @@
 use super::lag::Lag;
 use super::pull::Pull;
 use crate::clock::Clock;
+use crate::control::Member;
 use crate::fleet::Upstream;
 use crate::follower::{Follower, Role};
 use crate::members::{Delegate, View};
 use crate::peer::Link;
-use crate::placement::{Load, Peer, Placer, Reported, Successor};
+use crate::placement::{Load, Peer, Placer, Reported, Statement, Successor};
 use crate::prelude::*;
 use crate::scope::Scope;
+use crate::upstream::Limit;
 use crate::wire;
 use coordination::rendezvous::rank;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -21,6 +23,8 @@
 /// Maximum number of other entry VMs up to which heartbeats to other zones carry what engines hold.
 /// Where there are more, each member's turn comes so rarely that the data would be out of date.
 const MAX_MEMBERS_SHARING_FAR_LOADS: usize = 40;
+/// Maximum number of upstreams' limits in a heartbeat, which takes 50 bytes for each.
+const MAX_LIMITS_PER_HEARTBEAT: usize = 64;
 /// Rendezvous key; the entry VMs of a zone that rank first for it watch the store's upstreams for
 /// the others.
 const STORE_WATCH_KEY: &str = "store";
@@ -127,6 +131,8 @@
             incarnation: *incarnation,
         };
         beat.departures = self.placer.departing().iter().map(departure).collect();
+        let newest = self.placer.statements();
+        beat.limits = newest.iter().take(MAX_LIMITS_PER_HEARTBEAT).map(encode_statement).collect();
         if near {
             beat.lost_upstreams = self.placer.lost().borrow().as_ref().clone();
         }
@@ -137,6 +143,9 @@
         for departure in &beat.departures {
             self.placer.record_peer_departure(&departure.upstream, departure.incarnation);
         }
+        for limit in &beat.limits {
+            self.placer.record_peer_statement(&limit.upstream, decode_statement(limit));
+        }
         let load = |load: &wire::Load| {
             let backlog = Duration::from_millis(u64::from(load.backlog_ms));
             let (requests, unread) = (load.reported_requests, load.reported_unread);
@@ -175,7 +184,7 @@
         });
     }
 
-    fn handle_view_change(&self, _known: Vec<String>, view: &View) {
+    fn handle_view_change(&self, known: Vec<Member>, view: &View) {
         let peers = view.alive.iter().map(|beat| Peer {
             name: beat.name.clone(),
             zone: beat.zone.clone(),
@@ -196,6 +205,20 @@
             ranked.into_iter().take(WATCHERS_PER_ZONE).map(str::to_owned).collect();
         self.follower.set_role(role);
         self.member_count.store(peers.len(), Ordering::Relaxed);
-        self.placer.set_members(peers);
+        self.placer.set_members(peers, known);
     }
 }
+
+fn encode_statement((upstream, statement): (&String, &Statement)) -> wire::Limit {
+    let per_second = match statement.limit {
+        Limit::Unlimited => None,
+        Limit::PerSecond(limit) => Some(limit),
+    };
+    let Statement { incarnation, number, .. } = *statement;
+    wire::Limit { upstream: upstream.clone(), incarnation, number, per_second }
+}
+
+fn decode_statement(limit: &wire::Limit) -> Statement {
+    let wire::Limit { incarnation, number, per_second, .. } = *limit;
+    Statement { incarnation, number, limit: per_second.map_or(Limit::Unlimited, Limit::PerSecond) }
+}
--- a/quetzaltiller/src/entry/startup.rs
+++ b/quetzaltiller/src/entry/startup.rs
@@ -73,6 +73,7 @@
             Ok(listed) => {
                 members.add_provisional(listed);
                 tokio::time::sleep(MEMBER_UPDATE_DELAY).await;
+                placer.mark_members_listed();
                 return placer.mark_members_known();
             }
             Err(reason) => {
--- a/quetzaltiller/src/members/mod.rs
+++ b/quetzaltiller/src/members/mod.rs
@@ -82,9 +82,8 @@
     /// Handles the heartbeat of another member.
     fn handle_heartbeat(&self, beat: &wire::Heartbeat);
 
-    /// Handles a new view; `known` has the names of all members that were not removed, alive or
-    /// not.
-    fn handle_view_change(&self, known: Vec<String>, view: &View);
+    /// Handles a new view; `known` has all other members that were not removed, alive or not.
+    fn handle_view_change(&self, known: Vec<Member>, view: &View);
 }
 
 #[derive(Debug)]
@@ -233,6 +232,13 @@
     }
 }
 
+impl From<&Heartbeat> for Member {
+    fn from(beat: &Heartbeat) -> Self {
+        let Heartbeat { name, zone, peer_address, .. } = beat.clone();
+        Self { name, zone, peer_address }
+    }
+}
+
 impl From<&wire::Member> for Member {
     fn from(member: &wire::Member) -> Self {
         let wire::Member { name, zone, peer_address } = member.clone();
--- a/quetzaltiller/src/members/task.rs
+++ b/quetzaltiller/src/members/task.rs
@@ -227,7 +227,7 @@
         let listed_leaving = self.listed_leaving();
         let leaving_upstreams: BTreeSet<_> =
             listed_leaving.iter().cloned().chain(self.reported_leaving(now)).collect();
-        let known = self.table.members().map(|member| member.beat.name.clone()).collect();
+        let known = self.table.members().map(|member| Member::from(&member.beat)).collect();
         let view = View { alive, listed_leaving, leaving_upstreams, unreachable };
         self.delegate.handle_view_change(known, &view);
         self.published.view.send_replace(Arc::new(view));
--- a/quetzaltiller/src/placement/message.rs
+++ b/quetzaltiller/src/placement/message.rs
@@ -4,9 +4,11 @@
 use super::assignment::Assignment;
 use super::booking::{Booked, Booking};
 use super::demand::{Demand, Run};
+use super::limit::Statement;
 use super::place::{Copy, Placement, Unplaced};
 use super::shares::Peer;
 use super::state::{Load, State};
+use crate::control::Member;
 use crate::fleet::{Directory, Upstream};
 use crate::prelude::*;
 use crate::routes;
@@ -29,7 +31,7 @@
     Reserve {
         assignment: Assignment,
         run: Run,
-        reply: oneshot::Sender<Placement>,
+        reply: oneshot::Sender<Option<Placement>>,
     },
     /// A registrar answered a booking at an engine.
     BookingReply {
@@ -54,12 +56,19 @@
         id: String,
         outcome: Outcome,
     },
-    /// An upstream announced its availability; without an `id`, it is the one at `address`.
+    /// An upstream announced its availability in an answer that took `took`; without an `id`, it is
+    /// the one at `address`.
     AvailabilityChanged {
         address: SocketAddr,
         id: Option<String>,
+        took: Duration,
         availability: Availability,
     },
+    /// A peer reported the limit that an upstream states.
+    PeerStatement {
+        id: String,
+        statement: Statement,
+    },
     /// A peer reported that an incarnation of an upstream has announced that it leaves.
     PeerDeparture {
         id: String,
@@ -76,7 +85,13 @@
     },
     Configure(Arc<routes::Table>),
     Upstreams(Arc<Directory>),
-    Members(Vec<Peer>),
+    /// Other entry VMs that are alive, and all that may be running.
+    Members {
+        alive: Vec<Peer>,
+        known: Vec<Member>,
+    },
+    /// The store has listed the entry VMs.
+    MembersListed,
     /// An engine answered a poll for its report.
     EngineReport {
         id: String,
--- a/quetzaltiller/src/placement/placer.rs
+++ b/quetzaltiller/src/placement/placer.rs
@@ -5,6 +5,7 @@
 
 use super::booking::{Booked, Booking, MAX_ROUNDS, Registrar};
 use super::demand::Demand;
+use super::limit::Statement;
 use super::message::{Message, Outcome, PlaceReply};
 use super::place::{Copy, Placement, Unplaced};
 use super::shares::Peer;
@@ -13,14 +14,14 @@
 use super::table::Table;
 use super::task::{Published, Task};
 use crate::clock::Clock;
+use crate::control::Member;
 use crate::fleet::{Directory, Upstream};
 use crate::mailbox::Mailbox;
 use crate::prelude::*;
 use crate::routes;
 use crate::scope::Scope;
-use crate::upstream::{Availability, Client, Listener};
+use crate::upstream::{Availability, Client, Exchange, Listener};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use tokio::sync::{mpsc, watch};
 
 /// What [`Placer::start`] needs.
@@ -48,6 +49,7 @@
     withdrawn: watch::Receiver<Arc<Vec<String>>>,
     departing: watch::Receiver<Arc<BTreeMap<String, u64>>>,
     loads: watch::Receiver<Arc<BTreeMap<String, Load>>>,
+    statements: watch::Receiver<Arc<BTreeMap<String, Statement>>>,
     members_known: Arc<watch::Sender<bool>>,
     listed: Arc<watch::Sender<bool>>,
 }
@@ -64,9 +66,11 @@
         let departing_receiver = departing.subscribe();
         let loads = watch::Sender::default();
         let loads_receiver = loads.subscribe();
+        let statements = watch::Sender::default();
+        let statements_receiver = statements.subscribe();
         let registrar = dependencies.registrar.clone();
         let client = dependencies.client.clone();
-        let published = Published { lost, withdrawn, departing, loads };
+        let published = Published { lost, withdrawn, departing, loads, statements };
         let task = Task::new(dependencies, published, scope.clone(), mailbox.clone());
         scope.spawn(task.run(messages));
         client.set_listener(Arc::new(AvailabilityListener(mailbox.clone())));
@@ -77,6 +81,7 @@
             withdrawn: withdrawn_receiver,
             departing: departing_receiver,
             loads: loads_receiver,
+            statements: statements_receiver,
             members_known: Arc::default(),
             listed: Arc::default(),
         }
@@ -126,10 +131,12 @@
                 assignment.wait = booked.backlog + booking.prefill;
                 assignment.uncontended &= booked.backlog.is_zero();
             }
-            let run = demand.run.unwrap_or_default();
+            let run = demand.run.clone().unwrap_or_default();
             let placement =
-                self.mailbox.request(|reply| Message::Reserve { assignment, run, reply }).await;
-            return placement.ok_or(Unplaced::NoUpstream);
+                self.mailbox.request(|reply| Message::Reserve { assignment, run, reply });
+            if let Some(placement) = placement.await.ok_or(Unplaced::NoUpstream)? {
+                return Ok(placement);
+            }
         }
         Err(Unplaced::NoUpstream)
     }
@@ -219,9 +226,25 @@
         self.listed.send_if_modified(|known| listed && !std::mem::replace(known, true));
     }
 
-    /// Replaces the other entry VMs that are alive.
-    pub fn set_members(&self, members: Vec<Peer>) {
-        self.mailbox.send(Message::Members(members));
+    /// Replaces the other entry VMs that are alive, and those that may be running.
+    pub fn set_members(&self, alive: Vec<Peer>, known: Vec<Member>) {
+        self.mailbox.send(Message::Members { alive, known });
+    }
+
+    /// Records that the store has listed the entry VMs, which lets limits of upstreams be used
+    /// where no other entry VM is known.
+    pub fn mark_members_listed(&self) {
+        self.mailbox.send(Message::MembersListed);
+    }
+
+    /// Statements of upstreams' limits by upstream id.
+    pub fn statements(&self) -> Arc<BTreeMap<String, Statement>> {
+        self.statements.borrow().clone()
+    }
+
+    /// Records a statement of an upstream's limit that a peer reported.
+    pub fn record_peer_statement(&self, id: &str, statement: Statement) {
+        self.mailbox.send(Message::PeerStatement { id: id.to_owned(), statement });
     }
 
     /// Replaces the loads that another entry VM has placed on upstreams.
@@ -262,16 +285,9 @@
 struct AvailabilityListener(Mailbox<Message>);
 
 impl Listener for AvailabilityListener {
-    fn handle_availability(
-        &self,
-        address: SocketAddr,
-        id: Option<&str>,
-        availability: Availability,
-    ) {
-        self.0.send(Message::AvailabilityChanged {
-            address,
-            id: id.map(str::to_owned),
-            availability,
-        });
+    fn handle_availability(&self, exchange: Exchange<'_>, availability: Availability) {
+        let Exchange { address, upstream, took } = exchange;
+        let id = upstream.map(str::to_owned);
+        self.0.send(Message::AvailabilityChanged { address, id, took, availability });
     }
 }
--- a/quetzaltiller/src/placement/shares.rs
+++ b/quetzaltiller/src/placement/shares.rs
@@ -4,8 +4,11 @@
 //! they own. In addition, each upstream has one registrar among all entry VMs. It depends on the
 //! members alone, so that entry VMs agree on it although they know different upstreams.
 
+use crate::control::Member;
 use crate::fleet::Upstream;
+use coordination::quota;
 use coordination::rendezvous::{first, score};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -34,6 +37,10 @@
     members: Vec<Peer>,
     /// Ids of the upstreams that this entry VM owns.
     owned: BTreeSet<String>,
+    /// Other entry VMs that may be running, silent ones included.
+    known: Vec<Member>,
+    /// Whether the store has listed the entry VMs.
+    listed: bool,
 }
 
 impl Shares {
@@ -57,6 +64,40 @@
         &self.members
     }
 
+    /// Replaces the other entry VMs that may be running; returns whether they have changed.
+    pub fn set_known(&mut self, known: Vec<Member>) -> bool {
+        let changed = self.known != known;
+        self.known = known;
+        changed
+    }
+
+    /// Records that the store has listed the entry VMs.
+    pub fn mark_listed(&mut self) {
+        self.listed = true;
+    }
+
+    /// Requests per second that this entry VM may send to an upstream that accepts `limit` requests
+    /// per second from all of them. The entry VMs of the upstream's zone divide the limit, all if
+    /// that zone has none. Zero while no other entry VM is known and
+    /// the store has not listed them, as any number of others may be sending.
+    pub fn rate(&self, upstream: &Upstream, limit: f64) -> f64 {
+        if self.known.is_empty() && !self.listed {
+            return 0.0;
+        }
+        let own = (self.own_name.as_str(), self.own_zone.as_str());
+        let others = self.known.iter().map(|member| (member.name.as_str(), member.zone.as_str()));
+        let mut members: Vec<_> = others.chain([own]).collect();
+        members.sort_by_cached_key(|(name, zone)| {
+            (*zone != upstream.zone, Reverse((score(name, &upstream.id), *name)))
+        });
+        let in_zone = members.iter().filter(|(_, zone)| *zone == upstream.zone).count();
+        let max_holders = if in_zone > 0 { in_zone } else { members.len() };
+        let ranked: Vec<_> = members.into_iter().map(|(name, _)| name).collect();
+        let alive: BTreeSet<_> = self.members.iter().map(|member| member.name.as_str()).collect();
+        let is_alive = |name: &str| name == self.own_name || alive.contains(name);
+        quota::rate(&self.own_name, &ranked, max_holders, is_alive, limit)
+    }
+
     /// Replaces the other entry VMs that are alive; returns whether those of the own zone that take
     /// work have changed, so that upstreams have to be partitioned again.
     pub fn set_members(&mut self, members: Vec<Peer>) -> bool {
--- a/quetzaltiller/src/placement/state.rs
+++ b/quetzaltiller/src/placement/state.rs
@@ -1,6 +1,7 @@
 //! Health and load of one upstream, as this entry VM knows them: from its own requests, from the
 //! reports of the upstream, and from other entry VMs. The table keeps one [`State`] per upstream.
 
+use super::limit::Limit;
 use super::speed::Speed;
 use crate::fleet::Upstream;
 use serde::Serialize;
@@ -91,8 +92,8 @@
     departing: bool,
     /// Until this time, the upstream accepts no requests from this entry VM.
     closed_until: Duration,
-    /// Requests per second that the upstream last named as its limit.
-    limit: Option<f64>,
+    /// Limit that the upstream states for all entry VMs together.
+    pub limit: Limit,
     /// When the upstream was found unreachable; none once it has given a sign of life.
     lost_at: Option<Duration>,
     /// Last report, when it arrived, and the tokens that this entry VM held there at that time.
@@ -124,7 +125,7 @@
             proven_at: Duration::ZERO,
             departing: false,
             closed_until: Duration::ZERO,
-            limit: None,
+            limit: Limit::default(),
             lost_at: None,
             reported: None,
             others: BTreeMap::new(),
@@ -170,10 +171,14 @@
         self.closed_until = self.closed_until.max(until);
     }
 
-    /// Records the limit that the upstream names, in requests per second; returns whether it is
-    /// new.
-    pub fn record_limit(&mut self, per_s: f64) -> bool {
-        self.limit.replace(per_s) != Some(per_s)
+    /// Whether this entry VM may send the upstream a request now.
+    pub fn is_open(&self, now: Duration) -> bool {
+        !self.is_closed(now) && self.limit.may_send(now)
+    }
+
+    /// Time until this entry VM may send the upstream a request.
+    pub fn opens_in(&self, now: Duration) -> Duration {
+        self.closed_for(now).max(self.limit.wait(now))
     }
 
     /// Whether the upstream was found unreachable within the last `LOST_DURATION`.
--- a/quetzaltiller/src/placement/table.rs
+++ b/quetzaltiller/src/placement/table.rs
@@ -11,11 +11,14 @@
 use super::choice::Choice;
 use super::demand::{Demand, Run};
 use super::engines::{self, Engines};
+use super::limit::Statement;
 use super::shares::{Peer, Shares};
 use super::speed::Speed;
 use super::state::{Load, State};
+use crate::control::Member;
 use crate::fleet::{Directory, Upstream};
 use crate::routes;
+use crate::upstream;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -28,6 +31,9 @@
 const FAILURE_REQUESTS: f64 = 20.0;
 /// Minimum number of recently unreachable engines that makes their zone suspect.
 const SUSPECT_ZONE_ENGINES: usize = 2;
+/// Time for which the end of an upstream's limit is told to other entry VMs: several rotations of
+/// heartbeats among a few hundred members.
+const STATEMENT_RETENTION: Duration = Duration::from_secs(60);
 /// Time for which an unreachable engine counts towards a suspect zone: about the time in which
 /// engines restart.
 const SUSPECT_ZONE_DURATION: Duration = Duration::from_millis(1_000);
@@ -95,7 +101,7 @@
 
     /// Replaces the other entry VMs that are alive, and removes the loads of those that no longer
     /// are.
-    pub fn set_members(&mut self, members: Vec<Peer>) {
+    pub fn set_members(&mut self, now: Duration, members: Vec<Peer>) {
         if self.shares.members() == members {
             return;
         }
@@ -108,6 +114,97 @@
         if self.shares.set_members(members) {
             self.partition_upstreams();
         }
+        self.divide_limits(now);
+    }
+
+    /// Replaces the other entry VMs that may be running, silent ones included.
+    pub fn set_known(&mut self, now: Duration, known: Vec<Member>) {
+        if self.shares.set_known(known) {
+            self.divide_limits(now);
+        }
+    }
+
+    /// Records that the store has listed the entry VMs.
+    pub fn mark_members_listed(&mut self, now: Duration) {
+        self.shares.mark_listed();
+        self.divide_limits(now);
+    }
+
+    /// Records the limit in the answer to a request that was sent to an upstream at `asked_at`;
+    /// returns whether it changed.
+    pub fn record_limit(
+        &mut self,
+        now: Duration,
+        id: &str,
+        asked_at: Duration,
+        limit: upstream::Limit,
+    ) -> bool {
+        let changed =
+            self.state_mut(id).is_some_and(|state| state.limit.record_answer(now, asked_at, limit));
+        if changed {
+            self.divide_limit(now, id);
+        }
+        changed
+    }
+
+    /// Applies the statement of an upstream's limit that another entry VM knows; returns whether it
+    /// was newer.
+    pub fn apply_statement(&mut self, now: Duration, id: &str, statement: &Statement) -> bool {
+        let known = self.state_mut(id);
+        let current = known.filter(|state| state.matches_incarnation(statement.incarnation));
+        let is_newer = current.is_some_and(|state| state.limit.apply(now, statement));
+        if is_newer {
+            self.divide_limit(now, id);
+        }
+        is_newer
+    }
+
+    /// Statements of upstreams' limits by id, to tell other entry VMs.
+    pub fn statements(&self, now: Duration) -> BTreeMap<String, Statement> {
+        let statement = |state: &State| {
+            state.limit.statement(now, state.upstream.incarnation, STATEMENT_RETENTION)
+        };
+        let statements =
+            self.states.iter().filter_map(|(id, state)| Some((id.clone(), statement(state)?)));
+        statements.collect()
+    }
+
+    /// Whether this entry VM may send an upstream a request now.
+    pub fn is_open(&self, now: Duration, id: &str) -> bool {
+        self.states.get(id).is_some_and(|state| state.is_open(now))
+    }
+
+    /// Requests per second that this entry VM may send to a limited upstream.
+    pub fn rate(&self, id: &str) -> Option<f64> {
+        let state = self.states.get(id)?;
+        Some(self.shares.rate(&state.upstream, state.limit.per_second()?))
+    }
+
+    fn divide_limit(&mut self, now: Duration, id: &str) {
+        if let Some(rate) = self.rate(id)
+            && let Some(state) = self.states.get_mut(id)
+        {
+            state.limit.set_rate(now, rate);
+        }
+    }
+
+    fn divide_limits(&mut self, now: Duration) {
+        let limited = self.states.iter().filter(|(_, state)| state.limit.per_second().is_some());
+        let limited: Vec<_> = limited.map(|(id, _)| id.clone()).collect();
+        limited.iter().for_each(|id| self.divide_limit(now, id));
+    }
+
+    /// Time after which a caller may return that is refused because no upstream of `service` is
+    /// open. Callers that are refused one after the other are spread over the upstreams' limits.
+    pub fn offer(&mut self, now: Duration, service: &str) -> Option<Duration> {
+        let of_service = self.states.values_mut().filter(|state| state.upstream.service == service);
+        let usable: Vec<_> = of_service.filter(|state| !state.is_leaving()).collect();
+        if usable.iter().any(|state| state.is_open(now)) {
+            return None;
+        }
+        let limited = usable.into_iter().filter(|state| !state.is_closed(now));
+        let first = limited.min_by_key(|state| state.limit.wait(now))?;
+        Some(first.limit.offer(now))
     }
 
     /// Replaces the upstreams by those of `directory`; returns the ids that are no longer listed.
@@ -175,9 +272,9 @@
     /// Chooses an upstream for `demand`, and for a run an engine for its copies.
     pub fn choose(&self, now: Duration, demand: &Demand) -> Choice {
         let listed: Vec<_> = self.not_leaving(&demand.service).collect();
-        let open: Vec<_> = listed.iter().copied().filter(|state| !state.is_closed(now)).collect();
+        let open: Vec<_> = listed.iter().copied().filter(|state| state.is_open(now)).collect();
         if open.is_empty()
-            && let Some(retry_after) = listed.iter().map(|state| state.closed_for(now)).min()
+            && let Some(retry_after) = listed.iter().map(|state| state.opens_in(now)).min()
         {
             return Choice::Full { retry_after };
         }
@@ -317,6 +414,7 @@
         let is_registrar = self.shares.registrar(&assignment.upstream).is_none();
         let prefill = run.map(|run| self.prefill_of(assignment, run)).unwrap_or_default();
         if let Some(state) = self.current_state_mut(&assignment.upstream) {
+            state.limit.withdraw(now);
             state.prefill_until = state.prefill_until.max(now) + prefill;
             if is_registrar {
                 state.book(now, prefill, tokens);
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -7,6 +7,7 @@
 use super::assignment::Assignment;
 use super::choice::Choice;
 use super::demand::{Demand, Run};
+use super::limit::Statement;
 use super::message::{Message, Outcome, PlaceReply};
 use super::place::{Copy, Permit, Placement, Unplaced};
 use super::placer::Dependencies;
@@ -18,7 +19,7 @@
 use crate::mailbox::Mailbox;
 use crate::prelude::*;
 use crate::scope::Scope;
-use crate::upstream::{Availability, Client, Report};
+use crate::upstream::{Availability, Client, Limit, Report};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use tokio::sync::{mpsc, watch};
@@ -50,6 +51,8 @@
     pub departing: watch::Sender<Arc<BTreeMap<String, u64>>>,
     /// Loads that this entry VM has placed on upstreams, by upstream id.
     pub loads: watch::Sender<Arc<BTreeMap<String, Load>>>,
+    /// Statements of upstreams' limits by upstream id.
+    pub statements: watch::Sender<Arc<BTreeMap<String, Statement>>>,
 }
 
 /// Owner of the table, driven by messages and timers.
@@ -111,6 +114,7 @@
                     self.publish_lost(self.clock.now());
                     let loads = self.table.loads(self.clock.now());
                     self.published.loads.send_replace(Arc::new(loads));
+                    publish(&self.published.statements, self.table.statements(self.clock.now()));
                 }
                 _ = reporting.tick() => self.poll_reports(),
             }
@@ -124,7 +128,9 @@
                 let _ = reply.send(self.place(now, &demand, books));
             }
             Message::Reserve { assignment, run, reply } => {
-                let _ = reply.send(self.reserve(now, assignment, Some(&run)));
+                let open = self.table.is_open(now, &assignment.upstream.id);
+                let placement = open.then(|| self.reserve(now, assignment, Some(&run)));
+                let _ = reply.send(placement);
             }
             Message::BookingReply { upstream, booked } => {
                 if let Some(state) = self.table.state_mut(&upstream) {
@@ -143,9 +149,15 @@
             Message::Outcome { id, outcome } => {
                 self.handle_outcome(now, &id, outcome);
             }
-            Message::AvailabilityChanged { address, id, availability } => {
+            Message::AvailabilityChanged { address, id, took, availability } => {
+                self.record_limit(now, (address, id.as_deref()), took, availability.limit);
                 self.record_availability(now, address, id, availability)
             }
+            Message::PeerStatement { id, statement } => {
+                if self.table.apply_statement(now, &id, &statement) {
+                    self.report_limit(now, &id, "peer");
+                }
+            }
             Message::PeerDeparture { id, incarnation } => {
                 let state = self.table.states().get(&id);
                 if state.is_some_and(|state| state.matches_incarnation(incarnation)) {
@@ -159,7 +171,11 @@
                 self.removed = self.table.set_upstreams(&directory);
                 self.publish_lost(now);
             }
-            Message::Members(members) => self.table.set_members(members),
+            Message::Members { alive, known } => {
+                self.table.set_members(now, alive);
+                self.table.set_known(now, known);
+            }
+            Message::MembersListed => self.table.mark_members_listed(now),
             Message::EngineReport { id, report } => self.record_report(now, &id, &report),
             Message::PeerLoads { member, loads } => self.table.record_loads(now, &member, &loads),
             Message::Engines { service, reply } => {
@@ -230,6 +246,9 @@
         id: Option<String>,
         availability: Availability,
     ) {
+        if !availability.leaving && availability.closed_for.is_none() {
+            return;
+        }
         let Some(id) = id.or_else(|| self.table.upstream_at(address)) else {
             return;
         };
@@ -240,17 +259,45 @@
             let pause_ms = pause.as_millis() as u64;
             info!("upstream_closed", kv: { upstream = id, pause_ms });
         }
-        if let Some(per_s) = availability.limit
-            && let Some(state) = self.table.state_mut(&id)
-            && state.record_limit(per_s)
-        {
-            info!("upstream_limited", kv: { upstream = id, per_s });
-        }
         if availability.leaving {
             self.record_departure(now, &id, "upstream");
         }
     }
 
+    /// Records the limit in an answer that took `took`. Answers to other calls than requests of
+    /// callers may come without the statement, so they don't end a limit.
+    fn record_limit(
+        &mut self,
+        now: Duration,
+        (address, id): (SocketAddr, Option<&str>),
+        took: Duration,
+        limit: Option<Limit>,
+    ) {
+        let found = match (limit, id) {
+            (Some(Limit::PerSecond(_)), None) => self.table.upstream_at(address),
+            (_, id) => id.map(str::to_owned),
+        };
+        if let (Some(limit), Some(id)) = (limit, found)
+            && self.table.record_limit(now, &id, now.saturating_sub(took), limit)
+        {
+            self.report_limit(now, &id, "upstream");
+        }
+    }
+
+    /// Logs the changed limit of an upstream and publishes it for heartbeats.
+    fn report_limit(&self, now: Duration, id: &str, source: &str) {
+        let Some(state) = self.table.states().get(id) else {
+            return;
+        };
+        match state.limit.per_second() {
+            Some(per_s) => info!("upstream_limited", kv: {
+                upstream = id, per_s, own_per_s:? = self.table.rate(id), source
+            }),
+            None => info!("upstream_unlimited", kv: { upstream = id, source }),
+        }
+        publish(&self.published.statements, self.table.statements(now));
+    }
+
     fn record_departure(&mut self, now: Duration, id: &str, source: &str) {
         let Some(state) = self.table.state_mut(id) else {
             return;
@@ -376,6 +423,7 @@
         let assignment = match self.table.choose(now, demand) {
             Choice::Found(assignment) => assignment,
             Choice::Full { retry_after } => {
+                let retry_after = self.table.offer(now, &demand.service).unwrap_or(retry_after);
                 if let Some(census) = self.table.census(now, demand) {
                     let retry_after_ms = retry_after.as_millis() as u64;
                     info!("placement_full", kv: {
--- a/quetzaltiller/src/router/delegate.rs
+++ b/quetzaltiller/src/router/delegate.rs
@@ -1,6 +1,7 @@
 //! Membership delegate of the router: shares limits by demand and pulls configurations from peers.
 
 use crate::catalog::Catalog;
+use crate::control::Member;
 use crate::dispatch::Dispatch;
 use crate::members::{Delegate, Members, View};
 use crate::metrics::{Counter, Metrics};
@@ -46,7 +47,8 @@
         }
     }
 
-    fn handle_view_change(&self, known: Vec<String>, view: &View) {
+    fn handle_view_change(&self, known: Vec<Member>, view: &View) {
+        let known = known.into_iter().map(|member| member.name).collect();
         let alive = view.alive.iter().map(|beat| beat.name.clone()).collect();
         self.dispatch.set_members(known, alive);
         let mut leaving = self.leaving.lock().unwrap_or_else(PoisonError::into_inner);
--- a/quetzaltiller/src/upstream.rs
+++ b/quetzaltiller/src/upstream.rs
@@ -11,6 +11,7 @@
 use futures::stream::BoxStream;
 use hyper::{HeaderMap, StatusCode};
 use quick_error::quick_error;
+use serde::Serialize;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -54,20 +55,36 @@
     pub leaving: bool,
     /// Time for which the upstream refuses further requests from this VM.
     pub closed_for: Option<Duration>,
-    /// Requests per second that the upstream accepts from all entry VMs together.
-    pub limit: Option<f64>,
+    /// Limit that the upstream states or no longer states; none if the statement is unreadable.
+    pub limit: Option<Limit>,
+}
+
+/// Limit on requests from all entry VMs together.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Limit {
+    /// The upstream states no limit.
+    Unlimited,
+    /// Requests per second.
+    PerSecond(f64),
+}
+
+/// Request whose answer carried an availability.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Exchange<'a> {
+    /// Address to which the request was sent.
+    pub address: SocketAddr,
+    /// Id of the upstream if the answer proves its sender; none for answers of other calls than
+    /// requests of callers.
+    pub upstream: Option<&'a str>,
+    /// Time between the request and the head of the answer.
+    pub took: Duration,
 }
 
 /// Receives the availability of upstreams, before the answer that carried it is passed on.
 pub trait Listener: Send + Sync {
-    /// Handles the availability of the upstream at `address`; `id` is the upstream's id if the
-    /// answer proves its sender.
-    fn handle_availability(
-        &self,
-        address: SocketAddr,
-        id: Option<&str>,
-        availability: Availability,
-    );
+    /// Handles the availability that the answer of `exchange` carried.
+    fn handle_availability(&self, exchange: Exchange<'_>, availability: Availability);
 }
 
 /// Copy of a run's memory, from which another engine can continue the run.
--- a/quetzaltiller/src/wire.rs
+++ b/quetzaltiller/src/wire.rs
@@ -141,6 +141,25 @@
     /// Upstreams that have announced that they are leaving.
     #[prost(message, repeated, tag = "19")]
     pub departures: Vec<Departure>,
+    /// Newest limits that upstreams stated for all members together.
+    #[prost(message, repeated, tag = "20")]
+    pub limits: Vec<Limit>,
+}
+
+/// Limit that an upstream stated for all members together.
+#[derive(Clone, Message, PartialEq)]
+pub struct Limit {
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Start of the upstream's process; 0 if not known.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Number of changes of the limit; a higher one is newer.
+    #[prost(uint64, tag = "3")]
+    pub number: u64,
+    /// Requests per second; omitted if the upstream no longer states a limit.
+    #[prost(double, optional, tag = "4")]
+    pub per_second: Option<f64>,
 }
 
 /// Upstream that has announced that it is leaving.
--- a/quetzaltiller/tests/members.rs
+++ b/quetzaltiller/tests/members.rs
@@ -36,7 +36,7 @@
 
     fn handle_heartbeat(&self, _beat: &wire::Heartbeat) {}
 
-    fn handle_view_change(&self, _known: Vec<String>, _view: &View) {
+    fn handle_view_change(&self, _known: Vec<Member>, _view: &View) {
         self.view_changes.fetch_add(1, Ordering::Relaxed);
     }
 }
--- a/quetzaltiller/tests/placement.rs
+++ b/quetzaltiller/tests/placement.rs
@@ -137,7 +137,7 @@
         let mut table = Table::new(&own.name, &own.zone);
         table.configure(Arc::new(routes::Table::from(configuration(1))));
         table.set_upstreams(&directory(engines));
-        table.set_members(peers().filter(|peer| peer.name != own.name).collect());
+        table.set_members(NOW, peers().filter(|peer| peer.name != own.name).collect());
         table
     };
     peers().map(table).collect()
@@ -350,12 +350,12 @@
     #[case] expected: [u32; 2],
 ) {
     let mut table = table(2);
-    table.set_members(vec![peer("entry-b", "a"), peer("entry-c", "a")]);
+    table.set_members(NOW, vec![peer("entry-b", "a"), peer("entry-c", "a")]);
     table.record_loads(NOW, "entry-b", &loads(&["engine-a-0"]));
 
     table.record_loads(NOW, "entry-b", &loads(later));
     if !alive {
-        table.set_members(vec![peer("entry-c", "a")]);
+        table.set_members(NOW, vec![peer("entry-c", "a")]);
     }
 
     let memory = ["engine-a-0", "engine-a-1"].map(|id| table.states()[id].memory(NOW));
--- a/quetzaltiller/tests/prompts.rs
+++ b/quetzaltiller/tests/prompts.rs
@@ -107,7 +107,7 @@
 impl Node {
     /// Sets the other entry VMs, which become known shortly after a start.
     fn set_members(&self) {
-        self.placer.set_members(self.peers.clone());
+        self.placer.set_members(self.peers.clone(), Vec::new());
         self.placer.mark_members_known();
     }
 }
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -17,7 +17,7 @@
 use hyper::{HeaderMap, StatusCode};
 use quetzaltiller::fleet::Upstream;
 use quetzaltiller::upstream::{
-    Availability, Call, Client, Copy, Error, Listener, Report, Response,
+    self, Availability, Call, Client, Copy, Error, Limit, Listener, Report, Response,
 };
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -174,14 +174,13 @@
                 Some(Fault::Close(pause)) => Some(pause),
                 _ => None,
             };
-            Availability { leaving: node.departing, closed_for, limit: node.limit }
+            let limit = node.limit.map_or(Limit::Unlimited, Limit::PerSecond);
+            Availability { leaving: node.departing, closed_for, limit: Some(limit) }
         };
-        if availability != Availability::default() {
-            let listeners = self.listeners.lock().unwrap_or_else(PoisonError::into_inner);
-            listeners.iter().for_each(|l| {
-                l.handle_availability(address, Some(&call.upstream.id), availability)
-            });
-        }
+        let upstream = Some(call.upstream.id.as_str());
+        let exchange = upstream::Exchange { address, upstream, took: Duration::ZERO };
+        let listeners = self.listeners.lock().unwrap_or_else(PoisonError::into_inner);
+        listeners.iter().for_each(|l| l.handle_availability(exchange, availability));
     }
 
     /// Answers a request to a replica of a plain service, as its fault demands.
