Lend requests of a limit to entry VMs without a part of it

Cause: with few holders a replica in a zone without callers would never be used again, and nobody would see its limit end: a limit of under one request a second for each VM starved the replica. Ruled out: letting the limit expire after a silence (all VMs would try at once: 118 requests where 32 are allowed); parts for all VMs (each may send one at once after a pause: the same). Change: a VM without a part asks a holder for one request, at most twice a second for an upstream, if nothing else is open or its replica is as busy as makes another zone preferable; the holder pays from its credit, a loan ends after 0.5 s. A limit below 0.25 a second counts as that, as only an answer shows its end. Heartbeats carry changed limits for 10 s, then one in turn to near members: 50 bytes for each of about 94 heartbeats a second at 118 VMs. Conclusion: not starved with 27 and 118 VMs at 0.5 and 4.5 a second.

--- a/coordination/src/quota.rs
+++ b/coordination/src/quota.rs
@@ -7,6 +7,8 @@
 //! these are a quarter of all. Members that are cut off from each other form at most four such
 //! groups, which together send at most a quarter of the limit.
 //!
+//! A holder may lend one request of its credit to a member without a part.
+//!
 //! If the limit is low, there are few holders, as each may send one request at once after a pause,
 //! and all of them may do so together. Within any window of `w` seconds, holders send at most
 //! `limit * (w + 1) + 1` requests, and successors at most `limit * w / 4 + 4`.
@@ -30,6 +32,9 @@
 
 /// Time for which a holder accumulates its part of the limit beyond one request.
 const BURST: Duration = Duration::from_millis(250);
+/// Limit in requests per second in place of a lower one, as only an answer shows that a limit has
+/// ended.
+const MIN_LIMIT: f64 = 0.25;
 /// Number of holders, beyond the first, for each request per second of the limit.
 const HOLDERS_PER_REQUEST: f64 = 0.75;
 /// Fraction of the limit that replaces the parts of holders that are all silent.
@@ -40,6 +45,12 @@
 /// changed.
 const MAX_OFFER: Duration = Duration::from_secs(5);
 
+/// Members that hold parts of a `limit` in requests per second, from `ranked` as for [`rate`].
+pub fn holders<'a, 'b>(ranked: &'a [&'b str], max_holders: usize, limit: f64) -> &'a [&'b str] {
+    let wanted = (limit * HOLDERS_PER_REQUEST) as usize + 1;
+    &ranked[..wanted.min(max_holders).min(ranked.len())]
+}
+
 /// Requests per second that the member `own` may send to a server with the given `limit` in
 /// requests per second. `ranked` has all known members, silent ones included, in an order that all
 /// of them compute alike; the first `max_holders` may hold a part.
@@ -50,8 +61,9 @@
     is_alive: impl Fn(&str) -> bool,
     limit: f64,
 ) -> f64 {
-    let wanted = (limit * HOLDERS_PER_REQUEST) as usize + 1;
-    let (holders, others) = ranked.split_at(wanted.min(max_holders).min(ranked.len()));
+    let limit = limit.max(MIN_LIMIT);
+    let holders = holders(ranked, max_holders, limit);
+    let others = &ranked[holders.len()..];
     if holders.contains(&own) {
         return limit / holders.len() as f64;
     }
--- a/quetzaltiller/src/entry/delegate.rs
+++ b/quetzaltiller/src/entry/delegate.rs
@@ -23,8 +23,11 @@
 /// Maximum number of other entry VMs up to which heartbeats to other zones carry what engines hold.
 /// Where there are more, each member's turn comes so rarely that the data would be out of date.
 const MAX_MEMBERS_SHARING_FAR_LOADS: usize = 40;
-/// Maximum number of upstreams' limits in a heartbeat, which takes 50 bytes for each.
+/// Maximum number of changed limits in a heartbeat, which takes 50 bytes for each.
 const MAX_LIMITS_PER_HEARTBEAT: usize = 64;
+/// Time for which a changed limit is sent to all members: several rotations of heartbeats among a
+/// few hundred.
+const NEWS_DURATION: Duration = Duration::from_secs(10);
 /// Rendezvous key; the entry VMs of a zone that rank first for it watch the store's upstreams for
 /// the others.
 const STORE_WATCH_KEY: &str = "store";
@@ -46,6 +49,8 @@
     member_count: AtomicUsize,
     clock: Clock,
     watchers: Mutex<Watchers>,
+    /// Position in the rotation of unchanged limits.
+    next_limit: AtomicUsize,
 }
 
 /// Entry VMs that watch the store for this zone.
@@ -77,6 +82,7 @@
             member_count: AtomicUsize::new(0),
             clock,
             watchers: Mutex::default(),
+            next_limit: AtomicUsize::new(0),
         }
     }
 
@@ -84,6 +90,20 @@
         self.watchers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Limits of upstreams to send: those that changed recently, and for near members one of the
+    /// others in turn, for entry VMs that have started since.
+    fn limits(&self, near: bool) -> Vec<wire::Limit> {
+        let now = self.clock.now();
+        let statements = self.placer.statements();
+        let is_news = |statement: &Statement| now < statement.learned_at + NEWS_DURATION;
+        let (news, old): (Vec<_>, Vec<_>) =
+            statements.iter().partition(|(_, statement)| is_news(statement));
+        let turn = self.next_limit.fetch_add(1, Ordering::Relaxed) % old.len().max(1);
+        let in_turn = old.into_iter().skip(turn).take(usize::from(near));
+        let news = news.into_iter().take(MAX_LIMITS_PER_HEARTBEAT);
+        news.chain(in_turn).map(encode_statement).collect()
+    }
+
     /// Whether the sender of `beat` has newer upstreams that should be pulled. Far members are only
     /// pulled from if the own zone delivers nothing in time, as bytes between zones are expensive.
     fn has_newer_upstreams(&self, beat: &wire::Heartbeat) -> bool {
@@ -131,8 +151,7 @@
             incarnation: *incarnation,
         };
         beat.departures = self.placer.departing().iter().map(departure).collect();
-        let newest = self.placer.statements();
-        beat.limits = newest.iter().take(MAX_LIMITS_PER_HEARTBEAT).map(encode_statement).collect();
+        beat.limits = self.limits(near);
         if near {
             beat.lost_upstreams = self.placer.lost().borrow().as_ref().clone();
         }
@@ -220,5 +239,6 @@
 
 fn decode_statement(limit: &wire::Limit) -> Statement {
     let wire::Limit { incarnation, number, per_second, .. } = *limit;
-    Statement { incarnation, number, limit: per_second.map_or(Limit::Unlimited, Limit::PerSecond) }
+    let limit = per_second.map_or(Limit::Unlimited, Limit::PerSecond);
+    Statement { incarnation, number, limit, learned_at: Duration::ZERO }
 }
--- a/quetzaltiller/src/entry/mod.rs
+++ b/quetzaltiller/src/entry/mod.rs
@@ -238,6 +238,10 @@
                 let engine = self.finder.find_local(&find.into()).await.unwrap_or_default();
                 wire::Reply::Found(wire::Found { engine })
             }
+            wire::Ask::Borrow(borrow) => {
+                let accepted = self.placer.lend(&borrow.upstream).await;
+                wire::Reply::Lent(wire::Lent { accepted })
+            }
             wire::Ask::Append(_) => wire::Reply::Appended(wire::Appended::default()),
             wire::Ask::Take(_) => wire::Reply::Taken(wire::Taken::default()),
             wire::Ask::Claim(_) => wire::Reply::Claimed(wire::Claimed::default()),
--- a/quetzaltiller/src/entry/registrar.rs
+++ b/quetzaltiller/src/entry/registrar.rs
@@ -30,6 +30,12 @@
             }
         }
     }
+
+    async fn borrow(&self, lender: &str, upstream: &str) -> bool {
+        let ask = wire::Ask::Borrow(wire::Borrow { upstream: upstream.to_owned() });
+        let call = tokio::time::timeout(BOOKING_TIMEOUT, self.link.call(lender, ask));
+        matches!(call.await, Ok(Ok(wire::Reply::Lent(wire::Lent { accepted: true }))))
+    }
 }
 
 impl From<&Booking> for wire::Book {
--- a/quetzaltiller/src/placement/booking.rs
+++ b/quetzaltiller/src/placement/booking.rs
@@ -48,4 +48,8 @@
 pub trait Registrar: Send + Sync {
     /// Sends a booking to its registrar; none without an answer in time.
     async fn book(&self, booking: &Booking) -> Option<Booked>;
+
+    /// Asks the entry VM at `lender` for a request of its part of an upstream's limit; returns
+    /// whether it lends one.
+    async fn borrow(&self, lender: &str, upstream: &str) -> bool;
 }
--- a/quetzaltiller/src/placement/limit.rs
+++ b/quetzaltiller/src/placement/limit.rs
@@ -11,6 +11,11 @@
 /// Longest time that a refused caller is told to wait.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 
+/// Time after which a lent request is no longer sent, so that those of many entry VMs don't add up.
+const LOAN_LIFETIME: Duration = Duration::from_millis(500);
+/// Minimum time between two requests of one entry VM for a loan at the same upstream.
+const LOAN_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Limit that an upstream stated, as entry VMs tell each other.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -21,6 +26,8 @@
     pub number: u64,
     /// Stated limit.
     pub limit: upstream::Limit,
+    /// When this entry VM learned of the change.
+    pub learned_at: Duration,
 }
 
 /// Limit of one upstream as this entry VM knows it.
@@ -35,6 +42,10 @@
     /// When the limit last changed.
     changed_at: Duration,
     quota: Quota,
+    /// Until this time, one request may be sent that another entry VM has lent.
+    lent_until: Duration,
+    /// When another entry VM was last asked to lend a request.
+    asked_at: Duration,
 }
 
 impl Default for Limit {
@@ -45,6 +56,8 @@
             stated_at: Duration::ZERO,
             changed_at: Duration::ZERO,
             quota: Quota::new(Duration::ZERO, 0.0),
+            lent_until: Duration::ZERO,
+            asked_at: Duration::ZERO,
         }
     }
 }
@@ -107,14 +120,42 @@
 
     /// Whether this entry VM may send a request.
     pub fn may_send(&self, now: Duration) -> bool {
-        self.per_second().is_none() || self.quota.may_send(now)
+        self.per_second().is_none() || self.quota.may_send(now) || now < self.lent_until
     }
 
     /// Records a request that is sent.
     pub fn withdraw(&mut self, now: Duration) {
-        if self.per_second().is_some() {
+        if self.per_second().is_none() {
+            return;
+        }
+        if self.quota.may_send(now) {
+            self.quota.withdraw(now);
+        } else {
+            self.lent_until = Duration::ZERO;
+        }
+    }
+
+    /// Whether to ask a holder for a request now; records that it is asked.
+    pub fn ask(&mut self, now: Duration) -> bool {
+        let asks = !self.may_send(now) && now >= self.asked_at + LOAN_INTERVAL;
+        if asks {
+            self.asked_at = now;
+        }
+        asks
+    }
+
+    /// Withdraws a request for another entry VM; returns whether there is one.
+    pub fn lend(&mut self, now: Duration) -> bool {
+        let lends = self.per_second().is_some() && self.quota.may_send(now);
+        if lends {
             self.quota.withdraw(now);
         }
+        lends
+    }
+
+    /// Records a request that another entry VM has lent.
+    pub fn borrow(&mut self, now: Duration) {
+        self.lent_until = now + LOAN_LIFETIME;
     }
 
     /// Time until a request may be sent. An entry VM without a part names the mean time between the
@@ -140,7 +181,12 @@
         retention: Duration,
     ) -> Option<Statement> {
         let current = self.per_second().is_some() || now < self.changed_at + retention;
-        let statement = Statement { incarnation, number: self.number, limit: self.stated };
+        let statement = Statement {
+            incarnation,
+            number: self.number,
+            limit: self.stated,
+            learned_at: self.changed_at,
+        };
         (self.number > 0 && current).then_some(statement)
     }
 }
--- a/quetzaltiller/src/placement/message.rs
+++ b/quetzaltiller/src/placement/message.rs
@@ -43,6 +43,15 @@
         booking: Booking,
         reply: oneshot::Sender<Option<Booked>>,
     },
+    /// Another entry VM asks for a request of this one's part of an upstream's limit.
+    Lend {
+        upstream: String,
+        reply: oneshot::Sender<bool>,
+    },
+    /// Another entry VM has lent a request to an upstream.
+    Lent {
+        upstream: String,
+    },
     /// Choose and reserve an engine for a copy of a run at `primary`.
     PlaceCopy {
         demand: Demand,
--- a/quetzaltiller/src/placement/placer.rs
+++ b/quetzaltiller/src/placement/placer.rs
@@ -147,6 +147,13 @@
         self.mailbox.request(|reply| Message::Book { booking, reply }).await?
     }
 
+    /// Lends another entry VM a request of this one's part of an upstream's limit; returns whether
+    /// there is one.
+    pub async fn lend(&self, upstream: &str) -> bool {
+        let upstream = upstream.to_owned();
+        self.mailbox.request(|reply| Message::Lend { upstream, reply }).await.unwrap_or(false)
+    }
+
     /// Chooses and reserves an engine for a copy of a run at `primary`.
     pub async fn place_copy(&self, demand: Demand, primary: Arc<Upstream>) -> Option<Copy> {
         self.mailbox.request(|reply| Message::PlaceCopy { demand, primary, reply }).await?
--- a/quetzaltiller/src/placement/shares.rs
+++ b/quetzaltiller/src/placement/shares.rs
@@ -84,6 +84,28 @@
         if self.known.is_empty() && !self.listed {
             return 0.0;
         }
+        let (ranked, max_holders) = self.ranked(upstream);
+        let alive: BTreeSet<_> = self.members.iter().map(|member| member.name.as_str()).collect();
+        let is_alive = |name: &str| name == self.own_name || alive.contains(name);
+        quota::rate(&self.own_name, &ranked, max_holders, is_alive, limit)
+    }
+
+    /// Entry VM that may lend this one a request to a limited upstream: a live holder of a part of
+    /// its limit, by this one's own ranking. None if this one has a part itself.
+    pub fn lender(&self, upstream: &Upstream, limit: f64) -> Option<&Peer> {
+        let (ranked, max_holders) = self.ranked(upstream);
+        let holders = quota::holders(&ranked, max_holders, limit);
+        if holders.contains(&self.own_name.as_str()) {
+            return None;
+        }
+        let is_alive = |name: &&str| self.members.iter().any(|member| member.name == *name);
+        let lender = first(holders.iter().copied().filter(is_alive), &self.own_name)?;
+        self.members.iter().find(|member| member.name == lender)
+    }
+
+    /// All known entry VMs in the order in which they hold parts of an upstream's limit, and the
+    /// number of those that may hold one.
+    fn ranked(&self, upstream: &Upstream) -> (Vec<&str>, usize) {
         let own = (self.own_name.as_str(), self.own_zone.as_str());
         let others = self.known.iter().map(|member| (member.name.as_str(), member.zone.as_str()));
         let mut members: Vec<_> = others.chain([own]).collect();
@@ -92,10 +114,7 @@
         });
         let in_zone = members.iter().filter(|(_, zone)| *zone == upstream.zone).count();
         let max_holders = if in_zone > 0 { in_zone } else { members.len() };
-        let ranked: Vec<_> = members.into_iter().map(|(name, _)| name).collect();
-        let alive: BTreeSet<_> = self.members.iter().map(|member| member.name.as_str()).collect();
-        let is_alive = |name: &str| name == self.own_name || alive.contains(name);
-        quota::rate(&self.own_name, &ranked, max_holders, is_alive, limit)
+        (members.into_iter().map(|(name, _)| name).collect(), max_holders)
     }
 
     /// Replaces the other entry VMs that are alive; returns whether those of the own zone that take
--- a/quetzaltiller/src/placement/table.rs
+++ b/quetzaltiller/src/placement/table.rs
@@ -161,12 +161,12 @@
 
     /// Statements of upstreams' limits by id, to tell other entry VMs.
     pub fn statements(&self, now: Duration) -> BTreeMap<String, Statement> {
-        let statement = |state: &State| {
-            state.limit.statement(now, state.upstream.incarnation, STATEMENT_RETENTION)
+        let statement = |(id, state): (&String, &State)| {
+            let statement =
+                state.limit.statement(now, state.upstream.incarnation, STATEMENT_RETENTION)?;
+            Some((id.clone(), statement))
         };
-        let statements =
-            self.states.iter().filter_map(|(id, state)| Some((id.clone(), statement(state)?)));
-        statements.collect()
+        self.states.iter().filter_map(statement).collect()
     }
 
     /// Whether this entry VM may send an upstream a request now.
@@ -180,6 +180,32 @@
         Some(self.shares.rate(&state.upstream, state.limit.per_second()?))
     }
 
+    /// Address of the entry VM to ask for a request to a limited upstream, and the upstream's id.
+    /// None if the service has no upstream without credit of this entry VM, or if it was just
+    /// asked. With a `chosen` upstream, a loan is worth while only if another zone would be
+    /// preferred to it.
+    pub fn loan(
+        &mut self,
+        now: Duration,
+        service: &str,
+        chosen: Option<&str>,
+    ) -> Option<(String, String)> {
+        let busy =
+            |id| self.states.get(id).is_some_and(|s| f64::from(s.in_flight) >= OTHER_ZONE_REQUESTS);
+        if !chosen.is_none_or(busy) {
+            return None;
+        }
+        let Self { states, shares, .. } = self;
+        let of_service = states.values_mut().filter(|state| state.upstream.service == service);
+        of_service
+            .filter(|state| !state.is_leaving() && !state.is_closed(now) && !state.is_suspect(now))
+            .find_map(|state| {
+                let limit = state.limit.per_second().filter(|_| state.limit.ask(now))?;
+                let lender = shares.lender(&state.upstream, limit)?;
+                Some((lender.address.clone(), state.upstream.id.clone()))
+            })
+    }
+
     fn divide_limit(&mut self, now: Duration, id: &str) {
         if let Some(rate) = self.rate(id)
             && let Some(state) = self.states.get_mut(id)
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -5,6 +5,7 @@
 
 use super::allocation::Allocation;
 use super::assignment::Assignment;
+use super::booking::Registrar;
 use super::choice::Choice;
 use super::demand::{Demand, Run};
 use super::limit::Statement;
@@ -60,6 +61,7 @@
     clock: Clock,
     table: Table,
     client: Arc<dyn Client>,
+    registrar: Arc<dyn Registrar>,
     reuse_after: Duration,
     successors: mpsc::UnboundedSender<Successor>,
     /// Ids of upstreams that the last change of the directory removed.
@@ -85,6 +87,7 @@
             clock: dependencies.clock,
             table: dependencies.table,
             client: dependencies.client,
+            registrar: dependencies.registrar,
             reuse_after: dependencies.reuse_after,
             successors: dependencies.successors,
             removed: Vec::new(),
@@ -140,6 +143,15 @@
             Message::Book { booking, reply } => {
                 let _ = reply.send(self.table.book(now, &booking));
             }
+            Message::Lend { upstream, reply } => {
+                let state = self.table.state_mut(&upstream);
+                let _ = reply.send(state.is_some_and(|state| state.limit.lend(now)));
+            }
+            Message::Lent { upstream } => {
+                if let Some(state) = self.table.state_mut(&upstream) {
+                    state.limit.borrow(now);
+                }
+            }
             Message::PlaceCopy { demand, primary, reply } => {
                 let _ = reply.send(self.place_copy(now, &demand, &primary));
             }
@@ -420,7 +432,9 @@
         demand: &Demand,
         books: bool,
     ) -> Result<PlaceReply, Unplaced> {
-        let assignment = match self.table.choose(now, demand) {
+        let choice = self.table.choose(now, demand);
+        self.ask_for_loan(now, &demand.service, &choice);
+        let assignment = match choice {
             Choice::Found(assignment) => assignment,
             Choice::Full { retry_after } => {
                 let retry_after = self.table.offer(now, &demand.service).unwrap_or(retry_after);
@@ -441,6 +455,24 @@
         }
     }
 
+    /// Asks another entry VM in the background for a request to a limited upstream of which this
+    /// one has no part, if `choice` shows that the service's other upstreams are in use.
+    fn ask_for_loan(&mut self, now: Duration, service: &str, choice: &Choice) {
+        let chosen = match choice {
+            Choice::Found(assignment) => Some(assignment.upstream.id.as_str()),
+            Choice::Full { .. } | Choice::NoUpstream => None,
+        };
+        let Some((lender, upstream)) = self.table.loan(now, service, chosen) else {
+            return;
+        };
+        let (registrar, mailbox) = (self.registrar.clone(), self.mailbox.clone());
+        self.scope.spawn(async move {
+            if registrar.borrow(&lender, &upstream).await {
+                mailbox.send(Message::Lent { upstream });
+            }
+        });
+    }
+
     fn reserve(&mut self, now: Duration, assignment: Assignment, run: Option<&Run>) -> Placement {
         let allocations = self.table.begin(now, &assignment, run);
         let Assignment { upstream, backup, has_copy, wait, uncontended } = assignment;
--- a/quetzaltiller/src/router/mod.rs
+++ b/quetzaltiller/src/router/mod.rs
@@ -358,6 +358,7 @@
             wire::Ask::Find(_) => wire::Reply::Found(wire::Found::default()),
             wire::Ask::Upstreams(_) => wire::Reply::Upstreams(wire::Accepted::default()),
             wire::Ask::Book(_) => wire::Reply::Booked(wire::Booked::default()),
+            wire::Ask::Borrow(_) => wire::Reply::Lent(wire::Lent::default()),
         }
     }
 }
--- a/quetzaltiller/src/wire.rs
+++ b/quetzaltiller/src/wire.rs
@@ -10,7 +10,7 @@
     #[prost(uint64, tag = "1")]
     pub sequence: u64,
     /// Content of the request.
-    #[prost(oneof = "Ask", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "Ask", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub ask: Option<Ask>,
 }
 
@@ -44,6 +44,9 @@
     /// Query for a cached prompt at the engines assigned to the receiver.
     #[prost(message, tag = "10")]
     Find(Find),
+    /// Request for a part of the receiver's share of an upstream's limit.
+    #[prost(message, tag = "11")]
+    Borrow(Borrow),
 }
 
 /// Answer to a [`Request`].
@@ -53,7 +56,7 @@
     #[prost(uint64, tag = "1")]
     pub sequence: u64,
     /// Content of the answer.
-    #[prost(oneof = "Reply", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "Reply", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub reply: Option<Reply>,
 }
 
@@ -87,6 +90,9 @@
     /// Engine at which a prompt is cached.
     #[prost(message, tag = "10")]
     Found(Found),
+    /// Result of a [`Borrow`].
+    #[prost(message, tag = "11")]
+    Lent(Lent),
 }
 
 /// State of a member, sent periodically to its peers.
@@ -263,6 +269,21 @@
     pub memory: u32,
 }
 
+/// Request to send one request to a limited upstream in the receiver's place.
+#[derive(Clone, Message, PartialEq)]
+pub struct Borrow {
+    /// Id of the upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+}
+
+/// Result of a [`Borrow`].
+#[derive(Clone, Copy, Message, PartialEq)]
+pub struct Lent {
+    #[prost(bool, tag = "1")]
+    pub accepted: bool,
+}
+
 /// Replacement of a lost upstream.
 #[derive(Clone, Message, PartialEq)]
 pub struct Successor {
--- a/quetzaltiller/tests/limits.rs
+++ b/quetzaltiller/tests/limits.rs
@@ -104,6 +104,7 @@
         }
         let mut arrived = 0;
         for at in pressing {
+            self.settle_loan(now, tables, *at, demand);
             if let Choice::Found(assignment) = tables[*at].choose(now, demand) {
                 let allocations = tables[*at].begin(now, &assignment, demand.run.as_ref());
                 allocations.iter().for_each(|allocation| tables[*at].release(allocation));
@@ -116,6 +117,20 @@
         self.arrivals.push(arrived);
     }
 
+    /// Asks for a loan as the task does where nothing is open; the answer comes at once.
+    fn settle_loan(&self, now: Duration, tables: &mut [Table], at: usize, demand: &Demand) {
+        if matches!(tables[at].choose(now, demand), Choice::Found(_)) {
+            return;
+        }
+        let Some((lender, id)) = tables[at].loan(now, &demand.service, None) else {
+            return;
+        };
+        let holder = tables.iter_mut().find(|table| table.own_name() == lender).unwrap();
+        if holder.state_mut(&id).unwrap().limit.lend(now) {
+            tables[at].state_mut(&id).unwrap().limit.borrow(now);
+        }
+    }
+
     fn most_in_four_seconds(&self, since: usize) -> u32 {
         let windows = self.arrivals[since..].windows(4 * STEPS_PER_S);
         windows.map(|window| window.iter().sum()).max().unwrap()
@@ -213,6 +228,63 @@
     assert!(f64::from(total) + 1.0 >= 0.07 * limit * 12.0, "starved: {total} in 12 s");
 }
 
+/// All callers are at entry VMs that have no part of the limit, and those with a part have none.
+#[rstest]
+fn entry_vms_without_a_part_borrow_from_those_that_have_one(
+    #[values(27, 118)] count: usize,
+    #[values(0.5, 4.5)] limit: f64,
+) {
+    let mut tables = tables(count);
+    withdraw_others(&mut tables, "desk-a");
+    let all: Vec<_> = (0..count).collect();
+    let outside: Vec<_> = all.iter().copied().filter(|n| n % ZONES.len() != 0).collect();
+    let mut upstream = Limited::new("desk-a", limit);
+
+    for step in 0..20 * STEPS_PER_S {
+        let now = START + STEP * step as u32;
+        if step % 20 == 0 {
+            gossip(now, &mut tables, &all);
+        }
+        upstream.step(now, &mut tables, &outside, &lookup());
+    }
+
+    let allowed = (1.5 * limit * 4.0) as u32 + 5;
+    let most = upstream.most_in_four_seconds(3 * STEPS_PER_S);
+    assert!(most <= allowed, "{most} in 4 s, {allowed} allowed");
+    let total: u32 = upstream.arrivals[5 * STEPS_PER_S..].iter().sum();
+    assert!(f64::from(total) + 1.0 >= 0.5 * limit * 15.0, "starved: {total} in 15 s");
+}
+
+/// A lent request that is not sent would add up with those of other entry VMs.
+#[test]
+fn a_lent_request_is_sent_once_and_soon_or_not_at_all() {
+    let mut table = table("entry-0", "a");
+    let at = |ms| START + Duration::from_millis(ms);
+    table.record_limit(at(0), "desk-a", at(0), Limit::PerSecond(3.0));
+    let limit = &mut table.state_mut("desk-a").unwrap().limit;
+
+    limit.borrow(at(100));
+    let soon = limit.may_send(at(200));
+    let late = limit.may_send(at(700));
+    limit.borrow(at(800));
+    limit.withdraw(at(810));
+    let twice = limit.may_send(at(820));
+
+    assert!(soon && !late && !twice);
+}
+
+/// Only an answer shows that a limit has ended, so that one of zero would last for ever.
+#[test]
+fn a_limit_of_zero_lets_a_request_through_now_and_then() {
+    let mut table = table("entry-0", "a");
+    table.mark_members_listed(START);
+    table.record_limit(START, "desk-a", START, Limit::PerSecond(0.0));
+
+    let open = |ms| table.is_open(START + Duration::from_millis(ms), "desk-a");
+
+    assert!(!open(3_000) && open(4_001));
+}
+
 /// Guards against entry VMs that never learn that a limit has ended because they have no part of it
 /// and send nothing.
 #[rstest]
--- a/quetzaltiller/tests/prompts.rs
+++ b/quetzaltiller/tests/prompts.rs
@@ -78,6 +78,10 @@
     async fn book(&self, _booking: &Booking) -> Option<Booked> {
         None
     }
+
+    async fn borrow(&self, _lender: &str, _upstream: &str) -> bool {
+        false
+    }
 }
 
 /// The other entry VMs of a zone, in this process.
