Tidy the code of limits: one constant, plainer names, shorter message handler

Ruled out: joining placement::Limit and Load, which share only attributes; moving the table's limits to a file of their own, as the house style has a type with its impls in one.

--- a/coordination/src/quota.rs
+++ b/coordination/src/quota.rs
@@ -43,7 +43,7 @@
 const MIN_ALIVE: f64 = 0.25;
 /// Longest time after which a refused caller is told to return; by then the limit has often
 /// changed.
-const MAX_OFFER: Duration = Duration::from_secs(5);
+pub const MAX_OFFER: Duration = Duration::from_secs(5);
 
 /// Members that hold parts of a `limit` in requests per second, from `ranked` as for [`rate`].
 pub fn holders<'a, 'b>(ranked: &'a [&'b str], max_holders: usize, limit: f64) -> &'a [&'b str] {
--- a/quetzaltiller/src/placement/limit.rs
+++ b/quetzaltiller/src/placement/limit.rs
@@ -4,13 +4,10 @@
 //! numbered by the entry VMs: the one to which an upstream answers otherwise than known counts on.
 
 use crate::upstream;
-use coordination::quota::Quota;
+use coordination::quota::{MAX_OFFER, Quota};
 use serde::Serialize;
 use std::time::Duration;
 
-/// Longest time that a refused caller is told to wait.
-const MAX_WAIT: Duration = Duration::from_secs(5);
-
 /// Time after which a lent request is no longer sent, so that those of many entry VMs don't add up.
 const LOAN_LIFETIME: Duration = Duration::from_millis(500);
 /// Minimum time between two requests of one entry VM for a loan at the same upstream.
@@ -45,7 +42,7 @@
     /// Until this time, one request may be sent that another entry VM has lent.
     lent_until: Duration,
     /// When another entry VM was last asked to lend a request.
-    asked_at: Duration,
+    loan_asked_at: Duration,
 }
 
 impl Default for Limit {
@@ -57,7 +54,7 @@
             changed_at: Duration::ZERO,
             quota: Quota::new(Duration::ZERO, 0.0),
             lent_until: Duration::ZERO,
-            asked_at: Duration::ZERO,
+            loan_asked_at: Duration::ZERO,
         }
     }
 }
@@ -71,19 +68,19 @@
         }
     }
 
-    /// Records the limit in the answer to a request that was sent at `asked_at`; returns whether it
+    /// Records the limit in the answer to a request that was sent at `sent_at`; returns whether it
     /// changed. Answers may overtake each other: a request that was sent before the last change
     /// proves nothing newer, and one that was sent before the limit was last stated doesn't prove
     /// its end.
     pub fn record_answer(
         &mut self,
         now: Duration,
-        asked_at: Duration,
+        sent_at: Duration,
         stated: upstream::Limit,
     ) -> bool {
         let ends = stated == upstream::Limit::Unlimited;
         let since = if ends { self.stated_at } else { self.changed_at };
-        let is_old = self.number > 0 && asked_at < since;
+        let is_old = self.number > 0 && sent_at < since;
         if !ends && !is_old {
             self.stated_at = now;
         }
@@ -137,9 +134,9 @@
 
     /// Whether to ask a holder for a request now; records that it is asked.
     pub fn ask(&mut self, now: Duration) -> bool {
-        let asks = !self.may_send(now) && now >= self.asked_at + LOAN_INTERVAL;
+        let asks = !self.may_send(now) && now >= self.loan_asked_at + LOAN_INTERVAL;
         if asks {
-            self.asked_at = now;
+            self.loan_asked_at = now;
         }
         asks
     }
@@ -163,7 +160,7 @@
     pub fn wait(&self, now: Duration) -> Duration {
         self.per_second().map_or(Duration::ZERO, |limit| {
             let wait = self.quota.wait(now).or_else(|| Quota::new(now, limit).wait(now));
-            wait.unwrap_or(MAX_WAIT).min(MAX_WAIT)
+            wait.unwrap_or(MAX_OFFER).min(MAX_OFFER)
         })
     }
 
--- a/quetzaltiller/src/placement/table.rs
+++ b/quetzaltiller/src/placement/table.rs
@@ -130,17 +130,17 @@
         self.divide_limits(now);
     }
 
-    /// Records the limit in the answer to a request that was sent to an upstream at `asked_at`;
+    /// Records the limit in the answer to a request that was sent to an upstream at `sent_at`;
     /// returns whether it changed.
     pub fn record_limit(
         &mut self,
         now: Duration,
         id: &str,
-        asked_at: Duration,
+        sent_at: Duration,
         limit: upstream::Limit,
     ) -> bool {
         let changed =
-            self.state_mut(id).is_some_and(|state| state.limit.record_answer(now, asked_at, limit));
+            self.state_mut(id).is_some_and(|state| state.limit.record_answer(now, sent_at, limit));
         if changed {
             self.divide_limit(now, id);
         }
@@ -206,6 +206,18 @@
             })
     }
 
+    /// Lends another entry VM a request to a limited upstream; returns whether there is one.
+    pub fn lend(&mut self, now: Duration, id: &str) -> bool {
+        self.state_mut(id).is_some_and(|state| state.limit.lend(now))
+    }
+
+    /// Records a request to a limited upstream that another entry VM has lent.
+    pub fn borrow(&mut self, now: Duration, id: &str) {
+        if let Some(state) = self.state_mut(id) {
+            state.limit.borrow(now);
+        }
+    }
+
     fn divide_limit(&mut self, now: Duration, id: &str) {
         if let Some(rate) = self.rate(id)
             && let Some(state) = self.states.get_mut(id)
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -131,9 +131,7 @@
                 let _ = reply.send(self.place(now, &demand, books));
             }
             Message::Reserve { assignment, run, reply } => {
-                let open = self.table.is_open(now, &assignment.upstream.id);
-                let placement = open.then(|| self.reserve(now, assignment, Some(&run)));
-                let _ = reply.send(placement);
+                let _ = reply.send(self.reserve_if_open(now, assignment, &run));
             }
             Message::BookingReply { upstream, booked } => {
                 if let Some(state) = self.table.state_mut(&upstream) {
@@ -144,14 +142,9 @@
                 let _ = reply.send(self.table.book(now, &booking));
             }
             Message::Lend { upstream, reply } => {
-                let state = self.table.state_mut(&upstream);
-                let _ = reply.send(state.is_some_and(|state| state.limit.lend(now)));
-            }
-            Message::Lent { upstream } => {
-                if let Some(state) = self.table.state_mut(&upstream) {
-                    state.limit.borrow(now);
-                }
+                let _ = reply.send(self.table.lend(now, &upstream));
             }
+            Message::Lent { upstream } => self.table.borrow(now, &upstream),
             Message::PlaceCopy { demand, primary, reply } => {
                 let _ = reply.send(self.place_copy(now, &demand, &primary));
             }
@@ -171,10 +164,7 @@
                 }
             }
             Message::PeerDeparture { id, incarnation } => {
-                let state = self.table.states().get(&id);
-                if state.is_some_and(|state| state.matches_incarnation(incarnation)) {
-                    self.record_departure(now, &id, "peer");
-                }
+                self.record_peer_departure(now, &id, incarnation)
             }
             Message::PrefillMeasured { tokens, took } => self.table.observe_prefill(tokens, took),
             Message::RunMeasured { took } => self.table.observe_run(took),
@@ -310,6 +300,13 @@
         publish(&self.published.statements, self.table.statements(now));
     }
 
+    fn record_peer_departure(&mut self, now: Duration, id: &str, incarnation: u64) {
+        let state = self.table.states().get(id);
+        if state.is_some_and(|state| state.matches_incarnation(incarnation)) {
+            self.record_departure(now, id, "peer");
+        }
+    }
+
     fn record_departure(&mut self, now: Duration, id: &str, source: &str) {
         let Some(state) = self.table.state_mut(id) else {
             return;
@@ -473,6 +470,17 @@
         });
     }
 
+    /// Reserves a booked assignment; none if its upstream takes no request any more.
+    fn reserve_if_open(
+        &mut self,
+        now: Duration,
+        assignment: Assignment,
+        run: &Run,
+    ) -> Option<Placement> {
+        let open = self.table.is_open(now, &assignment.upstream.id);
+        open.then(|| self.reserve(now, assignment, Some(run)))
+    }
+
     fn reserve(&mut self, now: Duration, assignment: Assignment, run: Option<&Run>) -> Placement {
         let allocations = self.table.begin(now, &assignment, run);
         let Assignment { upstream, backup, has_copy, wait, uncontended } = assignment;
--- a/quetzaltiller/tests/entry.rs
+++ b/quetzaltiller/tests/entry.rs
@@ -703,11 +703,6 @@
 async fn a_replica_that_announced_its_shutdown_gets_no_requests_although_it_is_listed() {
     let site = Site::start(1).await;
     site.fleet.change("desk-a", |node| node.departing = true);
-    let reached = |site: &Site| {
-        let mut reached = 0;
-        site.fleet.change("desk-a", |node| reached = node.reached);
-        reached
-    };
 
     for n in 0..40 {
         status_of(&site, request(&format!("lookup-{n}"), "/status/1")).await;
@@ -718,7 +713,7 @@
         }
     }
 
-    assert_eq!(reached(&site), 1);
+    assert_eq!(reached(&site, "desk-a"), 1);
 }
 
 /// An engine that received a request and was lost may have run it, although a check finds its
--- a/quetzaltiller/tests/limits.rs
+++ b/quetzaltiller/tests/limits.rs
@@ -126,8 +126,8 @@
             return;
         };
         let holder = tables.iter_mut().find(|table| table.own_name() == lender).unwrap();
-        if holder.state_mut(&id).unwrap().limit.lend(now) {
-            tables[at].state_mut(&id).unwrap().limit.borrow(now);
+        if holder.lend(now, &id) {
+            tables[at].borrow(now, &id);
         }
     }
 
