Log why a generation got no engine, and how long a moved run was silent

Change: generation_unplaced names reason, sent requests, attempts, events, silence and the time left; generation_moves the silence.

--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -250,7 +250,8 @@
             self.pauses.record_loss();
             info!("generation_moves", kv: {
                 request = self.request.id, copy:? = copy, cached:? = cached,
-                next = self.machine.splice().next(), sent = self.sent
+                next = self.machine.splice().next(), sent = self.sent,
+                silent_ms = self.machine.silence(self.context.clock.now()).as_millis() as u64
             });
         }
         self.placements.clear();
@@ -287,6 +288,13 @@
     fn handle_placement(&mut self, result: PlacementResult) {
         match result {
             Err(unplaced) => {
+                let now = self.context.clock.now();
+                info!("generation_unplaced", kv: {
+                    request = self.request.id, reason:? = unplaced, sent = self.sent,
+                    attempts = self.plan.route.attempts, events = self.events,
+                    silent_ms = self.machine.silence(now).as_millis() as u64,
+                    left_ms = self.plan.deadline.saturating_sub(now).as_millis() as u64
+                });
                 self.retry_after = unplaced.retry_after();
                 self.advance(Input::Unplaced(unplaced.code()));
             }
