--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -9,7 +9,7 @@
 mod node;
 mod stream;
 
-pub use node::{Fault, Node};
+pub use node::{Fault, Node, Silence};
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -24,7 +24,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use stream::Events;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Round trip time to an upstream.
 const ROUND_TRIP: Duration = Duration::from_millis(3);
@@ -100,6 +100,21 @@
         self.change(id, |node| node.crash(silent));
     }
 
+    /// Makes an upstream send nothing for `length`, after which it goes on where it was; unless
+    /// `accepts`, it accepts no connections meanwhile.
+    pub fn fall_silent(&self, id: &str, length: Duration, accepts: bool) {
+        let silence = Silence { until: Instant::now() + length, accepts };
+        self.change(id, |node| node.silence = Some(silence));
+    }
+
+    /// Waits until the upstream at `address` is not silent.
+    pub(crate) async fn end_of_silence(&self, address: SocketAddr) {
+        let silent_until = || self.lock().get(&address).and_then(Node::silent_until);
+        while let Some(until) = silent_until() {
+            sleep_until(until).await;
+        }
+    }
+
     /// Breaks the connection of one run; its engine keeps running.
     pub fn reset(&self, request: &str) {
         self.lock().values_mut().for_each(|node| node.end_run(request));
@@ -152,10 +167,9 @@
     /// Connects to an upstream; fails with `Unsent` at once if nothing listens and after
     /// `CONNECT_TIMEOUT` if the upstream is silent.
     async fn connect(&self, address: SocketAddr) -> Result<(), Error> {
-        let (listens, silent) = self
-            .lock()
-            .get(&address)
-            .map_or((false, false), |node| (node.is_up(), node.is_silent()));
+        let (listens, silent) = self.lock().get(&address).map_or((false, false), |node| {
+            (node.accepts(), node.is_silent() || node.is_up() && !node.accepts())
+        });
         sleep(if silent { CONNECT_TIMEOUT } else { ROUND_TRIP }).await;
         if listens { Ok(()) } else { Err(Error::Unsent) }
     }
@@ -243,6 +257,7 @@
         if !found {
             return Err(Error::Misdirected);
         }
+        self.end_of_silence(address).await;
         self.notify_availability(&call);
         if !is_engine {
             return self.answer(&call).await;
@@ -262,8 +277,12 @@
 
     async fn report(&self, address: SocketAddr, limit: Duration) -> Option<Report> {
         self.count().reports += 1;
-        tokio::time::timeout(limit, self.connect(address)).await.ok()?.ok()?;
-        self.lock().get(&address).map(Node::report)
+        let answer = async {
+            self.connect(address).await.ok()?;
+            self.end_of_silence(address).await;
+            self.lock().get(&address).map(Node::report)
+        };
+        tokio::time::timeout(limit, answer).await.ok()?
     }
 
     async fn cached_parts(
--- a/standin/src/fleet/node.rs
+++ b/standin/src/fleet/node.rs
@@ -35,6 +35,15 @@
     Slow(u32),
 }
 
+/// Time in which an upstream sends nothing, after which it goes on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Silence {
+    /// End of the silence.
+    pub until: Instant,
+    /// Whether connections are accepted meanwhile.
+    pub accepts: bool,
+}
+
 /// State of an upstream's process, as its connections show it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ProcessState {
@@ -54,6 +63,8 @@
     pub events: u32,
     /// Fault that applies to all requests.
     pub fault: Option<Fault>,
+    /// Current or last silence.
+    pub silence: Option<Silence>,
     /// Whether each answer says that the upstream accepts no new work.
     pub departing: bool,
     /// Requests per second that each answer names as the limit for all entry VMs together.
@@ -74,6 +85,7 @@
             upstream,
             events,
             fault: None,
+            silence: None,
             departing: false,
             limit: None,
             reached: 0,
@@ -95,6 +107,17 @@
         *self.process_state.borrow() == ProcessState::Silent
     }
 
+    /// Time at which the upstream goes on, if it is silent now.
+    pub(super) fn silent_until(&self) -> Option<Instant> {
+        self.silence.map(|silence| silence.until).filter(|until| Instant::now() < *until)
+    }
+
+    /// Whether the upstream accepts connections now.
+    pub(super) fn accepts(&self) -> bool {
+        let refuses = self.silence.is_some_and(|silence| !silence.accepts);
+        self.is_up() && !(refuses && self.silent_until().is_some())
+    }
+
     pub(super) fn crash(&mut self, silent: bool) {
         self.runs.clear();
         self.copies.clear();
--- a/standin/src/fleet/stream.rs
+++ b/standin/src/fleet/stream.rs
@@ -73,6 +73,7 @@
             error = broken(&mut process_state) => return Err(error),
             () = sleep_until(ready) => {}
         }
+        fleet.end_of_silence(address).await;
         match fault {
             Some(Fault::Swallow) => return std::future::pending().await,
             Some(Fault::LoseAnswer) => {
@@ -106,6 +107,7 @@
             error = broken(&mut process_state) => return Some((Err(error), self)),
             () = sleep(interval) => {}
         }
+        self.fleet.end_of_silence(self.address).await;
         if *process_state.borrow() == ProcessState::Silent {
             return std::future::pending().await;
         }
