A silent engine keeps its run until another takes it; a begun answer waits for an engine

Cause: the machine of a generation closed the connection of a silent run first and asked for another engine afterwards. If none was to be had at that moment (attempts or retry budget used up, engines lost, full, closed or silent too), an answer that its engine would have gone on with in a second ended. In the same way an answer that had lost its engine ended at once if no other was open at that moment, with its caller's patience left. Class: giving up what one has before its replacement is certain. Change: another engine is requested while the run's connection stays open, and has to accept a connection before the run is given up for it; if the engine goes on meanwhile, the placement is dropped and its repeat returned to the budget. An answer that has begun requests an engine again each 250 ms until its deadline, with engines that failed earlier allowed again. Runs at engines that have ended don't count towards the attempts of an answer that has begun. Requests that no engine received are returned to the retry budget. Silence never ends a run that can't be resumed.

--- a/quetzaltiller/src/generation/machine.rs
+++ b/quetzaltiller/src/generation/machine.rs
@@ -11,7 +11,9 @@
 //! broken connection leads to replacement, and silence to a check whether the engine still accepts
 //! connections. If it does not, it is replaced at once; if it does, the machine waits until the
 //! pause would exceed what the caller accepts. Where another engine holds a copy of the run's
-//! memory, replacement is cheap and happens early.
+//! memory, replacement is cheap and happens early. The connection of a silent run stays open until
+//! another engine takes the run: if none does, a silent engine that goes on completes the answer.
+//! An answer that has begun waits for an engine until its deadline, as it can't be refused any more.
 
 use super::answer::{Answer, Verdict};
 use super::copies::Copies;
@@ -44,6 +46,9 @@
 /// Pause between checks before the first piece; the caller sees no output yet, so a loss may be
 /// detected later.
 const CHECK_PAUSE_BEFORE_PIECE: Duration = Duration::from_millis(600);
+/// Pause after no engine was found for a run that must go on: a fraction of the time in which
+/// engines restart.
+const PLACE_RETRY_PAUSE: Duration = Duration::from_millis(250);
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Phase {
@@ -79,6 +84,15 @@
     last_progress: Duration,
     /// A piece of the current run has arrived.
     streaming: bool,
+    /// A piece of the answer was admitted.
+    begun: bool,
+    /// When another engine was requested for a run that is silent and still connected; none if no
+    /// such request is pending.
+    replacing_since: Option<Duration>,
+    /// Time before which no other engine is requested, after none was found.
+    replace_after: Duration,
+    /// Nothing is requested while placing; at `replace_after`, an engine is requested again.
+    awaits_retry: bool,
     suspected: bool,
     /// When an inspection last found the run at its engine; the wait starts anew from then.
     confirmed_at: Duration,
@@ -111,6 +125,10 @@
             last_activity: now,
             last_progress: now,
             streaming: false,
+            begun: false,
+            replacing_since: None,
+            replace_after: Duration::ZERO,
+            awaits_retry: false,
             suspected: false,
             confirmed_at: Duration::ZERO,
             confirmations: 0,
@@ -180,8 +198,9 @@
             return Vec::new();
         }
         match input {
-            Input::Placed(place) => self.submit(now, place),
-            Input::Unplaced(code) => self.finish(Outcome::Failed(code)),
+            Input::Placed(place) => self.handle_placed(now, place),
+            Input::Unplaced(code) => self.handle_unplaced(now, code),
+            Input::Exhausted(code) => self.handle_exhausted(code),
             Input::Opened(conn) => self.handle_opened(now, conn),
             Input::Chunk(conn, chunk) => self.handle_chunk(now, conn, &chunk),
             Input::Failed(conn, error) => self.handle_failure(now, conn, error),
@@ -205,10 +224,14 @@
     /// ended.
     pub fn wake_at(&self) -> Option<Duration> {
         match self.phase {
-            Phase::Ended | Phase::Placing => None,
+            Phase::Ended => None,
+            Phase::Placing => self.awaits_retry.then_some(self.replace_after),
             Phase::Submitting if self.settings.probe == Probe::Reattach => {
                 Some(self.last_activity + self.settings.open_timeout)
             }
+            Phase::Submitting | Phase::Running if self.replacing_since.is_some() => {
+                Some(self.expires_at())
+            }
             Phase::Submitting | Phase::Running => {
                 let due = match (self.probe, self.probe_at) {
                     (Some(probe), _) => self.probe_ends_at(probe),
@@ -241,14 +264,58 @@
     fn place(&mut self) -> Vec<Effect> {
         self.phase = Phase::Placing;
         let resumed = self.splice.next() > 0 || self.splice.attempt() > 1;
-        if self.streaming {
-            self.copies.retire_current();
-        }
+        self.retire_copy();
         let copy = self.copies.restorable().map(str::to_owned);
         let (avoid, cached) = (self.avoid.clone(), self.cached.clone());
         vec![Effect::Place { avoid, copy, cached, resumed }]
     }
 
+    /// Makes the copy of a run that has ended the one to restore from.
+    fn retire_copy(&mut self) {
+        if std::mem::take(&mut self.streaming) {
+            self.copies.retire_current();
+        }
+    }
+
+    /// Moves the run to the engine that was found, unless its own engine has gone on meanwhile.
+    fn handle_placed(&mut self, now: Duration, place: Place) -> Vec<Effect> {
+        match self.replacing_since.take() {
+            Some(since) if self.last_activity >= since => Vec::new(),
+            Some(_) => {
+                let mut effects = self.give_up_run();
+                effects.extend(self.submit(now, place));
+                effects
+            }
+            None => self.submit(now, place),
+        }
+    }
+
+    /// Leaves a connected run at its engine, and lets an answer that has begun wait; a request
+    /// without an answer is refused.
+    fn handle_unplaced(&mut self, now: Duration, code: Code) -> Vec<Effect> {
+        let connected = self.replacing_since.take().is_some();
+        let waits = connected || self.begun && self.settings.probe == Probe::Connect;
+        if !waits {
+            return self.finish(Outcome::Failed(code));
+        }
+        self.replace_after = now + PLACE_RETRY_PAUSE;
+        if !connected {
+            self.awaits_retry = true;
+            // Engines that failed earlier may have recovered, and no other was found.
+            self.avoid.clear();
+        }
+        Vec::new()
+    }
+
+    /// Leaves a connected run at its engine for good; otherwise the generation fails.
+    fn handle_exhausted(&mut self, code: Code) -> Vec<Effect> {
+        if self.replacing_since.take().is_none() {
+            return self.finish(Outcome::Failed(code));
+        }
+        self.replace_after = Duration::MAX;
+        Vec::new()
+    }
+
     fn submit(&mut self, now: Duration, place: Place) -> Vec<Effect> {
         if self.phase != Phase::Placing {
             return Vec::new();
@@ -309,7 +376,8 @@
                 MAX_CONFIRMATIONS_BEFORE_PIECE
             };
             if self.confirmations >= limit {
-                return self.replace_engine();
+                effects.extend(self.replace_silent_engine(now));
+                return effects;
             }
             self.confirmations += 1;
             self.confirmed_at = now;
@@ -358,6 +426,7 @@
             self.detector.observe(now - self.last_activity);
         }
         self.streaming = true;
+        self.begun = true;
         if self.cached != self.upstream {
             self.cached.clone_from(&self.upstream);
         }
@@ -389,10 +458,13 @@
             (Phase::Submitting, Error::Rejected(_)) => {
                 self.finish(Outcome::Failed(Code::EngineRejected))
             }
-            (Phase::Submitting, Error::Refused | Error::Busy | Error::OtherVersion) => {
+            (Phase::Submitting, Error::Refused | Error::Busy | Error::OtherVersion)
+                if self.replacing_since.is_none() =>
+            {
                 self.replace_unused_engine()
             }
             _ if !self.settings.resumable => self.finish(Outcome::Failed(Code::UpstreamFailed)),
+            _ if self.replacing_since.is_some() => self.replace_engine(),
             (Phase::Submitting, _) => self.replace_engine(),
             _ => self.handle_broken_connection(now, conn),
         }
@@ -400,6 +472,9 @@
 
     /// Closes the current connection and probes the engine, which may still have the run.
     fn handle_broken_connection(&mut self, now: Duration, conn: u32) -> Vec<Effect> {
+        if self.replacing_since.is_some() {
+            return self.replace_engine();
+        }
         self.current_conn = None;
         self.failures_without_progress += 1;
         let mut effects = vec![Effect::Close(conn)];
@@ -458,6 +533,12 @@
                 self.probe_at = Some(now + PROBE_PAUSE);
                 probe.map(|probe| Effect::Close(probe.conn)).into_iter().collect()
             }
+            _ if self.current_conn.is_some() => {
+                let mut effects: Vec<_> =
+                    probe.map(|probe| Effect::Close(probe.conn)).into_iter().collect();
+                effects.extend(self.replace_silent_engine(now));
+                effects
+            }
             _ => self.replace_engine(),
         }
     }
@@ -483,11 +564,45 @@
         effects
     }
 
+    /// Gives up the run and requests another engine, unless one was requested already.
     fn replace_engine(&mut self) -> Vec<Effect> {
-        let attempt = self.splice.attempt();
         if !self.settings.resumable {
             return self.cancel(Outcome::Failed(Code::UpstreamFailed));
         }
+        let requested = self.replacing_since.take().is_some();
+        let mut effects = self.give_up_run();
+        if !requested {
+            effects.extend(self.place());
+        }
+        effects
+    }
+
+    /// Requests another engine for a run that is silent. Where engines drop a run with its
+    /// connection, that stays open until one is found; a run that can't be resumed stays where it
+    /// is.
+    fn replace_silent_engine(&mut self, now: Duration) -> Vec<Effect> {
+        if self.settings.probe == Probe::Reattach {
+            return self.replace_engine();
+        }
+        self.inspecting = false;
+        if !self.settings.resumable {
+            self.replace_after = now + self.max_wait();
+        }
+        if now < self.replace_after {
+            self.probe_at = Some(self.replace_after);
+            return Vec::new();
+        }
+        self.replacing_since = Some(now);
+        let avoid = self.avoid.iter().chain(&self.upstream).cloned().collect();
+        let copy = if self.streaming { self.copies.current() } else { self.copies.restorable() };
+        let copy = copy.map(str::to_owned);
+        let cached = self.cached.clone().filter(|cached| Some(cached) != self.upstream.as_ref());
+        vec![Effect::Place { avoid, copy, cached, resumed: true }]
+    }
+
+    /// Ends the current run, after which another engine is to be placed.
+    fn give_up_run(&mut self) -> Vec<Effect> {
+        let attempt = self.splice.attempt();
         let cancel = self.upstream.clone().map(|upstream| Effect::Cancel { upstream, attempt });
         self.stats.redispatched += 1;
         self.suspected = false;
@@ -496,7 +611,12 @@
             self.cached = None;
         }
         self.inspecting = false;
-        let mut effects = self.replace_unused_engine();
+        self.phase = Phase::Placing;
+        self.retire_copy();
+        let failed = self.upstream.take();
+        self.avoid.extend(failed);
+        let mut effects = self.close_all();
+        self.splice.begin_attempt();
         effects.extend(cancel);
         effects
     }
@@ -506,7 +626,12 @@
             return self.cancel(Outcome::Failed(Code::NoUpstream));
         }
         match self.phase {
+            Phase::Placing if self.awaits_retry && now >= self.replace_after => {
+                self.awaits_retry = false;
+                self.place()
+            }
             Phase::Placing | Phase::Ended => Vec::new(),
+            _ if self.replacing_since.is_some() => Vec::new(),
             Phase::Submitting if self.settings.probe == Probe::Reattach => {
                 let late = now >= self.last_activity + self.settings.open_timeout;
                 if late { self.replace_engine() } else { Vec::new() }
@@ -522,12 +647,13 @@
         if self.inspecting && self.probe.is_some() {
             return self.tick_running(now);
         }
+        let mut effects: Vec<_> =
+            self.probe.take().map(|probe| Effect::Close(probe.conn)).into_iter().collect();
         if self.streaming && self.copy().is_some() {
-            return self.replace_engine();
+            effects.extend(self.replace_silent_engine(now));
+            return effects;
         }
         self.inspecting = true;
-        let mut effects: Vec<_> =
-            self.probe.take().map(|probe| Effect::Close(probe.conn)).into_iter().collect();
         effects.extend(self.start_probe(now));
         effects
     }
@@ -574,12 +700,13 @@
         if self.settings.probe == Probe::Reattach {
             return Duration::MAX;
         }
-        match (self.settings.pause, self.copy()) {
+        let stalls_at = match (self.settings.pause, self.copy()) {
             (Some(pause), Some(_)) if self.streaming => {
                 self.last_activity + pause.mul_f64(REPLACE_AT_PAUSE_SHARE)
             }
             _ => self.wait_ends_at().max(self.confirmed_at + self.max_wait()),
-        }
+        };
+        stalls_at.max(self.replace_after)
     }
 
     /// Time at which an unanswered probe counts as failed.
--- a/quetzaltiller/src/generation/protocol.rs
+++ b/quetzaltiller/src/generation/protocol.rs
@@ -71,8 +71,11 @@
 pub enum Input<P = Chunk> {
     /// An upstream was chosen.
     Placed(Place),
-    /// No upstream was found before the deadline; holds the reason.
+    /// No upstream takes the run now; holds the reason. With [`Probe::Reattach`], none did before
+    /// the deadline.
     Unplaced(Code),
+    /// No further run is allowed; holds the reason.
+    Exhausted(Code),
     /// The engine accepted the request on a connection.
     Opened(u32),
     /// A piece of the answer arrived on a connection.
--- a/quetzaltiller/src/pacer.rs
+++ b/quetzaltiller/src/pacer.rs
@@ -43,6 +43,7 @@
     Answered { service: String, latency: Duration },
     Requested { pool: String },
     Repeat { pool: String, reply: oneshot::Sender<bool> },
+    RepeatUnused { pool: String },
     Retry { account: String, pool: String, reply: oneshot::Sender<bool> },
 }
 
@@ -88,6 +89,11 @@
         self.mailbox.request(|reply| Message::Repeat { pool, reply }).await.unwrap_or(false)
     }
 
+    /// Returns a retry that was withdrawn by [`Self::may_repeat`] and is not sent.
+    pub fn refund_repeat(&self, pool: &str) {
+        self.mailbox.send(Message::RepeatUnused { pool: pool.to_owned() });
+    }
+
     /// Records the latency of an answer without a deposit to any budget.
     pub fn record_latency(&self, service: &str, latency: Duration) {
         self.mailbox.send(Message::Answered { service: service.to_owned(), latency });
@@ -127,6 +133,7 @@
                 Message::Repeat { pool, reply } => {
                     let _ = reply.send(self.budget(BudgetKey::Pool(pool)).withdraw());
                 }
+                Message::RepeatUnused { pool } => self.budget(BudgetKey::Pool(pool)).refund(),
                 Message::Succeeded { service, account, pool, latency } => {
                     self.observe(service, latency);
                     self.budget(BudgetKey::Account(account)).deposit();
--- a/quetzaltiller/src/proxy/mod.rs
+++ b/quetzaltiller/src/proxy/mod.rs
@@ -42,6 +42,9 @@
 /// Expected time of a call of a plain service, for the same check.
 const EXPECTED_CALL: Duration = Duration::from_millis(1_000);
 
+/// Timeout of a check of an engine; many times a round trip between zones.
+const CHECK_LIMIT: Duration = Duration::from_millis(100);
+
 /// Share of a caller's patience for which its request waits for the first configuration and listing
 /// of upstreams. Callers retry once, within a third of the patience left; the rest is for that
 /// retry.
--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -9,10 +9,10 @@
 use super::copies::{Copies, CopyResult};
 use super::event::Event;
 use super::pauses::Pauses;
-use super::placing::{Need, PlacementResult, Placing};
+use super::placing::{Attempts, Failure, Need, PlacementResult, Placing};
 use super::reader::{Notice, Reader};
 use super::reply::{Chunk, Reply};
-use super::{Answer, Context, Plan, Request};
+use super::{Answer, CHECK_LIMIT, Context, Plan, Request};
 use crate::engine;
 use crate::fleet::Upstream;
 use crate::generation::{
@@ -44,8 +44,6 @@
 /// Default retry delay in refusals, where placement gives no estimate: about half the prefill of
 /// a prompt.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Timeout of a check of an engine; many times a round trip between zones.
-const CHECK_LIMIT: Duration = Duration::from_millis(100);
 /// Minimum interval between reports to the placer that a stream's engine is active.
 const ACTIVITY_PERIOD: Duration = Duration::from_millis(100);
 /// Urgency of resumed runs; lower values go first.
@@ -114,6 +112,8 @@
     readers: BTreeMap<u32, AbortHandle>,
     /// Number of requests that engines received or may have received.
     sent: u32,
+    /// Engines to which these requests were sent.
+    tried: Vec<String>,
     /// Connection of the newest run; connections of checks don't count.
     run_conn: Option<u32>,
     /// Number of events sent to the caller.
@@ -157,6 +157,7 @@
             copies,
             readers: BTreeMap::new(),
             sent: 0,
+            tried: Vec::new(),
             run_conn: None,
             events: 0,
             pauses: Pauses::new(now),
@@ -254,8 +255,26 @@
                 silent_ms = self.machine.silence(self.context.clock.now()).as_millis() as u64
             });
         }
-        self.placements.clear();
-        self.placing.request(Need { avoid, copy, cached, resumed }, self.sent);
+        self.drop_unused_placements();
+        let connected = self.machine.upstream().is_some();
+        let need = Need { avoid, copy, cached, resumed, connected };
+        self.placing.request(need, self.attempts());
+    }
+
+    /// Releases the placements of engines that don't run the generation.
+    fn drop_unused_placements(&mut self) {
+        let upstream = self.machine.upstream();
+        self.placements.retain(|id, _| Some(id.as_str()) == upstream);
+    }
+
+    /// Runs so far. Once the answer has begun, those at engines that have ended don't count: the
+    /// caller can't be refused any more.
+    fn attempts(&self) -> Attempts {
+        let lost = self.context.placer.lost();
+        let lost = lost.borrow();
+        let remaining = self.tried.iter().filter(|id| !lost.contains(*id)).count() as u32;
+        let counted = if self.events > 0 { remaining } else { self.sent };
+        Attempts { sent: self.sent, counted }
     }
 
     fn copy(&mut self) {
@@ -287,16 +306,20 @@
 
     fn handle_placement(&mut self, result: PlacementResult) {
         match result {
-            Err(unplaced) => {
+            Err(failure) => {
                 let now = self.context.clock.now();
                 info!("generation_unplaced", kv: {
-                    request = self.request.id, reason:? = unplaced, sent = self.sent,
+                    request = self.request.id, reason:? = failure, sent = self.sent,
                     attempts = self.plan.route.attempts, events = self.events,
                     silent_ms = self.machine.silence(now).as_millis() as u64,
                     left_ms = self.plan.deadline.saturating_sub(now).as_millis() as u64
                 });
-                self.retry_after = unplaced.retry_after();
-                self.advance(Input::Unplaced(unplaced.code()));
+                self.retry_after = failure.retry_after();
+                let code = failure.code();
+                self.advance(match failure {
+                    Failure::AttemptsUsedUp => Input::Exhausted(code),
+                    Failure::BudgetUsedUp | Failure::Unplaced(_) => Input::Unplaced(code),
+                });
             }
             Ok(placement) if self.would_outlive_process(&placement) => {
                 self.retry_after = Duration::from_millis(Code::Leaving.retry_after_ms());
@@ -321,8 +344,13 @@
                 let settings =
                     settings(&self.request, &self.plan, self.time_limit, placement.speed);
                 self.machine.configure(settings);
-                self.placements.insert(id, placement);
+                self.placements.insert(id.clone(), placement);
                 self.advance(Input::Placed(place));
+                if self.machine.upstream() != Some(&id) {
+                    info!("placement_unused", kv: { request = self.request.id, upstream = id });
+                    self.placing.refund();
+                }
+                self.drop_unused_placements();
             }
         }
     }
@@ -358,6 +386,7 @@
         };
         if !is_check {
             self.sent += 1;
+            self.tried.push(upstream.to_owned());
             self.run_conn = Some(conn);
             self.pauses.record_send(self.context.clock.now());
         }
@@ -430,6 +459,10 @@
         if error == engine::Error::Refused && self.run_conn == Some(conn) {
             self.run_conn = None;
             self.sent = self.sent.saturating_sub(1);
+            self.tried.pop();
+            if self.sent > 0 {
+                self.placing.refund();
+            }
         }
         self.advance(Input::Failed(conn, error));
     }
