Log runs that break before their engine has shown that it survives them

The logs say "connection reset" both for a run that ended its engine and for one that merely was there, or whose connection alone broke.

run_broke_early names the run's age since its head, its events, the number of parts and whether the engine was found ended right after. The check runs only for such breaks.

--- /dev/null
+++ b/quetzaltiller/src/proxy/beginning.rs
@@ -0,0 +1,78 @@
+//! Observes whether engines survive the beginning of a generation's runs.
+//!
+//! An engine that a prompt crashes ends right after the head of its answer. A run has settled once
+//! an event arrives later than that. Where a run breaks before, its engine is checked: only one
+//! that has ended may have been crashed by the run.
+
+use super::{Context, Request};
+use crate::fleet::Upstream;
+use crate::prelude::*;
+
+/// Time after the head of an answer from which an event shows that the engine survives the run.
+const SETTLING_TIME: Duration = Duration::from_millis(300);
+/// Timeout of the check of an engine; many times a round trip between zones.
+const CHECK_LIMIT: Duration = Duration::from_millis(100);
+
+/// A run whose head has arrived and that has not settled.
+struct Unsettled {
+    conn: u32,
+    upstream: Arc<Upstream>,
+    head_at: Duration,
+    events: u32,
+}
+
+/// Observer of the runs of one generation.
+pub struct Beginning {
+    context: Context,
+    request: Arc<Request>,
+    unsettled: Option<Unsettled>,
+}
+
+impl Beginning {
+    /// Creates the observer of the runs of `request`.
+    pub fn new(context: Context, request: Arc<Request>) -> Self {
+        Self { context, request, unsettled: None }
+    }
+
+    /// Records the head of an answer on the connection `conn` to `upstream`.
+    pub fn record_head(&mut self, conn: u32, upstream: Arc<Upstream>) {
+        let head_at = self.context.clock.now();
+        self.unsettled = Some(Unsettled { conn, upstream, head_at, events: 0 });
+    }
+
+    /// Records an event on the connection `conn`.
+    pub fn record_event(&mut self, conn: u32) {
+        let now = self.context.clock.now();
+        let Some(run) = self.unsettled.as_mut().filter(|run| run.conn == conn) else {
+            return;
+        };
+        run.events += 1;
+        if now >= run.head_at + SETTLING_TIME {
+            self.unsettled = None;
+        }
+    }
+
+    /// Records the regular end of the connection `conn`; without any event the answer was cut off.
+    pub fn record_end(&mut self, conn: u32) {
+        if self.unsettled.as_ref().is_some_and(|run| run.events == 0) {
+            self.record_break(conn);
+        }
+    }
+
+    /// Records that the connection `conn` broke; checks the engine of a run that had not settled.
+    pub fn record_break(&mut self, conn: u32) {
+        let Some(run) = self.unsettled.take_if(|run| run.conn == conn) else {
+            return;
+        };
+        let (context, request) = (self.context.clone(), self.request.clone());
+        let head_age = self.context.clock.now().saturating_sub(run.head_at);
+        self.context.scope.spawn(async move {
+            let engine_ended = !context.client.check(run.upstream.address, CHECK_LIMIT).await;
+            info!("run_broke_early", kv: {
+                request = request.id, upstream = run.upstream.id,
+                head_age_ms = head_age.as_millis() as u64, events = run.events, engine_ended,
+                parts = request.prompt.as_ref().map_or(0, |prompt| prompt.parts.len())
+            });
+        });
+    }
+}
--- a/quetzaltiller/src/proxy/mod.rs
+++ b/quetzaltiller/src/proxy/mod.rs
@@ -5,6 +5,7 @@
 //! choose upstreams by [`crate::placement`] and end no later than the caller's patience and the
 //! route's timeout.
 
+mod beginning;
 mod call;
 mod caller;
 mod copies;
--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -5,6 +5,7 @@
 //! engine that sent the first event. A stream that can't be resumed is cut off, so that it does not
 //! look complete.
 
+use super::beginning::Beginning;
 use super::caller::Caller;
 use super::copies::{Copies, CopyResult};
 use super::event::Event;
@@ -116,6 +117,7 @@
     sent: u32,
     /// Connection of the newest run; connections of checks don't count.
     run_conn: Option<u32>,
+    beginning: Beginning,
     /// Number of events sent to the caller.
     events: u32,
     pauses: Pauses,
@@ -145,6 +147,7 @@
         let (copies, copy_results) = Copies::new(&request.id);
         let (notices, received) = mpsc::channel(NOTICE_QUEUE);
         let inbox = Inbox { notices: received, placements, copy_results };
+        let beginning = Beginning::new(context.clone(), request.clone());
         let task = Self {
             context,
             request,
@@ -158,6 +161,7 @@
             readers: BTreeMap::new(),
             sent: 0,
             run_conn: None,
+            beginning,
             events: 0,
             pauses: Pauses::new(now),
             activity_reported_at: Duration::ZERO,
@@ -383,11 +387,20 @@
                 if self.events == 0 {
                     self.caller.set_head(head);
                 }
+                if let Some(upstream) = self.primary() {
+                    self.beginning.record_head(conn, upstream);
+                }
                 self.advance(Input::Opened(conn));
             }
             Notice::Alive(conn) => self.advance(Input::Opened(conn)),
-            Notice::Event(conn, event) => self.handle_event(conn, event).await,
-            Notice::Ended(conn) => self.advance(Input::Chunk(conn, Piece::End)),
+            Notice::Event(conn, event) => {
+                self.beginning.record_event(conn);
+                self.handle_event(conn, event).await;
+            }
+            Notice::Ended(conn) => {
+                self.beginning.record_end(conn);
+                self.advance(Input::Chunk(conn, Piece::End));
+            }
             Notice::Answered(conn, answer) => {
                 let is_final = answer.status.is_client_error();
                 self.error_answer = Some(answer);
@@ -413,6 +426,7 @@
             request = self.request.id, upstream, conn, reason:? = error.to_string(),
             silent_ms = self.machine.silence(self.context.clock.now()).as_millis() as u64
         });
+        self.beginning.record_break(conn);
         match error {
             // The engine has no such copy or no free slot; it did not fail.
             engine::Error::Busy => {}
