Interface of coordination::quarantine: records, ledger, verdicts

Change: types and signatures only, so that the code that observes runs can be written beside it; nothing is condemned yet.

--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`detector`]: an adaptive threshold for the silence of a source.
 //! - [`wait_policy`]: how long to wait for a silent process before starting a replacement.
 //! - [`budget`]: a limit on retries as a fraction of successes.
+//! - [`quarantine`]: parts of prompts that crash engines, found from runs that end with them.
 //! - [`quota`]: a limit on the rate of requests that a server states for all its clients together.
 //! - [`rendezvous`]: a ranking of members that all processes compute alike without messages.
 //! - [`share`]: a limit that several processes share according to demand.
@@ -21,6 +22,7 @@
 pub mod feed;
 pub mod journal;
 pub mod membership;
+pub mod quarantine;
 pub mod quota;
 pub mod rendezvous;
 pub mod share;
