--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -7,6 +7,7 @@
 //! time. Both can crash, go silent, fail or stall.
 
 mod node;
+mod poison;
 mod stream;
 
 pub use node::{Fault, Node};
@@ -15,6 +16,7 @@
 use bytes::Bytes;
 use futures::StreamExt as _;
 use hyper::{HeaderMap, StatusCode};
+use poison::Poison;
 use quetzaltiller::fleet::Upstream;
 use quetzaltiller::upstream::{
     self, Availability, Call, Client, Copy, Error, Limit, Listener, Report, Response,
@@ -24,7 +26,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use stream::Events;
-use tokio::time::sleep;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep};
 
 /// Round trip time to an upstream.
 const ROUND_TRIP: Duration = Duration::from_millis(3);
@@ -46,6 +49,7 @@
     counts: Arc<Mutex<Counts>>,
     transport: Option<Arc<dyn CopyTransport>>,
     listeners: Arc<Mutex<Vec<Arc<dyn Listener>>>>,
+    poison: Arc<Mutex<Poison>>,
 }
 
 /// Counts of what the upstreams did.
@@ -100,6 +104,22 @@
         self.change(id, |node| node.crash(silent));
     }
 
+    /// Lets prompts with `part`, other than as their last one, crash each engine that begins to
+    /// answer them; returns the receiver of the engines' ids.
+    pub fn poison(&self, part: u64) -> mpsc::UnboundedReceiver<String> {
+        self.poisons().add(part)
+    }
+
+    /// Returns the times at which requests that crash engines reached one.
+    pub fn poisoned_arrivals(&self) -> Vec<Instant> {
+        self.poisons().arrivals()
+    }
+
+    /// Returns the times at which prompts crashed engines.
+    pub fn poisoned_crashes(&self) -> Vec<Instant> {
+        self.poisons().crashes()
+    }
+
     /// Breaks the connection of one run; its engine keeps running.
     pub fn reset(&self, request: &str) {
         self.lock().values_mut().for_each(|node| node.end_run(request));
@@ -145,6 +165,10 @@
         self.nodes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn poisons(&self) -> MutexGuard<'_, Poison> {
+        self.poison.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn count(&self) -> MutexGuard<'_, Counts> {
         self.counts.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/standin/src/fleet/stream.rs
+++ b/standin/src/fleet/stream.rs
@@ -1,6 +1,7 @@
 //! A run at a stand-in engine and the stream of its events.
 
 use super::node::ProcessState;
+use super::poison::CRASH_DELAY;
 use super::{Fault, Fleet};
 use bytes::Bytes;
 use futures::StreamExt as _;
@@ -26,6 +27,8 @@
     next: u32,
     total: u32,
     copied_at: Instant,
+    /// Whether the run crashes its engine.
+    is_poisoned: bool,
 }
 
 impl Events {
@@ -33,13 +36,17 @@
     /// refusal without a run if the engine refuses requests or doesn't hold the copy.
     pub async fn begin(fleet: Fleet, call: &Call<'_>) -> Result<Response, Error> {
         let address = call.upstream.address;
+        let prompt = call.request.prompt.clone().unwrap_or_default();
+        let is_poisoned = fleet.poisons().affects(&prompt);
+        if is_poisoned {
+            fleet.poisons().record_arrival();
+        }
         let fault = fleet.lock().get(&address).and_then(|node| node.fault);
         match fault {
             Some(Fault::Hang) => return std::future::pending().await,
             Some(Fault::Shed | Fault::Close(_)) => return Ok(turned_away(&fleet)),
             _ => {}
         }
-        let prompt = call.request.prompt.clone().unwrap_or_default();
         let restored = call.copy.map(|copy| {
             let mut nodes = fleet.lock();
             nodes.get_mut(&address).and_then(|node| node.take_copy(copy.origin, &copy.name))
@@ -65,6 +72,7 @@
             next: call.last_event.map_or(1, |last| last as u32 + 1),
             total,
             copied_at: Instant::now(),
+            is_poisoned,
         };
         run.record_concurrency();
         let ready = if restored.is_some() { Instant::now() + RESTORE_TIME } else { ready };
@@ -91,6 +99,11 @@
     }
 
     async fn step(mut self) -> Option<(Result<Bytes, Error>, Self)> {
+        if self.is_poisoned {
+            sleep(CRASH_DELAY).await;
+            self.crash_engine();
+            return Some((Err(Error::Broken), self));
+        }
         if self.next > self.total {
             self.drop_backup();
             return None;
@@ -118,6 +131,19 @@
         Some((Ok(Bytes::from(event)), self))
     }
 
+    fn crash_engine(&self) {
+        let crashed = self.fleet.lock().get_mut(&self.address).and_then(|node| {
+            let is_running = node.is_up() && node.has_run(&self.request);
+            is_running.then(|| {
+                node.crash(false);
+                node.upstream.id.clone()
+            })
+        });
+        if let Some(id) = crashed {
+            self.fleet.poisons().record_crash(id);
+        }
+    }
+
     fn record_progress(&mut self) {
         if let Some(node) = self.fleet.lock().get_mut(&self.address) {
             node.set_progress(&self.request, self.next);
--- a/standin/src/site.rs
+++ b/standin/src/site.rs
@@ -127,20 +127,33 @@
     pub fn lose_zone(&self, zone: &str, silent: bool) {
         for id in self.fleet.of_zone(zone).into_iter().filter(|id| id.starts_with("engine")) {
             self.fleet.crash(&id, silent);
-            let (fleet, store) = (self.fleet.clone(), self.store.clone());
-            tokio::spawn(async move {
-                sleep(Duration::from_millis(1_200)).await;
-                let new_id = format!("{id}+");
-                fleet.restart(&id, &new_id);
-                sleep(Duration::from_millis(800)).await;
-                if let Some(listed) = fleet.listing().into_iter().find(|known| known.id == new_id) {
-                    store.list(listed);
-                }
-                sleep(Duration::from_millis(1_600)).await;
-                store.remove(&id);
-            });
+            tokio::spawn(replace_engine(self.fleet.clone(), self.store.clone(), id));
         }
     }
+
+    /// Lets prompts with `part` crash engines; they are replaced as in [`Self::lose_zone`].
+    pub fn poison(&self, part: u64) {
+        let mut crashed = self.fleet.poison(part);
+        let (fleet, store) = (self.fleet.clone(), self.store.clone());
+        tokio::spawn(async move {
+            while let Some(id) = crashed.recv().await {
+                tokio::spawn(replace_engine(fleet.clone(), store.clone(), id));
+            }
+        });
+    }
+}
+
+/// Starts a new engine at the address of a crashed one, lists it and removes the old entry.
+async fn replace_engine(fleet: Fleet, store: ControlStore, id: String) {
+    sleep(Duration::from_millis(1_200)).await;
+    let new_id = format!("{id}+");
+    fleet.restart(&id, &new_id);
+    sleep(Duration::from_millis(800)).await;
+    if let Some(listed) = fleet.listing().into_iter().find(|known| known.id == new_id) {
+        store.list(listed);
+    }
+    sleep(Duration::from_millis(1_600)).await;
+    store.remove(&id);
 }
 
 /// Returns the settings of the entry VM of a zone.
