--- a/coordination/src/quarantine.rs
+++ b/coordination/src/quarantine.rs
@@ -1,7 +1,9 @@
 //! Parts of prompts that crash each engine which begins to answer them.
 
+mod entry;
 mod ledger;
 mod record;
+mod settlements;
 mod verdicts;
 
 pub use ledger::Ledger;
--- /dev/null
+++ b/coordination/src/quarantine/entry.rs
@@ -0,0 +1,83 @@
+use super::Record;
+use std::time::Duration;
+
+/// Time without another crash after which the next one makes a new moment.
+const MOMENT: Duration = Duration::from_millis(500);
+/// Time since its last change for which a record is kept.
+const LIFETIME: Duration = Duration::from_secs(10 * 60);
+/// The same for the record of a condemned part.
+const CONDEMNED_LIFETIME: Duration = Duration::from_secs(60 * 60);
+/// Additional time for records that another VM changed last, so that one VM deletes each.
+const DELEGATED_LIFETIME: Duration = Duration::from_secs(60);
+/// Record of a part and what this VM alone knows of it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Entry {
+    record: Record,
+    /// Whether this VM changed the record last.
+    is_own: bool,
+    changed_at: Duration,
+    /// Time at which this VM learned of the last moment.
+    moment_at: Duration,
+}
+
+impl Entry {
+    /// Entry without crashes.
+    pub(super) fn new(now: Duration) -> Self {
+        Self { changed_at: now, moment_at: now, ..Self::default() }
+    }
+
+    /// Begins a new round without crashes.
+    pub(super) fn acquit(&mut self, now: Duration) {
+        self.record.acquit();
+        self.is_own = true;
+        self.changed_at = now;
+    }
+
+    /// Adds a crash; returns whether the record changed.
+    pub(super) fn add_crash(&mut self, now: Duration, engine: &str) -> bool {
+        let is_new_moment = self.record.moments() == 0 || now >= self.moment_at + MOMENT;
+        if !self.record.add_crash(engine, is_new_moment) {
+            return false;
+        }
+        if is_new_moment {
+            self.moment_at = now;
+        }
+        self.is_own = true;
+        self.changed_at = now;
+        true
+    }
+
+    /// Joins a copy of the record.
+    pub(super) fn merge(&mut self, now: Duration, record: &Record) {
+        let moment = (self.record.round(), self.record.moments());
+        if self.record.merge(record) {
+            self.is_own = false;
+            self.changed_at = now;
+        }
+        if moment != (self.record.round(), self.record.moments()) {
+            self.moment_at = now;
+        }
+    }
+
+    /// Whether the record is within its lifetime.
+    pub(super) fn is_kept(&self, now: Duration) -> bool {
+        let lifetime = if self.record.is_condemned() { CONDEMNED_LIFETIME } else { LIFETIME };
+        let delegated = if self.is_own { Duration::ZERO } else { DELEGATED_LIFETIME };
+        now.saturating_sub(self.changed_at) < lifetime + delegated
+    }
+
+    /// Record of the part.
+    pub(super) fn record(&self) -> &Record {
+        &self.record
+    }
+
+    /// Whether this VM changed the record last.
+    pub(super) fn is_own(&self) -> bool {
+        self.is_own
+    }
+
+    /// Time of the last change.
+    pub(super) fn changed_at(&self) -> Duration {
+        self.changed_at
+    }
+}
--- a/coordination/src/quarantine/ledger.rs
+++ b/coordination/src/quarantine/ledger.rs
@@ -1,53 +1,169 @@
+use super::entry::Entry;
+use super::settlements::Settlements;
 use super::{Record, Verdicts};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+/// Records that are kept.
+const MAX_RECORDS: usize = 1_024;
+
 /// Records of all parts that one VM knows.
 #[derive(Clone, Debug, Default)]
-pub struct Ledger;
+pub struct Ledger {
+    entries: BTreeMap<u64, Entry>,
+    settlements: Settlements,
+    /// Parts whose records this VM changed last and has dropped for lack of room.
+    dropped: BTreeSet<u64>,
+}
 
 impl Ledger {
     /// Ledger without records.
     pub fn new() -> Self {
-        Self
+        Self::default()
     }
 
     /// Records that a run with these parts settled; returns the parts that were acquitted.
-    pub fn record_settled(&mut self, _now: Duration, _parts: &[u64]) -> Vec<u64> {
-        Vec::new()
+    pub fn record_settled(&mut self, now: Duration, parts: &[u64]) -> Vec<u64> {
+        for part in parts {
+            self.settlements.record(now, *part);
+        }
+        let settlements = &self.settlements;
+        let mut acquitted = Vec::new();
+        for part in parts {
+            let is_proven = settlements.is_proven(now, *part);
+            if let Some(entry) = self.entries.get_mut(part)
+                && entry.record().moments() > 0
+                && (is_proven || !entry.record().is_condemned())
+            {
+                entry.acquit(now);
+                acquitted.push(*part);
+            }
+        }
+        acquitted
     }
 
     /// Records that `engine`, the name of one start of a process, ended while a run with these
     /// parts began; returns the parts whose records changed.
-    pub fn record_crash(&mut self, _now: Duration, _parts: &[u64], _engine: &str) -> Vec<u64> {
-        Vec::new()
+    pub fn record_crash(&mut self, now: Duration, parts: &[u64], engine: &str) -> Vec<u64> {
+        let mut changed = Vec::new();
+        let suspects = self.suspects(now, parts);
+        // One of the parts may be at fault all the same.
+        let doubted = if suspects.is_empty() { parts } else { &[] };
+        for part in doubted.iter().chain(&suspects) {
+            self.settlements.doubt(*part);
+        }
+        for part in suspects {
+            if self.entry(now, part).add_crash(now, engine) {
+                changed.push(part);
+            }
+        }
+        changed
     }
 
     /// Joins a copy of a record from the store or a peer; returns whether this ledger then knows
     /// more than the copy.
-    pub fn merge(&mut self, _now: Duration, _part: u64, _record: &Record) -> bool {
-        false
+    pub fn merge(&mut self, now: Duration, part: u64, record: &Record) -> bool {
+        let is_proven = self.settlements.is_proven(now, part);
+        let entry = self.entry(now, part);
+        entry.merge(now, record);
+        if is_proven && entry.record().is_condemned() {
+            entry.acquit(now);
+        }
+        entry.record() != record
     }
 
     /// Forgets a record that was removed from the store.
-    pub fn remove(&mut self, _part: u64) {}
+    pub fn remove(&mut self, part: u64) {
+        self.entries.remove(&part);
+        self.dropped.remove(&part);
+    }
 
     /// Record of a part, if any.
-    pub fn record(&self, _part: u64) -> Option<&Record> {
-        None
+    pub fn record(&self, part: u64) -> Option<&Record> {
+        self.entries.get(&part).map(|entry| entry.record())
+    }
+
+    /// All records by part.
+    pub fn records(&self) -> impl Iterator<Item = (u64, &Record)> {
+        self.entries.iter().map(|(part, entry)| (*part, entry.record()))
     }
 
     /// The part for which a request with these parts is to be refused.
-    pub fn refused(&self, _now: Duration, parts: &[u64]) -> Option<u64> {
-        self.verdicts().refused(parts)
+    pub fn refused(&self, now: Duration, parts: &[u64]) -> Option<u64> {
+        let is_kept = |part: &u64| self.entries.get(part).is_some_and(|entry| entry.is_kept(now));
+        // The last parts of a prompt are the most specific ones.
+        parts.iter().rev().copied().find(|part| is_kept(part) && self.is_refused(*part, parts))
     }
 
     /// Condemned parts, for checks without the ledger.
     pub fn verdicts(&self) -> Verdicts {
-        Verdicts
+        let explanations = self.condemned().map(|(part, record)| {
+            let others = self.condemned().filter(|(other, _)| *other != part);
+            let others = others.filter(|(_, other)| other.explains(record));
+            (part, others.map(|(other, _)| other).collect())
+        });
+        Verdicts::new(explanations.collect())
+    }
+
+    /// Removes records past their lifetime; returns the parts whose records are to be deleted from
+    /// the store.
+    pub fn expire(&mut self, now: Duration) -> Vec<u64> {
+        let mut removed = std::mem::take(&mut self.dropped);
+        self.entries.retain(|part, entry| {
+            let is_kept = entry.is_kept(now);
+            if !is_kept {
+                removed.insert(*part);
+            }
+            is_kept
+        });
+        removed.into_iter().collect()
+    }
+
+    fn condemned(&self) -> impl Iterator<Item = (u64, &Record)> {
+        self.records().filter(|(_, record)| record.is_condemned())
+    }
+
+    /// Whether a part is condemned and no part outside the request explains its crashes.
+    fn is_refused(&self, part: u64, parts: &[u64]) -> bool {
+        let Some(record) = self.record(part).filter(|record| record.is_condemned()) else {
+            return false;
+        };
+        let mut others = self.condemned().filter(|(other, _)| !parts.contains(other));
+        !others.any(|(_, other)| other.explains(record))
+    }
+
+    /// The parts to which a crash is attributed: those that are already known to be at fault, or
+    /// else those that have not settled lately.
+    fn suspects(&self, now: Duration, parts: &[u64]) -> BTreeSet<u64> {
+        let with = |is_suspect: &dyn Fn(u64) -> bool| {
+            parts.iter().copied().filter(|part| is_suspect(*part)).collect::<BTreeSet<_>>()
+        };
+        let refused = with(&|part| self.is_refused(part, parts));
+        if refused.is_empty() {
+            with(&|part| !self.settlements.contains(now, part))
+        } else {
+            refused
+        }
+    }
+
+    /// Entry of a part; a new one may take the place of another.
+    fn entry(&mut self, now: Duration, part: u64) -> &mut Entry {
+        self.dropped.remove(&part);
+        if !self.entries.contains_key(&part) && self.entries.len() >= MAX_RECORDS {
+            self.drop_one();
+        }
+        self.entries.entry(part).or_insert_with(|| Entry::new(now))
     }
 
-    /// Removes records past their lifetime; returns their parts.
-    pub fn expire(&mut self, _now: Duration) -> Vec<u64> {
-        Vec::new()
+    /// Drops the record that changed longest ago, one of a condemned part last.
+    fn drop_one(&mut self) {
+        let age = |(part, entry): (&u64, &Entry)| {
+            (entry.record().is_condemned(), entry.changed_at(), *part)
+        };
+        if let Some((_, _, part)) = self.entries.iter().map(age).min()
+            && self.entries.remove(&part).is_some_and(|entry| entry.is_own())
+        {
+            self.dropped.insert(part);
+        }
     }
 }
--- a/coordination/src/quarantine/record.rs
+++ b/coordination/src/quarantine/record.rs
@@ -1,26 +1,93 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 
-/// What is known of the crashes of one part.
+/// Crashes of distinct engines after which a part is condemned.
+const MIN_CRASHES: usize = 5;
+/// Distinct moments at which these engines crashed. What ends many engines at once, such as the
+/// loss of a rack, makes one moment.
+const MIN_MOMENTS: u32 = 2;
+/// Crashes that a record keeps.
+const MAX_CRASHES: usize = 64;
+/// Crashes of an explained part that the explaining part has no share in.
+const MAX_UNEXPLAINED: usize = 1;
+
+/// Crashes of engines that began to answer a prompt with one part.
+///
+/// Records of a part form a join semilattice: copies may arrive late, twice and in any order.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Record {
     /// Number of times that the part was acquitted.
     round: u32,
-    /// Names of the starts of engines that ended in this round.
+    /// Names of the engines that crashed in this round, one for each start of a process.
     crashes: BTreeSet<String>,
-    /// Distinct times at which they ended.
+    /// Number of moments at which they crashed.
     moments: u32,
 }
 
 impl Record {
     /// Joins another copy of the record; returns whether this one changed.
-    pub fn merge(&mut self, _other: &Record) -> bool {
-        false
+    pub fn merge(&mut self, other: &Record) -> bool {
+        if other.round < self.round {
+            return false;
+        }
+        let before = self.clone();
+        if other.round > self.round {
+            *self = Self { round: other.round, ..Self::default() };
+        }
+        self.crashes.extend(other.crashes.iter().cloned());
+        self.truncate();
+        self.moments = self.moments.max(other.moments);
+        *self != before
     }
 
-    /// Whether the part is at fault.
+    /// Whether the part is at fault, unless another part explains its crashes.
     pub fn is_condemned(&self) -> bool {
-        false
+        self.crashes.len() >= MIN_CRASHES && self.moments >= MIN_MOMENTS
+    }
+
+    /// Number of times that the part was acquitted.
+    pub fn round(&self) -> u32 {
+        self.round
+    }
+
+    /// Names of the engines that crashed in this round.
+    pub fn crashes(&self) -> impl ExactSizeIterator<Item = &str> {
+        self.crashes.iter().map(String::as_str)
+    }
+
+    /// Number of moments at which they crashed.
+    pub fn moments(&self) -> u32 {
+        self.moments
+    }
+
+    /// Whether this part accounts for the crashes of another, which was only present at them.
+    pub(super) fn explains(&self, other: &Record) -> bool {
+        // The difference is at least that of the lengths.
+        other.crashes.len() <= self.crashes.len() + MAX_UNEXPLAINED
+            && other.crashes.difference(&self.crashes).nth(MAX_UNEXPLAINED).is_none()
+    }
+
+    /// Adds a crash; returns whether the record changed.
+    pub(super) fn add_crash(&mut self, engine: &str, is_new_moment: bool) -> bool {
+        let before = self.clone();
+        self.crashes.insert(engine.to_owned());
+        self.truncate();
+        if self.crashes != before.crashes && is_new_moment {
+            self.moments = self.moments.saturating_add(1);
+        }
+        *self != before
+    }
+
+    /// Begins a new round without crashes.
+    pub(super) fn acquit(&mut self) {
+        *self = Self { round: self.round.saturating_add(1), ..Self::default() };
+    }
+
+    /// Keeps the same crashes at each VM: those whose names come first.
+    fn truncate(&mut self) {
+        while self.crashes.len() > MAX_CRASHES {
+            self.crashes.pop_last();
+        }
     }
 }
--- a/coordination/src/quarantine/verdicts.rs
+++ b/coordination/src/quarantine/verdicts.rs
@@ -1,10 +1,31 @@
+use std::collections::BTreeMap;
+
 /// Condemned parts at one time, for checks without the ledger.
 #[derive(Clone, Debug, Default)]
-pub struct Verdicts;
+pub struct Verdicts {
+    /// By condemned part, the other condemned parts that explain its crashes.
+    explanations: BTreeMap<u64, Vec<u64>>,
+}
 
 impl Verdicts {
+    /// Verdicts by condemned part, each with the parts that explain its crashes.
+    pub(super) fn new(explanations: BTreeMap<u64, Vec<u64>>) -> Self {
+        Self { explanations }
+    }
+
     /// The part for which a request with these parts is to be refused.
-    pub fn refused(&self, _parts: &[u64]) -> Option<u64> {
-        None
+    pub fn refused(&self, parts: &[u64]) -> Option<u64> {
+        // The last parts of a prompt are the most specific ones.
+        parts.iter().rev().copied().find(|part| self.is_refused(*part, parts))
+    }
+
+    /// Whether no part is condemned.
+    pub fn is_empty(&self) -> bool {
+        self.explanations.is_empty()
+    }
+
+    fn is_refused(&self, part: u64, parts: &[u64]) -> bool {
+        let is_present = |part: &u64| parts.contains(part);
+        self.explanations.get(&part).is_some_and(|others| others.iter().all(is_present))
     }
 }
