Store port for quarantine records: list, watch, conditional write and delete

A write names the revision that it replaces, or that there is none; a conflict returns the stored record, so that the writer can join both. The stand-in store of platform/standin checks the revision of a DELETE.

--- a/quetzaltiller/src/control.rs
+++ b/quetzaltiller/src/control.rs
@@ -1,10 +1,13 @@
-//! Port to the platform's store: configuration, upstreams and entry VMs, in this crate's types.
+//! Port to the platform's store: configuration, upstreams, entry VMs and quarantine records, in this
+//! crate's types.
 
 use crate::fleet::{Change, Listing};
 use crate::routes::Table;
 use async_trait::async_trait;
 use quick_error::quick_error;
 
+pub use coordination::quarantine::Record;
+
 quick_error! {
     /// Reasons why a call of the store failed.
     #[derive(Clone, Debug, Eq, PartialEq)]
@@ -61,6 +64,44 @@
     pub peer_address: String,
 }
 
+/// Quarantine record of a part of prompts, as the store holds it.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Quarantine {
+    /// Id of the part.
+    pub part: u64,
+    /// Revision of the record's last change.
+    pub revision: u64,
+    /// What is known of the part.
+    pub record: Record,
+}
+
+/// Change of a quarantine record.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum QuarantineChange {
+    /// The record was created or replaced.
+    Set(Quarantine),
+    /// The record of this part was removed.
+    Removed(u64),
+}
+
+/// Quarantine records up to a revision: all of them, or those that changed.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Quarantines {
+    /// Revision of the store that the changes lead up to.
+    pub revision: u64,
+    /// Records or changes, in the order of their revisions.
+    pub changes: Vec<QuarantineChange>,
+}
+
+/// Outcome of a conditional write of a quarantine record.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum QuarantineWrite {
+    /// The record was written; holds its revision, if the store named it.
+    Stored(Option<u64>),
+    /// Nothing was written, as the store holds another revision, or none at all.
+    Conflict(Option<Quarantine>),
+}
+
 /// Client for the platform's store.
 #[async_trait]
 pub trait Store: Send + Sync {
@@ -86,4 +127,23 @@
 
     /// Announces an entry VM in the store.
     async fn announce(&self, member: &Member) -> Result<(), Error>;
+
+    /// Lists all quarantine records.
+    async fn quarantines(&self) -> Result<Quarantines, Error>;
+
+    /// Waits until a quarantine record has changed since `revision`, up to a time limit of the
+    /// implementation.
+    async fn next_quarantines(&self, revision: u64) -> Result<Quarantines, Error>;
+
+    /// Replaces the quarantine record of `part` if it has the revision `known`, or creates it if
+    /// there is none and `known` is `None`.
+    async fn write_quarantine(
+        &self,
+        part: u64,
+        known: Option<u64>,
+        record: &Record,
+    ) -> Result<QuarantineWrite, Error>;
+
+    /// Deletes the quarantine record of `part` if it has the revision `known`.
+    async fn delete_quarantine(&self, part: u64, known: u64) -> Result<(), Error>;
 }
--- a/standin/src/control.rs
+++ b/standin/src/control.rs
@@ -1,8 +1,11 @@
-//! Stand-in of the store that holds configuration, upstreams and members, in process on tokio's
-//! clock.
+//! Stand-in of the store that holds configuration, upstreams, members and quarantine records, in
+//! process on tokio's clock.
 
 use async_trait::async_trait;
-use quetzaltiller::control::{Changes, Configuration, Error, Member, Store};
+use quetzaltiller::control::{
+    Changes, Configuration, Error, Member, Quarantine, QuarantineChange, QuarantineWrite,
+    Quarantines, Record, Store,
+};
 use quetzaltiller::fleet::{Change, Listing, Upstream};
 use quetzaltiller::routes::{Content, Table};
 use std::collections::BTreeMap;
@@ -25,8 +28,11 @@
     /// Highest revision whose changes are compacted; a watch from before it fails with `Expired`.
     compacted: u64,
     members: Vec<Member>,
+    quarantines: BTreeMap<u64, Quarantine>,
+    quarantine_changes: Vec<(u64, QuarantineChange)>,
     away: bool,
     calls: u64,
+    quarantine_writes: u64,
     /// Time that a listing of all upstreams takes in addition to that of a call.
     listing_time: Duration,
 }
@@ -91,6 +97,32 @@
         self.lock().calls
     }
 
+    /// Returns the number of writes and deletions of quarantine records so far.
+    pub fn quarantine_writes(&self) -> u64 {
+        self.lock().quarantine_writes
+    }
+
+    /// Returns the quarantine records.
+    pub fn stored_quarantines(&self) -> Vec<Quarantine> {
+        self.lock().quarantines.values().cloned().collect()
+    }
+
+    /// Removes all quarantine records without a change in the history, as an older copy of the
+    /// store would, and compacts the history.
+    pub fn forget_quarantines(&self) {
+        self.lock().quarantines.clear();
+        self.next_revision();
+        self.compact();
+    }
+
+    /// Removes a quarantine record, as an operator does.
+    pub fn remove_quarantine(&self, part: u64) {
+        let revision = self.next_revision();
+        let mut state = self.lock();
+        state.quarantines.remove(&part);
+        state.quarantine_changes.push((revision, QuarantineChange::Removed(part)));
+    }
+
     /// Raises the revision and returns it.
     fn next_revision(&self) -> u64 {
         self.revision.send_modify(|revision| *revision += 1);
@@ -189,4 +221,49 @@
         state.members.push(member.clone());
         Ok(())
     }
+
+    async fn quarantines(&self) -> Result<Quarantines, Error> {
+        self.begin_call().await?;
+        let changes = self.stored_quarantines().into_iter().map(QuarantineChange::Set).collect();
+        Ok(Quarantines { revision: *self.revision.borrow(), changes })
+    }
+
+    async fn next_quarantines(&self, revision: u64) -> Result<Quarantines, Error> {
+        let newer =
+            |state: &State| state.quarantine_changes.last().is_some_and(|(at, _)| *at > revision);
+        let newest = self.wait(revision, newer).await?;
+        let state = self.lock();
+        let since = state.quarantine_changes.iter().filter(|(at, _)| *at > revision);
+        Ok(Quarantines { revision: newest, changes: since.map(|(_, c)| c.clone()).collect() })
+    }
+
+    async fn write_quarantine(
+        &self,
+        part: u64,
+        known: Option<u64>,
+        record: &Record,
+    ) -> Result<QuarantineWrite, Error> {
+        self.begin_call().await?;
+        self.lock().quarantine_writes += 1;
+        let held = self.lock().quarantines.get(&part).cloned();
+        if held.as_ref().map(|held| held.revision) != known {
+            return Ok(QuarantineWrite::Conflict(held));
+        }
+        let revision = self.next_revision();
+        let written = Quarantine { part, revision, record: record.clone() };
+        let mut state = self.lock();
+        state.quarantines.insert(part, written.clone());
+        state.quarantine_changes.push((revision, QuarantineChange::Set(written)));
+        Ok(QuarantineWrite::Stored(Some(revision)))
+    }
+
+    async fn delete_quarantine(&self, part: u64, known: u64) -> Result<(), Error> {
+        self.begin_call().await?;
+        self.lock().quarantine_writes += 1;
+        if self.lock().quarantines.get(&part).is_none_or(|held| held.revision != known) {
+            return Err(Error::Conflict);
+        }
+        self.remove_quarantine(part);
+        Ok(())
+    }
 }
