Quarantine parts of prompts that crash each engine which begins to answer them

Cause: each entry VM judged engines, never requests. A run that ended its engine was placed again elsewhere like one whose engine had merely failed, up to the route's attempts, and nothing of it was known to the next request with the same part or to the other entry VMs.

Change: proxy::beginning observes each run. A run has settled once an event arrives 300 ms or more after the head of its answer. Where its connection breaks before and the engine then refuses connections, the shared parts of its prompt are evidence for coordination::quarantine; an engine that still accepts connections is none. The task of quetzaltiller::quarantine owns the ledger, watches the store's records and writes what it knows beyond them: at once what it saw itself, spread over 2 s by lot what the store was found to lack or merely acquits a suspected part, ten a second at most. Conflicts are joined and repeated. Expired records are deleted, spread over a minute.

Requests with a condemned part are refused before their first placement, before each repeat and again right before a run is opened: 503 and a Retry-After of 60 s if no engine may have begun them, otherwise 502. Verdicts are read without waiting, so no request waits for the store.

--- a/quetzaltiller/src/entry/builder.rs
+++ b/quetzaltiller/src/entry/builder.rs
@@ -15,6 +15,7 @@
 use crate::placement::{self, Placer, Table};
 use crate::prelude::*;
 use crate::prompts::Finder;
+use crate::quarantine::{self, Quarantine};
 use crate::scope::Scope;
 use coordination::detector::Bounds;
 use coordination::membership::Heartbeat;
@@ -135,6 +136,17 @@
         Pacer::start(&self.scope, settings)
     }
 
+    /// Starts the quarantine of parts of prompts that crash engines.
+    pub fn start_quarantine(&self) -> Quarantine {
+        let dependencies = quarantine::Dependencies {
+            name: self.config.name.clone(),
+            clock: self.clock,
+            store: self.ports.store.clone(),
+            metrics: self.metrics.clone(),
+        };
+        Quarantine::start(&self.scope, dependencies)
+    }
+
     /// Creates the drain, which runs the phases of the shutdown.
     pub fn drain(&self) -> Drain {
         let grace = self.config.tunables.grace;
--- a/quetzaltiller/src/entry/dump.rs
+++ b/quetzaltiller/src/entry/dump.rs
@@ -3,6 +3,7 @@
 use crate::drain::Phase;
 use crate::members::View;
 use crate::placement::State;
+use crate::quarantine;
 use serde::Serialize;
 use std::collections::BTreeMap;
 
@@ -26,4 +27,6 @@
     pub members: View,
     /// State of each upstream, by its identifier.
     pub upstreams: BTreeMap<String, State>,
+    /// Parts of prompts that crash engines, and what is known of them.
+    pub quarantine: quarantine::State,
 }
--- a/quetzaltiller/src/entry/mod.rs
+++ b/quetzaltiller/src/entry/mod.rs
@@ -29,6 +29,7 @@
 use crate::prelude::*;
 use crate::prompts::Finder;
 use crate::proxy::{Context, Proxy};
+use crate::quarantine::Quarantine;
 use crate::routes;
 use crate::scope::Scope;
 use crate::upstream::Client;
@@ -74,6 +75,7 @@
     members: Members,
     drain: Drain,
     finder: Finder,
+    quarantine: Quarantine,
     proxy: Proxy,
     scope: Scope,
     metrics: Arc<Metrics>,
@@ -87,12 +89,14 @@
         let members = builder.start_members(&placer);
         let finder = builder.start_finder(&placer, &members);
         let drain = builder.drain();
+        let quarantine = builder.start_quarantine();
         let proxy = Proxy::new(Context {
             clock: builder.clock,
             follower: builder.follower.clone(),
             placer: placer.clone(),
             finder: finder.clone(),
             pacer: builder.start_pacer(),
+            quarantine: quarantine.clone(),
             client: ports.client.clone(),
             drain: drain.clone(),
             local: builder.local.clone(),
@@ -113,6 +117,7 @@
             members,
             drain,
             finder,
+            quarantine,
             proxy,
             scope,
             metrics,
@@ -210,6 +215,7 @@
             open: self.local.open(),
             members: self.members.view().as_ref().clone(),
             upstreams: self.placer.dump().await,
+            quarantine: self.quarantine.dump().await,
         }
     }
 }
--- a/quetzaltiller/src/lib.rs
+++ b/quetzaltiller/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod prelude;
 pub mod prompts;
 pub mod proxy;
+pub mod quarantine;
 pub mod refusal;
 pub mod registry;
 pub mod reports;
--- a/quetzaltiller/src/metrics.rs
+++ b/quetzaltiller/src/metrics.rs
@@ -42,6 +42,7 @@
     LookupRetried "lookup.retried" "Retries of lookups.",
     LookupSent "lookup.sent" "Lookups sent to a service.",
     PeerCall "peer.call" "Requests sent to peers.",
+    QuarantineRefused "quarantine.refused" "Requests refused because a part of their prompt crashes engines.",
     Reattached "generation.reattached" "Streams continued on a new connection.",
     Redispatched "generation.redispatched" "Streams continued at another engine.",
     Refused "refused" "Requests refused.",
--- a/quetzaltiller/src/proxy/beginning.rs
+++ b/quetzaltiller/src/proxy/beginning.rs
@@ -4,7 +4,7 @@
 //! an event arrives later than that. Where a run breaks before, its engine is checked: only one
 //! that has ended may have been crashed by the run.
 
-use super::{Context, Request};
+use super::{Context, Prompt, Request};
 use crate::fleet::Upstream;
 use crate::prelude::*;
 
@@ -49,6 +49,7 @@
         run.events += 1;
         if now >= run.head_at + SETTLING_TIME {
             self.unsettled = None;
+            self.context.quarantine.record_settled(self.shared_parts());
         }
     }
 
@@ -65,14 +66,27 @@
             return;
         };
         let (context, request) = (self.context.clone(), self.request.clone());
+        let parts = self.shared_parts();
         let head_age = self.context.clock.now().saturating_sub(run.head_at);
         self.context.scope.spawn(async move {
             let engine_ended = !context.client.check(run.upstream.address, CHECK_LIMIT).await;
             info!("run_broke_early", kv: {
                 request = request.id, upstream = run.upstream.id,
                 head_age_ms = head_age.as_millis() as u64, events = run.events, engine_ended,
-                parts = request.prompt.as_ref().map_or(0, |prompt| prompt.parts.len())
+                parts = parts.len()
             });
+            if engine_ended {
+                context.quarantine.record_crash(parts, start_name(&run.upstream));
+            }
         });
     }
+
+    fn shared_parts(&self) -> Vec<u64> {
+        self.request.prompt.as_ref().map(Prompt::shared_parts).unwrap_or_default()
+    }
+}
+
+/// Name of an engine's start: engines mostly have a new id after each.
+fn start_name(upstream: &Upstream) -> String {
+    format!("{}/{}", upstream.id, upstream.incarnation)
 }
--- a/quetzaltiller/src/proxy/mod.rs
+++ b/quetzaltiller/src/proxy/mod.rs
@@ -32,6 +32,7 @@
 use crate::placement::Placer;
 use crate::prelude::*;
 use crate::prompts::Finder;
+use crate::quarantine::Quarantine;
 use crate::routes::Kind;
 use crate::scope::Scope;
 use crate::upstream::Client;
@@ -67,6 +68,8 @@
     pub finder: Finder,
     /// Hedging delays and retry budgets.
     pub pacer: Pacer,
+    /// Parts of prompts that crash engines.
+    pub quarantine: Quarantine,
     /// Client of upstreams.
     pub client: Arc<dyn Client>,
     /// Whether this process is leaving and what it may still begin.
@@ -79,6 +82,19 @@
     pub scope: Scope,
 }
 
+impl Context {
+    /// Whether the request has a part that crashes engines and must not be sent to one.
+    fn is_quarantined(&self, request: &Request) -> bool {
+        let parts = request.prompt.as_ref().map(Prompt::shared_parts).unwrap_or_default();
+        let Some(part) = self.quarantine.refused(&parts) else {
+            return false;
+        };
+        self.metrics.count(Counter::QuarantineRefused);
+        info!("request_quarantined", kv: { request = request.id, part = format!("{part:x}") });
+        true
+    }
+}
+
 /// Entry point of callers' requests.
 #[derive(Clone)]
 pub struct Proxy {
@@ -152,6 +168,12 @@
         if plan.deadline <= self.context.clock.now() {
             return Err(Refusal::not_run(Code::Overloaded, "it waited for as long as it may"));
         }
+        if self.context.is_quarantined(request) {
+            return Err(Refusal::not_run(
+                Code::Quarantined,
+                "a part of the prompt crashes engines",
+            ));
+        }
         let expected = match plan.route.kind {
             Kind::Generation { .. } => EXPECTED_GENERATION,
             Kind::Lookup | Kind::Action => EXPECTED_CALL,
--- a/quetzaltiller/src/proxy/request.rs
+++ b/quetzaltiller/src/proxy/request.rs
@@ -64,6 +64,12 @@
         self.tokens.saturating_add(self.max_output)
     }
 
+    /// Ids of the parts that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> Vec<u64> {
+        let shared = self.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|part| part.id).collect()
+    }
+
     /// Id of the last part, which only this request or its session has; equal for a caller's
     /// repeats. 0 without parts.
     pub fn own_part(&self) -> u64 {
--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -250,6 +250,9 @@
         cached: Option<String>,
         resumed: bool,
     ) {
+        if self.end_if_quarantined() {
+            return;
+        }
         if resumed {
             self.pauses.record_loss();
             info!("generation_moves", kv: {
@@ -288,7 +291,21 @@
         }
     }
 
+    /// Ends a generation whose prompt has meanwhile been found to crash engines; returns whether
+    /// it has.
+    fn end_if_quarantined(&mut self) -> bool {
+        let is_quarantined = self.context.is_quarantined(&self.request);
+        if is_quarantined {
+            self.retry_after = Duration::from_millis(Code::Quarantined.retry_after_ms());
+            self.advance(Input::Unplaced(Code::Quarantined));
+        }
+        is_quarantined
+    }
+
     fn handle_placement(&mut self, result: PlacementResult) {
+        if result.is_ok() && self.end_if_quarantined() {
+            return;
+        }
         match result {
             Err(unplaced) => {
                 self.retry_after = unplaced.retry_after();
--- /dev/null
+++ b/quetzaltiller/src/quarantine/mod.rs
@@ -0,0 +1,83 @@
+//! Quarantine of parts of prompts that crash each engine which begins to answer them.
+//!
+//! Runs report whether engines survived their beginning. The task owns the
+//! [`Ledger`](coordination::quarantine::Ledger) that draws the conclusions, shares its records with
+//! the other entry VMs through the store and publishes the verdicts, which requests read without
+//! waiting. Each VM writes what it knows beyond the store's record; records can be joined in any
+//! order, so a write that conflicts is joined with the stored record and repeated.
+
+mod message;
+mod source;
+mod state;
+mod task;
+
+pub use state::State;
+
+use crate::clock::Clock;
+use crate::control::Store;
+use crate::mailbox::Mailbox;
+use crate::metrics::Metrics;
+use crate::prelude::*;
+use crate::scope::Scope;
+use coordination::quarantine::Verdicts;
+use message::Message;
+use source::Source;
+use task::Task;
+use tokio::sync::watch;
+
+/// What the quarantine of an entry VM needs.
+pub struct Dependencies {
+    /// Name of the entry VM.
+    pub name: String,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Store that holds the records.
+    pub store: Arc<dyn Store>,
+    /// Counter of calls of the store.
+    pub metrics: Arc<Metrics>,
+}
+
+/// Handle to the quarantine.
+#[derive(Clone, Debug)]
+pub struct Quarantine {
+    mailbox: Mailbox<Message>,
+    verdicts: watch::Receiver<Verdicts>,
+}
+
+impl Quarantine {
+    /// Starts the quarantine in `scope`.
+    pub fn start(scope: &Scope, dependencies: Dependencies) -> Self {
+        let (mailbox, messages) = Mailbox::new();
+        let (published, verdicts) = watch::channel(Verdicts::default());
+        let source = Source {
+            store: dependencies.store.clone(),
+            metrics: dependencies.metrics.clone(),
+            mailbox: mailbox.clone(),
+        };
+        let task = Task::new(dependencies, scope.clone(), mailbox.clone(), published);
+        scope.spawn(task.run(messages));
+        scope.spawn(source.run());
+        Self { mailbox, verdicts }
+    }
+
+    /// The part for which a request with these parts is to be refused.
+    pub fn refused(&self, parts: &[u64]) -> Option<u64> {
+        self.verdicts.borrow().refused(parts)
+    }
+
+    /// Records that an engine survived the beginning of a run with these parts.
+    pub fn record_settled(&self, parts: Vec<u64>) {
+        self.mailbox.send(Message::Settled(parts));
+    }
+
+    /// Records that `engine`, the name of one start of a process, ended while a run with these
+    /// parts began.
+    pub fn record_crash(&self, parts: Vec<u64>, engine: String) {
+        self.mailbox.send(Message::Crashed { parts, engine });
+    }
+
+    /// Records and verdicts, for operators.
+    pub async fn dump(&self) -> State {
+        self.mailbox.request(Message::StateRequested).await.unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/quetzaltiller/src/quarantine/task.rs
@@ -0,0 +1,374 @@
+//! Task that owns the ledger of the quarantine.
+
+use super::message::Message;
+use super::{Dependencies, State};
+use crate::control::{
+    Error, Quarantine, QuarantineChange, QuarantineWrite, Quarantines, Record, Store,
+};
+use crate::mailbox::Mailbox;
+use crate::metrics::Counter;
+use crate::prelude::*;
+use crate::scope::Scope;
+use coordination::quarantine::{Ledger, Verdicts};
+use std::collections::BTreeMap;
+use tokio::sync::{mpsc, watch};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Minimum interval between writes of this entry VM.
+const WRITE_INTERVAL: Duration = Duration::from_millis(100);
+/// Delay after the first failed write; doubles with each further failure up to [`MAX_RETRY_DELAY`].
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(150);
+/// Maximum delay between writes to a store that can't be reached.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_000);
+/// Time over which entry VMs spread writes of what the store was found to lack; the first write
+/// spares most of the others theirs.
+const REWRITE_SPREAD: Duration = Duration::from_millis(2_000);
+/// Interval between searches for records past their lifetime.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
+/// Time over which entry VMs spread deletions of such records.
+const DELETION_SPREAD: Duration = Duration::from_secs(60);
+/// Maximum number of records that wait to be written or deleted.
+const MAX_PENDING: usize = 1_024;
+
+/// Origin of a change of the ledger.
+#[derive(Clone, Copy, Debug)]
+enum Origin {
+    Own,
+    Store,
+}
+
+impl Origin {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Store => "store",
+        }
+    }
+}
+
+/// Task of the quarantine.
+pub struct Task {
+    dependencies: Dependencies,
+    scope: Scope,
+    mailbox: Mailbox<Message>,
+    verdicts: watch::Sender<Verdicts>,
+    ledger: Ledger,
+    /// Revisions of the records that the store holds, by part.
+    revisions: BTreeMap<u64, u64>,
+    /// Times at which records are to be written, or deleted if the ledger has none, by part.
+    pending: BTreeMap<u64, Duration>,
+    /// Whether a call of the store is in progress.
+    is_calling: bool,
+    /// Time before which no further write begins.
+    next_write_at: Duration,
+    retry_delay: Duration,
+    expire_at: Duration,
+}
+
+impl Task {
+    /// Creates the task; it sends the results of its writes to itself through `mailbox`.
+    pub fn new(
+        dependencies: Dependencies,
+        scope: Scope,
+        mailbox: Mailbox<Message>,
+        verdicts: watch::Sender<Verdicts>,
+    ) -> Self {
+        let expire_at = dependencies.clock.now() + EXPIRY_INTERVAL;
+        Self {
+            dependencies,
+            scope,
+            mailbox,
+            verdicts,
+            ledger: Ledger::new(),
+            revisions: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            is_calling: false,
+            next_write_at: Duration::ZERO,
+            retry_delay: MIN_RETRY_DELAY,
+            expire_at,
+        }
+    }
+
+    /// Handles messages and writes records until the process ends.
+    pub async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>) {
+        let clock = self.dependencies.clock;
+        loop {
+            let write_at = self.write_at();
+            tokio::select! {
+                biased;
+                message = messages.recv() => match message {
+                    Some(message) => self.handle(message),
+                    None => return,
+                },
+                () = clock.sleep_until(write_at.unwrap_or_default()), if write_at.is_some() => {
+                    self.start_write();
+                }
+                () = clock.sleep_until(self.expire_at) => self.expire(),
+            }
+        }
+    }
+
+    fn handle(&mut self, message: Message) {
+        let now = self.now();
+        match message {
+            Message::Settled(parts) => {
+                let before = self.copy_records(&parts);
+                let changed = self.ledger.record_settled(now, &parts);
+                self.record_own_changes(&changed, &before);
+            }
+            Message::Crashed { parts, engine } => {
+                let before = self.copy_records(&parts);
+                let changed = self.ledger.record_crash(now, &parts, &engine);
+                self.record_own_changes(&changed, &before);
+            }
+            Message::Listed(listed) => self.handle_listing(listed),
+            Message::Changed(changed) => {
+                changed.changes.into_iter().for_each(|change| self.apply(change));
+                self.publish();
+            }
+            Message::Written { part, record, result } => self.handle_write(part, &record, result),
+            Message::Deleted { part, result } => self.handle_deletion(part, result),
+            Message::StateRequested(reply) => {
+                let _ = reply.send(self.state());
+            }
+        }
+    }
+
+    fn record_own_changes(&mut self, changed: &[u64], before: &BTreeMap<u64, Record>) {
+        for part in changed {
+            let before = before.get(part);
+            self.log_change(*part, before, Origin::Own);
+            // All entry VMs soon acquit a part that sound requests share.
+            let was_condemned = before.is_some_and(Record::is_condemned);
+            let is_urgent = was_condemned || !self.is_acquitted(*part, before);
+            let delay = if is_urgent { Duration::ZERO } else { self.jitter(*part, REWRITE_SPREAD) };
+            self.schedule(*part, delay);
+        }
+        if !changed.is_empty() {
+            self.publish();
+        }
+    }
+
+    /// Joins a list of all records. A record that it lacks is written again, as the store may be
+    /// an older copy of itself.
+    fn handle_listing(&mut self, listed: Quarantines) {
+        self.revisions.clear();
+        listed.changes.into_iter().for_each(|change| self.apply(change));
+        let known = self.ledger.records().map(|(part, _)| part);
+        let lacking: Vec<u64> = known.filter(|part| !self.revisions.contains_key(part)).collect();
+        for part in lacking {
+            self.schedule(part, self.jitter(part, REWRITE_SPREAD));
+        }
+        self.publish();
+    }
+
+    fn apply(&mut self, change: QuarantineChange) {
+        match change {
+            QuarantineChange::Set(quarantine) => {
+                let part = quarantine.part;
+                if self.merge(quarantine) {
+                    self.schedule(part, self.jitter(part, REWRITE_SPREAD));
+                } else {
+                    self.pending.remove(&part);
+                }
+            }
+            QuarantineChange::Removed(part) => {
+                self.revisions.remove(&part);
+                self.pending.remove(&part);
+                self.ledger.remove(part);
+                info!("part_released", kv: { part = format!("{part:x}") });
+            }
+        }
+    }
+
+    /// Joins a stored record; returns whether the ledger then knows more than the store.
+    fn merge(&mut self, quarantine: Quarantine) -> bool {
+        let Quarantine { part, revision, record } = quarantine;
+        let newest = self.revisions.entry(part).or_default();
+        *newest = revision.max(*newest);
+        let before = self.ledger.record(part).cloned();
+        let knows_more = self.ledger.merge(self.now(), part, &record);
+        self.log_change(part, before.as_ref(), Origin::Store);
+        knows_more
+    }
+
+    /// Time at which the next write is due, unless one is in progress.
+    fn write_at(&self) -> Option<Duration> {
+        let due = self.pending.values().min()?;
+        (!self.is_calling).then(|| self.next_write_at.max(*due))
+    }
+
+    /// Writes the record that is due first, or deletes it if the ledger has none.
+    fn start_write(&mut self) {
+        let Some((&part, _)) = self.pending.iter().min_by_key(|(_, due)| **due) else {
+            return;
+        };
+        self.pending.remove(&part);
+        let known = self.revisions.get(&part).copied();
+        let record = self.ledger.record(part).cloned();
+        if record.is_none() && known.is_none() {
+            return;
+        }
+        self.is_calling = true;
+        self.next_write_at = self.now() + WRITE_INTERVAL;
+        self.dependencies.metrics.count(Counter::StoreCall);
+        let (store, mailbox) = (self.dependencies.store.clone(), self.mailbox.clone());
+        self.scope.spawn(call(store, mailbox, part, known, record));
+    }
+
+    fn handle_write(&mut self, part: u64, sent: &Record, result: Result<QuarantineWrite, Error>) {
+        self.is_calling = false;
+        match result {
+            Ok(QuarantineWrite::Stored(revision)) => {
+                self.retry_delay = MIN_RETRY_DELAY;
+                if let Some(revision) = revision {
+                    let newest = self.revisions.entry(part).or_default();
+                    *newest = revision.max(*newest);
+                }
+                if self.ledger.record(part) == Some(sent) {
+                    self.pending.remove(&part);
+                }
+            }
+            Ok(QuarantineWrite::Conflict(Some(stored))) => {
+                if self.merge(stored) {
+                    self.schedule(part, Duration::ZERO);
+                } else {
+                    self.pending.remove(&part);
+                }
+                self.publish();
+            }
+            // The watch tells soon if the record was removed; otherwise it is created.
+            Ok(QuarantineWrite::Conflict(None)) => {
+                self.revisions.remove(&part);
+                self.schedule(part, REWRITE_SPREAD);
+            }
+            Err(reason) => {
+                debug!("quarantine_unwritten", kv: {
+                    part = format!("{part:x}"), reason:? = reason.to_string()
+                });
+                self.postpone_writes();
+                self.schedule(part, Duration::ZERO);
+            }
+        }
+    }
+
+    fn handle_deletion(&mut self, part: u64, result: Result<(), Error>) {
+        self.is_calling = false;
+        match result {
+            Ok(()) => {
+                self.revisions.remove(&part);
+            }
+            // Another entry VM has changed the record and keeps it.
+            Err(Error::Conflict) => {}
+            Err(_) => {
+                self.postpone_writes();
+                self.schedule(part, DELETION_SPREAD);
+            }
+        }
+    }
+
+    fn postpone_writes(&mut self) {
+        self.next_write_at = self.now() + self.retry_delay;
+        self.retry_delay = (self.retry_delay * 2).min(MAX_RETRY_DELAY);
+    }
+
+    fn expire(&mut self) {
+        let now = self.now();
+        self.expire_at = now + EXPIRY_INTERVAL;
+        let expired = self.ledger.expire(now);
+        for part in &expired {
+            self.pending.remove(part);
+            if self.revisions.contains_key(part) {
+                self.schedule(*part, self.jitter(*part, DELETION_SPREAD));
+            }
+        }
+        if !expired.is_empty() {
+            self.publish();
+        }
+    }
+
+    /// Schedules a record to be written after `delay`, or earlier if it already was to be.
+    fn schedule(&mut self, part: u64, delay: Duration) {
+        let at = self.now() + delay;
+        if self.pending.len() < MAX_PENDING || self.pending.contains_key(&part) {
+            let due = self.pending.entry(part).or_insert(at);
+            *due = at.min(*due);
+        }
+    }
+
+    /// Delay within `spread` by lot of this entry VM and the part.
+    fn jitter(&self, part: u64, spread: Duration) -> Duration {
+        let lot = xxh3_64(format!("{}/{part:x}", self.dependencies.name).as_bytes());
+        spread.mul_f64(lot as f64 / u64::MAX as f64)
+    }
+
+    fn now(&self) -> Duration {
+        self.dependencies.clock.now()
+    }
+
+    fn publish(&self) {
+        self.verdicts.send_replace(self.ledger.verdicts());
+    }
+
+    /// Whether a part was acquitted since it had the record `before`.
+    fn is_acquitted(&self, part: u64, before: Option<&Record>) -> bool {
+        let record = self.ledger.record(part);
+        before.zip(record).is_some_and(|(before, record)| before.round() < record.round())
+    }
+
+    fn copy_records(&self, parts: &[u64]) -> BTreeMap<u64, Record> {
+        let record = |part: &u64| Some((*part, self.ledger.record(*part)?.clone()));
+        parts.iter().filter_map(record).collect()
+    }
+
+    fn log_change(&self, part: u64, before: Option<&Record>, origin: Origin) {
+        let Some(record) = self.ledger.record(part).filter(|record| before != Some(*record)) else {
+            return;
+        };
+        let was_condemned = before.is_some_and(Record::is_condemned);
+        let event = if self.is_acquitted(part, before) {
+            "part_acquitted"
+        } else if record.is_condemned() && !was_condemned {
+            "part_condemned"
+        } else {
+            "part_suspected"
+        };
+        info!("{}", event, kv: {
+            part = format!("{part:x}"), crashes = record.crashes().len(),
+            moments = record.moments(), source = origin.name()
+        });
+    }
+
+    fn state(&self) -> State {
+        let hexadecimal = |part: u64| format!("{part:x}");
+        let verdicts = self.ledger.verdicts();
+        let is_condemned = |part: &u64| verdicts.refused(&[*part]).is_some();
+        let condemned = self.ledger.records().map(|(part, _)| part).filter(is_condemned);
+        State {
+            condemned: condemned.map(hexadecimal).collect(),
+            records: self.ledger.records().map(|(p, r)| (hexadecimal(p), r.clone())).collect(),
+            pending: self.pending.keys().copied().map(hexadecimal).collect(),
+        }
+    }
+}
+
+/// Writes `record`, or deletes the stored one without it, and sends the result to the task.
+async fn call(
+    store: Arc<dyn Store>,
+    mailbox: Mailbox<Message>,
+    part: u64,
+    known: Option<u64>,
+    record: Option<Record>,
+) {
+    mailbox.send(match (record, known) {
+        (Some(record), _) => {
+            let result = store.write_quarantine(part, known, &record).await;
+            Message::Written { part, record, result }
+        }
+        (None, Some(known)) => {
+            let result = store.delete_quarantine(part, known).await;
+            Message::Deleted { part, result }
+        }
+        (None, None) => return,
+    });
+}
--- a/quetzaltiller/src/refusal.rs
+++ b/quetzaltiller/src/refusal.rs
@@ -40,6 +40,8 @@
     OutcomeUnknown,
     /// The expected wait exceeds what the caller accepts.
     Overloaded,
+    /// A part of the prompt has crashed engines, so no engine gets it for a while.
+    Quarantined,
     /// The platform's store is unreachable, so no action is run.
     StoreUnavailable,
     /// Another entry VM has taken over the answer.
@@ -70,6 +72,7 @@
             | Self::NoConfiguration
             | Self::NoUpstream
             | Self::Overloaded
+            | Self::Quarantined
             | Self::StoreUnavailable => 503,
         }
     }
@@ -81,6 +84,7 @@
             Self::Leaving | Self::Superseded => 100,
             Self::NoConfiguration | Self::NoUpstream | Self::StoreUnavailable => 2_000,
             Self::OutcomeUnknown | Self::UpstreamFailed => 5_000,
+            Self::Quarantined => 60_000,
             _ => 0,
         }
     }
--- a/quetzaltiller/tests/quarantine.rs
+++ b/quetzaltiller/tests/quarantine.rs
@@ -1,7 +1,16 @@
 //! Complete entry VMs over stand-ins whose engines crash on one part of prompts.
 
+use quetzaltiller::clock::Clock;
+use quetzaltiller::entry::Entry;
+use quetzaltiller::metrics::{Counter, Metrics};
 use quetzaltiller::proxy::{Part, Prompt, Request};
-use standin::site::{Seen, Site, draft, generate};
+use quetzaltiller::quarantine::{self, Quarantine};
+use quetzaltiller::refusal::{Code, Ran};
+use quetzaltiller::scope::Scope;
+use rstest::rstest;
+use standin::control::ControlStore;
+use standin::site::{Seen, Site, ZONES, draft, generate};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
@@ -23,6 +32,9 @@
 /// Requests with the part that may reach engines from then on.
 const ALLOWED: usize = 3;
 
+/// Writes that bring one record back to a store that lost it.
+const MAX_REWRITES: u64 = 10;
+
 /// A sound request and when it was sent.
 struct Sound {
     sent_at: Instant,
@@ -89,6 +101,21 @@
     site.fleet.poisoned_crashes()[CRASHES - 1]
 }
 
+/// Asserts that few requests with the bad part reached engines and that sound ones were served;
+/// both from some time after the fifth crash and after `calm_from`.
+async fn assert_contained(site: &Site, sound: Vec<Sound>, calm_from: Instant) {
+    let late = late_arrivals(site, calm_from);
+    let from = fifth_crash(site).max(calm_from) + 2 * TOUCH;
+    let (sent, unserved) = unserved(sound, from).await;
+    let crashes = site.fleet.poisoned_crashes().len();
+    assert!(late <= ALLOWED, "{late} requests reached engines late, {crashes} crashes");
+    assert!(sent >= 20 && unserved == 0, "{unserved} of {sent} sound requests unserved");
+}
+
+async fn condemned(entry: &Entry) -> Vec<String> {
+    entry.dump().await.quarantine.condemned
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_part_that_crashed_five_engines_crashes_few_more() {
     let site = Site::start(6).await;
@@ -96,10 +123,243 @@
     site.poison(BAD);
 
     let sound = send(&site, 0..240).await;
-    let late = late_arrivals(&site, began);
-    let (sent, unserved) = unserved(sound, fifth_crash(&site) + 2 * TOUCH).await;
 
-    let crashes = site.fleet.poisoned_crashes().len();
-    assert!(late <= ALLOWED, "{late} requests reached engines late, {crashes} crashes");
-    assert!(sent >= 20 && unserved == 0, "{unserved} of {sent} sound requests unserved");
+    assert_contained(&site, sound, began).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_first_part_that_crashes_engines_is_found_as_well() {
+    let site = Site::start(6).await;
+    let began = Instant::now();
+    site.poison(OTHER);
+
+    let sound = send(&site, 0..240).await;
+
+    assert_contained(&site, sound, began).await;
+    assert_eq!(condemned(&site.entries[0]).await, [format!("{OTHER:x}")]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_quarantined_request_is_refused_as_not_run() {
+    let site = Site::start(6).await;
+    site.poison(BAD);
+    send(&site, 0..80).await;
+
+    let seen = generate(site.entries[0].clone(), bad_request(1_000)).await;
+
+    let refused = seen.refused.expect("a refusal");
+    assert_eq!((refused.code, refused.ran), (Code::Quarantined, Ran::No));
+    assert_eq!(refused.code.status(), 503);
+    assert!(refused.retry_after_ms >= 60_000);
+    assert!(site.entries[0].metrics().value(Counter::QuarantineRefused) > 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_quarantine_outlives_all_entry_vms() {
+    let mut site = Site::start(6).await;
+    let began = Instant::now();
+    site.poison(BAD);
+
+    let mut sound = send(&site, 0..120).await;
+    ZONES.into_iter().for_each(|zone| site.lose_entry(zone));
+    sound.clear();
+    ZONES.into_iter().for_each(|zone| drop(site.join(zone, 2)));
+    sound.extend(send(&site, 120..240).await);
+
+    assert_contained(&site, sound, began).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_entry_vm_that_joins_late_keeps_the_quarantine() {
+    let mut site = Site::start(6).await;
+    let began = Instant::now();
+    site.poison(BAD);
+
+    let mut sound = send(&site, 0..120).await;
+    let late_entry = site.join("d", 1);
+    sound.extend(send(&site, 120..240).await);
+
+    assert_eq!(condemned(&late_entry).await, [format!("{BAD:x}")]);
+    assert_contained(&site, sound, began).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_quarantine_needs_no_link_between_entry_vms() {
+    let site = Site::start(6).await;
+    let began = Instant::now();
+    ZONES.into_iter().for_each(|zone| site.hub.set_cut(&format!("entry-{zone}"), true));
+    site.poison(BAD);
+
+    let sound = send(&site, 0..240).await;
+
+    assert_contained(&site, sound, began).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_quarantine_spreads_once_the_store_is_back() {
+    let site = Site::start(6).await;
+    site.poison(BAD);
+    site.store.set_away(true);
+
+    let mut sound = send(&site, 0..64).await;
+    site.store.set_away(false);
+    let back = Instant::now();
+    sound.extend(send(&site, 64..240).await);
+
+    assert_contained(&site, sound, back).await;
+    for entry in &site.entries {
+        assert_eq!(condemned(entry).await, [format!("{BAD:x}")]);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_quarantine_that_an_operator_lifts_ends_everywhere() {
+    let site = Site::start(6).await;
+    site.poison(BAD);
+    send(&site, 0..80).await;
+
+    site.store.remove_quarantine(BAD);
+    sleep(TOUCH).await;
+
+    for entry in &site.entries {
+        assert!(condemned(entry).await.is_empty());
+    }
+}
+
+/// A request that reached an engine may have run.
+#[tokio::test(start_paused = true)]
+async fn only_a_request_that_reached_no_engine_is_refused_as_not_run() {
+    let site = Site::start(6).await;
+    site.poison(BAD);
+
+    let mut answers = Vec::new();
+    for number in 0..40 {
+        let request = bad_request(number);
+        let entry = site.entries[number % site.entries.len()].clone();
+        answers.push((request.id.clone(), tokio::spawn(generate(entry, request))));
+        sleep(GAP).await;
+    }
+
+    let (mut not_run, mut unknown) = (0, 0);
+    let runs = |id: &str| site.fleet.counts().runs.get(id).copied().unwrap_or_default();
+    for (id, seen) in answers {
+        let refused = seen.await.unwrap().refused.expect("a refusal");
+        match refused.ran {
+            Ran::No => {
+                not_run += 1;
+                assert_eq!(runs(&id), 0, "{id} was refused as not run");
+            }
+            _ => unknown += 1,
+        }
+    }
+    assert!(not_run > 0 && unknown > 0, "{not_run} refused as not run, {unknown} as unknown");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_broken_connection_to_a_live_engine_is_no_evidence() {
+    let site = Site::start(6).await;
+
+    for number in 0..40 {
+        let request = request(&format!("sound-{number}"), &[SHARED, BAD]);
+        let id = request.id.clone();
+        let seen = tokio::spawn(generate(site.entries[number % 3].clone(), request));
+        sleep(Duration::from_millis(220)).await;
+        site.fleet.reset(&id);
+        sleep(GAP).await;
+        assert_eq!(site.fleet.counts().runs.get(&id), Some(&2), "its run broke early");
+        drop(seen);
+    }
+
+    for entry in &site.entries {
+        assert!(entry.dump().await.quarantine.records.is_empty());
+    }
+}
+
+/// The shared parts were there at each crash.
+#[tokio::test(start_paused = true)]
+async fn lost_zones_quarantine_no_part_of_sound_requests() {
+    let site = Site::start(6).await;
+    let began = Instant::now();
+
+    let mut sound = Vec::new();
+    for (turn, zone) in ZONES.into_iter().enumerate() {
+        site.lose_zone(zone, false);
+        sound.extend(send(&site, turn * 64..(turn + 1) * 64).await);
+    }
+
+    let (sent, unserved) = unserved(sound, began - GAP).await;
+    assert!(sent > 100 && unserved == 0, "{unserved} of {sent} sound requests unserved");
+    for entry in &site.entries {
+        assert!(condemned(entry).await.is_empty());
+        assert_eq!(entry.metrics().value(Counter::QuarantineRefused), 0);
+    }
+}
+
+fn start_quarantines(store: &ControlStore, count: usize) -> Vec<Quarantine> {
+    let start = |number: usize| {
+        let dependencies = quarantine::Dependencies {
+            name: format!("entry-{number}"),
+            clock: Clock::default(),
+            store: Arc::new(store.clone()),
+            metrics: Arc::new(Metrics::new(None)),
+        };
+        Quarantine::start(&Scope::default(), dependencies)
+    };
+    (0..count).map(start).collect()
+}
+
+/// Records that engines crashed under the bad part, spread over the entry VMs and over time.
+async fn crash_engines(quarantines: &[Quarantine]) {
+    for number in 0..2 * CRASHES {
+        let quarantine = &quarantines[number % quarantines.len()];
+        quarantine.record_crash(vec![BAD], format!("engine-{number}/1"));
+        sleep(TOUCH).await;
+    }
+}
+
+#[rstest]
+#[case::few(4)]
+#[case::many(118)]
+#[tokio::test(start_paused = true)]
+async fn a_store_without_the_records_gets_them_back_without_a_storm(#[case] count: usize) {
+    let store = ControlStore::default();
+    let quarantines = start_quarantines(&store, count);
+    crash_engines(&quarantines).await;
+    let before = (store.quarantine_writes(), store.calls());
+
+    store.set_away(true);
+    store.forget_quarantines();
+    sleep(TOUCH).await;
+    store.set_away(false);
+    sleep(Duration::from_secs(30)).await;
+
+    let writes = store.quarantine_writes() - before.0;
+    let calls = store.calls() - before.1;
+    eprintln!("MEASURE {count}: {writes} writes, {calls} calls in 30 s; before {before:?}");
+    assert_eq!(store.stored_quarantines().len(), 1);
+    assert!(writes <= MAX_REWRITES, "{writes} writes of {calls} calls");
+    assert!(calls <= 16 * count as u64, "{calls} calls");
+    assert!(quarantines.iter().all(|quarantine| quarantine.refused(&[BAD]) == Some(BAD)));
+}
+
+#[rstest]
+#[case::few(4)]
+#[case::many(118)]
+#[tokio::test(start_paused = true)]
+async fn a_crash_that_all_entry_vms_see_is_written_few_times_by_each(#[case] count: usize) {
+    let store = ControlStore::default();
+    let quarantines = start_quarantines(&store, count);
+    sleep(TOUCH).await;
+    let before = store.quarantine_writes();
+
+    for number in 0..CRASHES {
+        for quarantine in &quarantines {
+            quarantine.record_crash(vec![BAD], format!("engine-{number}/1"));
+        }
+        sleep(TOUCH).await;
+    }
+
+    let writes = store.quarantine_writes() - before;
+    assert!(writes <= (2 * count * CRASHES) as u64, "{writes} writes");
+    assert!(quarantines.iter().all(|quarantine| quarantine.refused(&[BAD]) == Some(BAD)));
 }
