--- a/coordination/src/quarantine.rs
+++ b/coordination/src/quarantine.rs
@@ -2,6 +2,7 @@
 
 mod entry;
 mod ledger;
+mod outages;
 mod record;
 mod settlements;
 mod verdicts;
--- a/coordination/src/quarantine/entry.rs
+++ b/coordination/src/quarantine/entry.rs
@@ -1,4 +1,5 @@
 use super::Record;
+use super::outages::Outages;
 use std::time::Duration;
 
 /// Time without another crash after which the next one makes a new moment.
@@ -34,12 +35,12 @@
     }
 
     /// Adds a crash; returns whether the record changed.
-    pub(super) fn add_crash(&mut self, now: Duration, engine: &str) -> bool {
-        let is_new_moment = self.record.moments() == 0 || now >= self.moment_at + MOMENT;
-        if !self.record.add_crash(engine, is_new_moment) {
+    pub(super) fn add_crash(&mut self, now: Duration, engine: &str, outages: &Outages) -> bool {
+        if !self.record.add_crash(engine) {
             return false;
         }
-        if is_new_moment {
+        if self.record.moments() == 0 || now >= self.moment_at + MOMENT {
+            self.record.add_moment(outages.are_focused(now, &self.record));
             self.moment_at = now;
         }
         self.is_own = true;
--- a/coordination/src/quarantine/ledger.rs
+++ b/coordination/src/quarantine/ledger.rs
@@ -1,9 +1,12 @@
 use super::entry::Entry;
+use super::outages::Outages;
 use super::settlements::Settlements;
 use super::{Record, Verdicts};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+/// Crashes of a record that is worth a write to the store to clear.
+const MIN_ACQUITTED: usize = 2;
 /// Records that are kept.
 const MAX_RECORDS: usize = 1_024;
 
@@ -12,6 +15,7 @@
 pub struct Ledger {
     entries: BTreeMap<u64, Entry>,
     settlements: Settlements,
+    outages: Outages,
     /// Parts whose records this VM changed last and has dropped for lack of room.
     dropped: BTreeSet<u64>,
 }
@@ -32,7 +36,7 @@
         for part in parts {
             let is_proven = settlements.is_proven(now, *part);
             if let Some(entry) = self.entries.get_mut(part)
-                && entry.record().moments() > 0
+                && entry.record().crashes().len() >= MIN_ACQUITTED
                 && (is_proven || !entry.record().is_condemned())
             {
                 entry.acquit(now);
@@ -52,8 +56,13 @@
         for part in doubted.iter().chain(&suspects) {
             self.settlements.doubt(*part);
         }
+        if !suspects.is_empty() {
+            self.outages.record(now, engine);
+        }
         for part in suspects {
-            if self.entry(now, part).add_crash(now, engine) {
+            self.make_room(part);
+            let entry = self.entries.entry(part).or_insert_with(|| Entry::new(now));
+            if entry.add_crash(now, engine, &self.outages) {
                 changed.push(part);
             }
         }
@@ -64,7 +73,11 @@
     /// more than the copy.
     pub fn merge(&mut self, now: Duration, part: u64, record: &Record) -> bool {
         let is_proven = self.settlements.is_proven(now, part);
-        let entry = self.entry(now, part);
+        for engine in record.crashes() {
+            self.outages.record(now, engine);
+        }
+        self.make_room(part);
+        let entry = self.entries.entry(part).or_insert_with(|| Entry::new(now));
         entry.merge(now, record);
         if is_proven && entry.record().is_condemned() {
             entry.acquit(now);
@@ -132,27 +145,22 @@
         !others.any(|(_, other)| other.explains(record))
     }
 
-    /// The parts to which a crash is attributed: those that are already known to be at fault, or
-    /// else those that have not settled lately.
+    /// The parts to which a crash is attributed: those that have not settled lately and those that
+    /// are condemned all the same.
+    ///
+    /// A part that only accompanies the one at fault thus has no crash that this one lacks.
     fn suspects(&self, now: Duration, parts: &[u64]) -> BTreeSet<u64> {
-        let with = |is_suspect: &dyn Fn(u64) -> bool| {
-            parts.iter().copied().filter(|part| is_suspect(*part)).collect::<BTreeSet<_>>()
-        };
-        let refused = with(&|part| self.is_refused(part, parts));
-        if refused.is_empty() {
-            with(&|part| !self.settlements.contains(now, part))
-        } else {
-            refused
-        }
+        let is_suspect =
+            |part: &u64| !self.settlements.contains(now, *part) || self.is_refused(*part, parts);
+        parts.iter().copied().filter(is_suspect).collect()
     }
 
-    /// Entry of a part; a new one may take the place of another.
-    fn entry(&mut self, now: Duration, part: u64) -> &mut Entry {
+    /// Drops another record if that of a part is new and there is no room.
+    fn make_room(&mut self, part: u64) {
         self.dropped.remove(&part);
         if !self.entries.contains_key(&part) && self.entries.len() >= MAX_RECORDS {
             self.drop_one();
         }
-        self.entries.entry(part).or_insert_with(|| Entry::new(now))
     }
 
     /// Drops the record that changed longest ago, one of a condemned part last.
--- a/coordination/src/quarantine/record.rs
+++ b/coordination/src/quarantine/record.rs
@@ -2,10 +2,12 @@
 use std::collections::BTreeSet;
 
 /// Crashes of distinct engines after which a part is condemned.
-const MIN_CRASHES: usize = 5;
-/// Distinct moments at which these engines crashed. What ends many engines at once, such as the
-/// loss of a rack, makes one moment.
-const MIN_MOMENTS: u32 = 2;
+const MIN_CRASHES: usize = 4;
+/// Distinct moments at which these engines crashed, if most engines that crashed then did so under
+/// this part. What ends many engines at once, such as the loss of a rack, makes one moment.
+const MIN_FOCUSED: u32 = 2;
+/// The same if others crashed as well.
+const MIN_MOMENTS: u32 = 8;
 /// Crashes that a record keeps.
 const MAX_CRASHES: usize = 64;
 /// Crashes of an explained part that the explaining part has no share in.
@@ -15,7 +17,7 @@
 ///
 /// Records of a part form a join semilattice: copies may arrive late, twice and in any order.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
+#[serde(default, rename_all = "snake_case")]
 pub struct Record {
     /// Number of times that the part was acquitted.
     round: u32,
@@ -23,6 +25,8 @@
     crashes: BTreeSet<String>,
     /// Number of moments at which they crashed.
     moments: u32,
+    /// Number of those moments at which most engines that crashed did so under this part.
+    focused: u32,
 }
 
 impl Record {
@@ -38,12 +42,14 @@
         self.crashes.extend(other.crashes.iter().cloned());
         self.truncate();
         self.moments = self.moments.max(other.moments);
+        self.focused = self.focused.max(other.focused);
         *self != before
     }
 
     /// Whether the part is at fault, unless another part explains its crashes.
     pub fn is_condemned(&self) -> bool {
-        self.crashes.len() >= MIN_CRASHES && self.moments >= MIN_MOMENTS
+        self.crashes.len() >= MIN_CRASHES
+            && (self.focused >= MIN_FOCUSED || self.moments >= MIN_MOMENTS)
     }
 
     /// Number of times that the part was acquitted.
@@ -61,22 +67,31 @@
         self.moments
     }
 
+    /// Whether an engine crashed in this round.
+    pub(super) fn has_crash(&self, engine: &str) -> bool {
+        self.crashes.contains(engine)
+    }
+
     /// Whether this part accounts for the crashes of another, which was only present at them.
     pub(super) fn explains(&self, other: &Record) -> bool {
-        // The difference is at least that of the lengths.
-        other.crashes.len() <= self.crashes.len() + MAX_UNEXPLAINED
-            && other.crashes.difference(&self.crashes).nth(MAX_UNEXPLAINED).is_none()
+        let is_full = self.crashes.len() >= MAX_CRASHES;
+        // Names beyond the last one of a full record may have been left out.
+        let is_known = |name: &&String| !is_full || Some(*name) <= self.crashes.last();
+        let unexplained = other.crashes.difference(&self.crashes).filter(is_known);
+        unexplained.take(MAX_UNEXPLAINED + 1).count() <= MAX_UNEXPLAINED
     }
 
     /// Adds a crash; returns whether the record changed.
-    pub(super) fn add_crash(&mut self, engine: &str, is_new_moment: bool) -> bool {
-        let before = self.clone();
-        self.crashes.insert(engine.to_owned());
+    pub(super) fn add_crash(&mut self, engine: &str) -> bool {
+        let is_new = self.crashes.insert(engine.to_owned());
         self.truncate();
-        if self.crashes != before.crashes && is_new_moment {
-            self.moments = self.moments.saturating_add(1);
-        }
-        *self != before
+        is_new && self.crashes.contains(engine)
+    }
+
+    /// Adds a moment.
+    pub(super) fn add_moment(&mut self, is_focused: bool) {
+        self.moments = self.moments.saturating_add(1);
+        self.focused = self.focused.saturating_add(is_focused.into());
     }
 
     /// Begins a new round without crashes.
--- a/coordination/tests/fleet/mod.rs
+++ b/coordination/tests/fleet/mod.rs
@@ -22,6 +22,8 @@
 const SETTLING_MS: u64 = 300;
 /// Attempts of one request, each at another engine.
 const ATTEMPTS: usize = 6;
+/// Pause of a VM between the end of a watch and the next one.
+const WATCH_PAUSE_MS: u64 = 200;
 const STORE_TIMEOUT_MS: u64 = 1_000;
 /// The part that crashes engines.
 pub const BAD: u64 = 666;
@@ -451,6 +453,16 @@
         }
         if self.vms[vm].verdicts.refused(&parts).is_some() {
             if !is_bad {
+                if std::env::var("DBG").is_ok() && self.outcome.refused.is_empty() {
+                    let part = self.vms[vm].verdicts.refused(&parts);
+                    eprintln!(
+                        "seed {} t {} refused {part:?} of {parts:?}",
+                        self.plan.seed, self.now
+                    );
+                    for (p, r) in self.vms[vm].ledger.records() {
+                        eprintln!("   {p} {r:?}");
+                    }
+                }
                 self.outcome.refused.push(self.now);
             }
             return;
@@ -620,12 +632,23 @@
         }
     }
 
+    /// Lets a VM watch for changes, which it does with pauses.
+    fn notify(&mut self, vm: usize) {
+        if self.vms[vm].is_notified {
+            return;
+        }
+        self.vms[vm].is_notified = true;
+        let next = self.vms[vm].synced_at.map_or(0, |at| at + WATCH_PAUSE_MS);
+        let at = next.max(self.now) + self.random.random_range(2..30);
+        let start = self.vms[vm].start;
+        self.push(at, Event::Sync(vm, start));
+    }
+
     fn arrive(&mut self, vm: usize, start: u32, write: Write) {
         let answer = self.store.put(self.now, write.part, write.known, &write.record);
         if answer.is_ok() {
             for watcher in 0..self.vms.len() {
-                let start = self.vms[watcher].start;
-                self.after(2..30, Event::Sync(watcher, start));
+                self.notify(watcher);
             }
         }
         if start > 0 {
--- a/coordination/tests/fleet/vm.rs
+++ b/coordination/tests/fleet/vm.rs
@@ -15,6 +15,8 @@
     pub disturbed_at: Option<u64>,
     pub ledger: Ledger,
     pub verdicts: Verdicts,
+    pub is_notified: bool,
+    pub synced_at: Option<u64>,
     /// Offset of its steady clock.
     clock: u64,
     cursor: usize,
@@ -54,6 +56,8 @@
 
     /// Merges what changed in the store since the last call.
     pub fn sync(&mut self, now: u64, store: &mut Store) {
+        self.is_notified = false;
+        self.synced_at = Some(now);
         if self.era != Some(store.era()) {
             self.list(now, store);
             return;
