--- a/coordination/src/quarantine/outages.rs
+++ b/coordination/src/quarantine/outages.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 /// Time for which the end of an engine counts.
-const LIFETIME: Duration = Duration::from_secs(10);
+const LIFETIME: Duration = Duration::from_secs(2);
 /// Engines that are remembered.
 const MAX_ENGINES: usize = 1_024;
 
--- a/coordination/src/quarantine/record.rs
+++ b/coordination/src/quarantine/record.rs
@@ -7,7 +7,7 @@
 /// this part. What ends many engines at once, such as the loss of a rack, makes one moment.
 const MIN_FOCUSED: u32 = 2;
 /// The same if others crashed as well.
-const MIN_MOMENTS: u32 = 8;
+const MIN_MOMENTS: u32 = 7;
 /// Crashes that a record keeps.
 const MAX_CRASHES: usize = 64;
 /// Crashes of an explained part that the explaining part has no share in.
