Test the quarantine's calls of the store, suspension of a VM and expiry

Without news, 4 and 118 entry VMs make at most three calls a minute each; an entry VM that stood still through ten crashes refuses the part within a second of its return; the record of a condemned part is deleted after its hour by ten writes at most. Deletions are spread over 30 s, within the time for which other VMs keep a record longer than the one that changed it last.

--- a/quetzaltiller/src/quarantine/task.rs
+++ b/quetzaltiller/src/quarantine/task.rs
@@ -25,8 +25,9 @@
 const REWRITE_SPREAD: Duration = Duration::from_millis(2_000);
 /// Interval between searches for records past their lifetime.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
-/// Time over which entry VMs spread deletions of such records.
-const DELETION_SPREAD: Duration = Duration::from_secs(60);
+/// Time over which entry VMs spread deletions of such records; others keep a record for longer than
+/// the VM that changed it last, which spares them the deletion.
+const DELETION_SPREAD: Duration = Duration::from_secs(30);
 /// Maximum number of records that wait to be written or deleted.
 const MAX_PENDING: usize = 1_024;
 
--- a/quetzaltiller/tests/quarantine.rs
+++ b/quetzaltiller/tests/quarantine.rs
@@ -296,14 +296,20 @@
 }
 
 fn start_quarantines(store: &ControlStore, count: usize) -> Vec<Quarantine> {
+    start_scopes(store, count).into_iter().map(|(_, quarantine)| quarantine).collect()
+}
+
+fn start_scopes(store: &ControlStore, count: usize) -> Vec<(Scope, Quarantine)> {
     let start = |number: usize| {
+        let scope = Scope::default();
         let dependencies = quarantine::Dependencies {
             name: format!("entry-{number}"),
             clock: Clock::default(),
             store: Arc::new(store.clone()),
             metrics: Arc::new(Metrics::new(None)),
         };
-        Quarantine::start(&Scope::default(), dependencies)
+        let quarantine = Quarantine::start(&scope, dependencies);
+        (scope, quarantine)
     };
     (0..count).map(start).collect()
 }
@@ -363,3 +369,58 @@
     assert!(writes <= (2 * count * CRASHES) as u64, "{writes} writes");
     assert!(quarantines.iter().all(|quarantine| quarantine.refused(&[BAD]) == Some(BAD)));
 }
+
+#[rstest]
+#[case::few(4)]
+#[case::many(118)]
+#[tokio::test(start_paused = true)]
+async fn without_news_each_entry_vm_calls_the_store_three_times_a_minute(#[case] count: usize) {
+    let store = ControlStore::default();
+    let _quarantines = start_quarantines(&store, count);
+    sleep(TOUCH).await;
+    let before = store.calls();
+
+    sleep(Duration::from_secs(600)).await;
+
+    let calls = store.calls() - before;
+    assert!(calls <= 30 * count as u64, "{calls} calls in ten minutes");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_entry_vm_that_was_suspended_learns_of_the_quarantine_at_once() {
+    let store = ControlStore::default();
+    let entries = start_scopes(&store, 3);
+    let (scope, suspended) = &entries[0];
+    sleep(TOUCH).await;
+
+    scope.set_frozen(true);
+    let awake: Vec<_> = entries[1..].iter().map(|(_, quarantine)| quarantine.clone()).collect();
+    crash_engines(&awake).await;
+    let before = suspended.refused(&[BAD]);
+    scope.set_frozen(false);
+    sleep(TOUCH / 3).await;
+
+    assert_eq!(before, None);
+    assert_eq!(suspended.refused(&[BAD]), Some(BAD));
+}
+
+/// The record of a condemned part lasts for an hour.
+#[rstest]
+#[case::few(4)]
+#[case::many(118)]
+#[tokio::test(start_paused = true)]
+async fn an_expired_record_is_deleted_by_few_entry_vms(#[case] count: usize) {
+    let store = ControlStore::default();
+    let quarantines = start_quarantines(&store, count);
+    crash_engines(&quarantines).await;
+    let before = store.quarantine_writes();
+
+    sleep(Duration::from_secs(3_500)).await;
+    let held = store.stored_quarantines().len();
+    sleep(Duration::from_secs(300)).await;
+
+    let writes = store.quarantine_writes() - before;
+    assert_eq!((held, store.stored_quarantines().len()), (1, 0));
+    assert!(writes <= MAX_REWRITES, "{writes} writes");
+    assert!(quarantines.iter().all(|quarantine| quarantine.refused(&[BAD]).is_none()));
+}
