Doubt settled parts when a run with them crashes; moments that count and moments that are focused apart

A run that seems settled because its connection was delayed, 1 in 20, acquitted the bad part for a minute; an unfocused moment hid a focused one for 0.5 s and the time in which VMs learn of it. Change: a crash takes back what single settled runs prove; focused moments have their own time.

--- a/coordination/src/quarantine/entry.rs
+++ b/coordination/src/quarantine/entry.rs
@@ -17,14 +17,15 @@
     /// Whether this VM changed the record last.
     is_own: bool,
     changed_at: Duration,
-    /// Time at which this VM learned of the last moment.
+    /// Times at which this VM learned of the last moment and of the last focused one.
     moment_at: Duration,
+    focused_at: Duration,
 }
 
 impl Entry {
     /// Entry without crashes.
     pub(super) fn new(now: Duration) -> Self {
-        Self { changed_at: now, moment_at: now, ..Self::default() }
+        Self { changed_at: now, moment_at: now, focused_at: now, ..Self::default() }
     }
 
     /// Begins a new round without crashes.
@@ -40,9 +41,14 @@
             return false;
         }
         if self.record.moments() == 0 || now >= self.moment_at + MOMENT {
-            self.record.add_moment(outages.are_focused(now, &self.record));
+            self.record.add_moment();
             self.moment_at = now;
         }
+        let may_focus = self.record.focused() == 0 || now >= self.focused_at + MOMENT;
+        if may_focus && outages.are_focused(now, &self.record) {
+            self.record.add_focused();
+            self.focused_at = now;
+        }
         self.is_own = true;
         self.changed_at = now;
         true
@@ -50,14 +56,18 @@
 
     /// Joins a copy of the record.
     pub(super) fn merge(&mut self, now: Duration, record: &Record) {
-        let moment = (self.record.round(), self.record.moments());
+        let before = self.record.clone();
         if self.record.merge(record) {
             self.is_own = false;
             self.changed_at = now;
         }
-        if moment != (self.record.round(), self.record.moments()) {
+        let is_other_round = self.record.round() != before.round();
+        if is_other_round || self.record.moments() != before.moments() {
             self.moment_at = now;
         }
+        if is_other_round || self.record.focused() != before.focused() {
+            self.focused_at = now;
+        }
     }
 
     /// Whether the record is within its lifetime.
--- a/coordination/src/quarantine/ledger.rs
+++ b/coordination/src/quarantine/ledger.rs
@@ -51,10 +51,12 @@
     pub fn record_crash(&mut self, now: Duration, parts: &[u64], engine: &str) -> Vec<u64> {
         let mut changed = Vec::new();
         let suspects = self.suspects(now, parts);
-        // One of the parts may be at fault all the same.
-        let doubted = if suspects.is_empty() { parts } else { &[] };
-        for part in doubted.iter().chain(&suspects) {
-            self.settlements.doubt(*part);
+        // The connection of a part that settled once may have been delayed. If all parts are
+        // proven, one of them may be at fault all the same.
+        for part in parts {
+            if suspects.is_empty() || !self.settlements.is_proven(now, *part) {
+                self.settlements.doubt(*part);
+            }
         }
         if !suspects.is_empty() {
             self.outages.record(now, engine);
--- a/coordination/src/quarantine/record.rs
+++ b/coordination/src/quarantine/record.rs
@@ -25,7 +25,7 @@
     crashes: BTreeSet<String>,
     /// Number of moments at which they crashed.
     moments: u32,
-    /// Number of those moments at which most engines that crashed did so under this part.
+    /// Number of moments at which most engines that crashed did so under this part.
     focused: u32,
 }
 
@@ -67,6 +67,11 @@
         self.moments
     }
 
+    /// Number of moments at which most engines that crashed did so under this part.
+    pub fn focused(&self) -> u32 {
+        self.focused
+    }
+
     /// Whether an engine crashed in this round.
     pub(super) fn has_crash(&self, engine: &str) -> bool {
         self.crashes.contains(engine)
@@ -88,10 +93,14 @@
         is_new && self.crashes.contains(engine)
     }
 
-    /// Adds a moment.
-    pub(super) fn add_moment(&mut self, is_focused: bool) {
+    /// Adds a moment at which an engine crashed.
+    pub(super) fn add_moment(&mut self) {
         self.moments = self.moments.saturating_add(1);
-        self.focused = self.focused.saturating_add(is_focused.into());
+    }
+
+    /// Adds a moment at which most engines that crashed did so under this part.
+    pub(super) fn add_focused(&mut self) {
+        self.focused = self.focused.saturating_add(1);
     }
 
     /// Begins a new round without crashes.
--- a/coordination/tests/fleet/mod.rs
+++ b/coordination/tests/fleet/mod.rs
@@ -646,7 +646,19 @@
 
     fn arrive(&mut self, vm: usize, start: u32, write: Write) {
         let answer = self.store.put(self.now, write.part, write.known, &write.record);
-        if std::env::var("DBGP").is_ok() && write.part == BAD { let r = &write.record; eprintln!("{} put ok={} round {} n {} moments {} {} cond {}", self.now, answer.is_ok(), r.round(), r.crashes().len(), r.moments(), serde_json::to_value(r).unwrap()["focused"], r.is_condemned()); }
+        if std::env::var("DBGP").is_ok() && write.part == BAD {
+            let r = &write.record;
+            eprintln!(
+                "{} put ok={} round {} n {} moments {} {} cond {}",
+                self.now,
+                answer.is_ok(),
+                r.round(),
+                r.crashes().len(),
+                r.moments(),
+                serde_json::to_value(r).unwrap()["focused"],
+                r.is_condemned()
+            );
+        }
         if answer.is_ok() {
             for watcher in 0..self.vms.len() {
                 self.notify(watcher);
--- a/coordination/tests/quarantine.rs
+++ b/coordination/tests/quarantine.rs
@@ -42,7 +42,21 @@
                         let all: Vec<Outcome> = (from..from + seeds)
                             .map(|seed| play(Plan { vms, seed, trouble, bad_rate, shape, cause }))
                             .collect();
-                        if std::env::var("LATE").is_ok() { for (i, o) in all.iter().enumerate() { if o.late() > 3 { let f = o.crashes[4]; println!("seed {i}: crashes {:?} sent late {:?}", o.crashes, o.bad_sent.iter().filter(|s| **s > f + 3000).collect::<Vec<_>>()); } } }
+                        if std::env::var("LATE").is_ok() {
+                            for (i, o) in all.iter().enumerate() {
+                                if o.late() > 3 {
+                                    let f = o.crashes[4];
+                                    println!(
+                                        "seed {i}: crashes {:?} sent late {:?}",
+                                        o.crashes,
+                                        o.bad_sent
+                                            .iter()
+                                            .filter(|s| **s > f + 3000)
+                                            .collect::<Vec<_>>()
+                                    );
+                                }
+                            }
+                        }
                         let late = all.iter().map(Outcome::late).max().unwrap();
                         let over = all.iter().filter(|o| o.late() > 3).count();
                         let crashes = all.iter().map(|o| o.crashes.len()).max().unwrap();
@@ -72,12 +86,18 @@
     for vms in arg("VMS", "4 27 118").split(' ').map(|v| v.parse().unwrap()) {
         for cause in [Cause::Rack, Cause::Zones, Cause::Release, Cause::Overload] {
             for trouble in [Trouble::Calm, Trouble::Killed] {
-                let all: Vec<Outcome> = (0..seeds).map(|seed| play(Plan { vms, seed, trouble, bad_rate: 0.0, shape: Shape::Fresh, cause })).collect();
+                let all: Vec<Outcome> = (0..seeds)
+                    .map(|seed| {
+                        play(Plan { vms, seed, trouble, bad_rate: 0.0, shape: Shape::Fresh, cause })
+                    })
+                    .collect();
                 let refall: usize = all.iter().map(|o| o.refused.len()).sum();
                 let hit = all.iter().filter(|o| !o.refused.is_empty()).count();
                 let sound: usize = all.iter().map(|o| o.sound.len()).sum();
                 let calls = all.iter().map(|o| o.calls).max().unwrap();
-                println!("{vms:4} {cause:?} {trouble:?}: refused {refall} of {sound}, seeds hit {hit}; calls {calls}");
+                println!(
+                    "{vms:4} {cause:?} {trouble:?}: refused {refall} of {sound}, seeds hit {hit}; calls {calls}"
+                );
             }
         }
     }
