--- /dev/null
+++ b/coordination/src/quarantine/record.rs
@@ -0,0 +1,117 @@
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+
+/// Crashes of distinct engines after which a part is condemned.
+const MIN_CRASHES: usize = 4;
+/// Distinct moments at which these engines crashed, if most engines that crashed then did so under
+/// this part. What ends many engines at once, such as the loss of a rack, makes one moment.
+const MIN_FOCUSED: u32 = 2;
+/// The same if others crashed as well.
+const MIN_MOMENTS: u32 = 7;
+/// Crashes that a record keeps.
+const MAX_CRASHES: usize = 64;
+/// Crashes of an explained part that the explaining part has no share in.
+const MAX_UNEXPLAINED: usize = 1;
+
+/// Crashes of engines that began to answer a prompt with one part.
+///
+/// Records of a part form a join semilattice: copies may arrive late, twice and in any order.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, rename_all = "snake_case")]
+pub struct Record {
+    /// Number of times that the part was acquitted.
+    round: u32,
+    /// Names of the engines that crashed in this round, one for each start of a process.
+    crashes: BTreeSet<String>,
+    /// Number of moments at which they crashed.
+    moments: u32,
+    /// Number of moments at which most engines that crashed did so under this part.
+    focused: u32,
+}
+
+impl Record {
+    /// Joins another copy of the record; returns whether this one changed.
+    pub fn merge(&mut self, other: &Record) -> bool {
+        if other.round < self.round {
+            return false;
+        }
+        let before = self.clone();
+        if other.round > self.round {
+            *self = Self { round: other.round, ..Self::default() };
+        }
+        self.crashes.extend(other.crashes.iter().cloned());
+        self.truncate();
+        self.moments = self.moments.max(other.moments);
+        self.focused = self.focused.max(other.focused);
+        *self != before
+    }
+
+    /// Whether the part is at fault, unless another part explains its crashes.
+    pub fn is_condemned(&self) -> bool {
+        self.crashes.len() >= MIN_CRASHES
+            && (self.focused >= MIN_FOCUSED || self.moments >= MIN_MOMENTS)
+    }
+
+    /// Number of times that the part was acquitted.
+    pub fn round(&self) -> u32 {
+        self.round
+    }
+
+    /// Names of the engines that crashed in this round.
+    pub fn crashes(&self) -> impl ExactSizeIterator<Item = &str> {
+        self.crashes.iter().map(String::as_str)
+    }
+
+    /// Number of moments at which they crashed.
+    pub fn moments(&self) -> u32 {
+        self.moments
+    }
+
+    /// Number of moments at which most engines that crashed did so under this part.
+    pub fn focused(&self) -> u32 {
+        self.focused
+    }
+
+    /// Whether an engine crashed in this round.
+    pub(super) fn has_crash(&self, engine: &str) -> bool {
+        self.crashes.contains(engine)
+    }
+
+    /// Whether this part accounts for the crashes of another, which was only present at them.
+    pub(super) fn explains(&self, other: &Record) -> bool {
+        let is_full = self.crashes.len() >= MAX_CRASHES;
+        // Names beyond the last one of a full record may have been left out.
+        let is_known = |name: &&String| !is_full || Some(*name) <= self.crashes.last();
+        let unexplained = other.crashes.difference(&self.crashes).filter(is_known);
+        unexplained.take(MAX_UNEXPLAINED + 1).count() <= MAX_UNEXPLAINED
+    }
+
+    /// Adds a crash; returns whether the record changed.
+    pub(super) fn add_crash(&mut self, engine: &str) -> bool {
+        let is_new = self.crashes.insert(engine.to_owned());
+        self.truncate();
+        is_new && self.crashes.contains(engine)
+    }
+
+    /// Adds a moment at which an engine crashed.
+    pub(super) fn add_moment(&mut self) {
+        self.moments = self.moments.saturating_add(1);
+    }
+
+    /// Adds a moment at which most engines that crashed did so under this part.
+    pub(super) fn add_focused(&mut self) {
+        self.focused = self.focused.saturating_add(1);
+    }
+
+    /// Begins a new round without crashes.
+    pub(super) fn acquit(&mut self) {
+        *self = Self { round: self.round.saturating_add(1), ..Self::default() };
+    }
+
+    /// Keeps the same crashes at each VM: those whose names come first.
+    fn truncate(&mut self) {
+        while self.crashes.len() > MAX_CRASHES {
+            self.crashes.pop_last();
+        }
+    }
+}
--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -5,6 +5,7 @@
 //! engine that sent the first event. A stream that can't be resumed is cut off, so that it does not
 //! look complete.
 
+use super::beginning::Beginning;
 use super::caller::Caller;
 use super::copies::{Copies, CopyResult};
 use super::event::Event;
@@ -116,6 +117,7 @@
     tried: Vec<String>,
     /// Connection of the newest run; connections of checks don't count.
     run_conn: Option<u32>,
+    beginning: Beginning,
     /// Number of events sent to the caller.
     events: u32,
     pauses: Pauses,
@@ -145,6 +147,7 @@
         let (copies, copy_results) = Copies::new(&request.id);
         let (notices, received) = mpsc::channel(NOTICE_QUEUE);
         let inbox = Inbox { notices: received, placements, copy_results };
+        let beginning = Beginning::new(context.clone(), request.clone());
         let task = Self {
             context,
             request,
@@ -159,6 +162,7 @@
             sent: 0,
             tried: Vec::new(),
             run_conn: None,
+            beginning,
             events: 0,
             pauses: Pauses::new(now),
             activity_reported_at: Duration::ZERO,
@@ -247,6 +251,9 @@
         cached: Option<String>,
         resumed: bool,
     ) {
+        if self.end_if_quarantined() {
+            return;
+        }
         if resumed {
             self.pauses.record_loss();
             info!("generation_moves", kv: {
@@ -304,7 +311,21 @@
         }
     }
 
+    /// Ends a generation whose prompt has meanwhile been found to crash engines; returns whether
+    /// it has.
+    fn end_if_quarantined(&mut self) -> bool {
+        let is_quarantined = self.context.is_quarantined(&self.request);
+        if is_quarantined {
+            self.retry_after = Duration::from_millis(Code::Quarantined.retry_after_ms());
+            self.advance(Input::Exhausted(Code::Quarantined));
+        }
+        is_quarantined
+    }
+
     fn handle_placement(&mut self, result: PlacementResult) {
+        if result.is_ok() && self.end_if_quarantined() {
+            return;
+        }
         match result {
             Err(failure) => {
                 let now = self.context.clock.now();
@@ -420,11 +441,20 @@
                 if self.events == 0 {
                     self.caller.set_head(head);
                 }
+                if let Some(upstream) = self.primary() {
+                    self.beginning.record_head(conn, upstream);
+                }
                 self.advance(Input::Opened(conn));
             }
             Notice::Alive(conn) => self.advance(Input::Opened(conn)),
-            Notice::Event(conn, event) => self.handle_event(conn, event).await,
-            Notice::Ended(conn) => self.advance(Input::Chunk(conn, Piece::End)),
+            Notice::Event(conn, event) => {
+                self.beginning.record_event(conn);
+                self.handle_event(conn, event).await;
+            }
+            Notice::Ended(conn) => {
+                self.beginning.record_end(conn);
+                self.advance(Input::Chunk(conn, Piece::End));
+            }
             Notice::Answered(conn, answer) => {
                 let is_final = answer.status.is_client_error();
                 self.error_answer = Some(answer);
@@ -450,6 +480,7 @@
             request = self.request.id, upstream, conn, reason:? = error.to_string(),
             silent_ms = self.machine.silence(self.context.clock.now()).as_millis() as u64
         });
+        self.beginning.record_break(conn);
         match error {
             // The engine has no such copy or no free slot; it did not fail.
             engine::Error::Busy => {}
