--- a/coordination/src/quarantine/ledger.rs
+++ b/coordination/src/quarantine/ledger.rs
@@ -53,10 +53,10 @@
         let suspects = self.suspects(now, parts);
         // The connection of a part that settled once may have been delayed. If all parts are
         // proven, one of them may be at fault all the same.
-        for part in parts {
-            if suspects.is_empty() || !self.settlements.is_proven(now, *part) {
-                self.settlements.doubt(*part);
-            }
+        let (proven, unproven) =
+            parts.iter().partition::<Vec<u64>, _>(|part| self.settlements.is_proven(now, **part));
+        for part in if unproven.is_empty() { proven } else { unproven } {
+            self.settlements.doubt(part);
         }
         if !suspects.is_empty() {
             self.outages.record(now, engine);
