--- a/coordination/src/quarantine/record.rs
+++ b/coordination/src/quarantine/record.rs
@@ -9,7 +9,7 @@
 /// The same if others crashed as well.
 const MIN_MOMENTS: u32 = 7;
 /// Crashes that a record keeps.
-const MAX_CRASHES: usize = 64;
+const MAX_CRASHES: usize = 256;
 /// Crashes of an explained part that the explaining part has no share in.
 const MAX_UNEXPLAINED: usize = 1;
 
--- a/coordination/tests/quarantine.rs
+++ b/coordination/tests/quarantine.rs
@@ -50,7 +50,7 @@
 
 /// Records with up to twice the crashes that one keeps, once they are merged.
 fn any_record() -> impl Strategy<Value = Record> {
-    let engines = prop::collection::vec(0_u32..200, 0..100);
+    let engines = prop::collection::vec(0_u32..800, 0..400);
     (0_u32..3, engines, 0_u32..9, 0_u32..4)
         .prop_map(|(round, engines, moments, focused)| record(round, &engines, moments, focused))
 }
@@ -104,11 +104,11 @@
 /// More engines than a record keeps crash before there are enough moments.
 #[test]
 fn a_full_record_still_counts_moments() {
-    let full = (0..64).collect::<Vec<_>>();
+    let full = (0..256).collect::<Vec<_>>();
     let mut ledger = Ledger::new();
     ledger.merge(ms(0), BAD, &record(0, &full, 6, 0));
 
-    let changed = ledger.record_crash(ms(500), &[BAD], "the-65th");
+    let changed = ledger.record_crash(ms(500), &[BAD], "one-more");
 
     assert_eq!(changed, [BAD]);
     assert_eq!(ledger.refused(ms(500), &[BAD]), Some(BAD));
@@ -278,7 +278,7 @@
 
     let all = merged(&[&record(0, &engines, 1, 1)]);
 
-    assert_eq!(all.crashes().len(), 64);
+    assert_eq!(all.crashes().len(), 256);
 }
 
 /// An odd record at the end of its counts.
