A run has settled only after more events than a crashing engine sends

Cause: 300 ms after the head alone showed that an engine survives a run; a retransmission can deliver an event that late from an engine that has ended.

--- a/quetzaltiller/src/proxy/beginning.rs
+++ b/quetzaltiller/src/proxy/beginning.rs
@@ -1,8 +1,9 @@
 //! Observes whether engines survive the beginning of a generation's runs.
 //!
 //! An engine that a prompt crashes ends right after the head of its answer. A run has settled once
-//! an event arrives later than that. Where a run breaks before, its engine is checked: only one
-//! that has ended may have been crashed by the run.
+//! more events than it can send until then have arrived, some time after the head: a delayed
+//! connection may deliver the first ones long after the engine's end. Where a run breaks before,
+//! its engine is checked: only one that has ended may have been crashed by the run.
 
 use super::{CHECK_LIMIT, Context, Prompt, Request};
 use crate::fleet::Upstream;
@@ -10,6 +11,8 @@
 
 /// Time after the head of an answer from which an event shows that the engine survives the run.
 const SETTLING_TIME: Duration = Duration::from_millis(300);
+/// Number of events from which a run has settled: more than an engine sends in a tenth of a second.
+const SETTLING_EVENTS: u32 = 8;
 
 /// A run whose head has arrived and that has not settled.
 struct Unsettled {
@@ -45,7 +48,7 @@
             return;
         };
         run.events += 1;
-        if now >= run.head_at + SETTLING_TIME {
+        if run.events >= SETTLING_EVENTS && now >= run.head_at + SETTLING_TIME {
             self.unsettled = None;
             self.context.quarantine.record_settled(self.shared_parts());
         }
