Engines that turn a begun answer away neither use up its attempts nor its retry budget

Change: runs that were turned away don't count as attempts; nor do those whose connection broke and whose engine was then found ended, which is kept. An answer that has begun and has no attempts left waits a second for that to be known. It asks three engines at once and then one after each pause, 0.25 s doubling to 2 s, as each request draws on the retry budget. A pause that was set for one run ends with it. A run that can't be resumed is not placed again after a gap or without a known prompt. A request that another process at the address rejected stays counted as a repeat. A backup is recorded once its run is placed.

--- a/quetzaltiller/src/generation/machine.rs
+++ b/quetzaltiller/src/generation/machine.rs
@@ -49,6 +49,13 @@
 /// Pause after no engine was found for a run that must go on: a fraction of the time in which
 /// engines restart.
 const PLACE_RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Number of engines in a row that turn a begun answer's run away before it pauses.
+const MAX_TURNED_AWAY: u32 = 3;
+/// Number of times that this pause doubles, from [`PLACE_RETRY_PAUSE`].
+const MAX_PAUSE_DOUBLINGS: u32 = 3;
+/// Time for which an answer that has begun waits although no further run is allowed: engines that
+/// have ended, whose runs don't count, are known within it.
+const EXHAUSTED_WAIT: Duration = Duration::from_millis(1_000);
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Phase {
@@ -93,6 +100,10 @@
     replace_after: Duration,
     /// Nothing is requested while placing; at `replace_after`, an engine is requested again.
     awaits_retry: bool,
+    /// Number of engines that turned the run away since the last piece.
+    turned_away: u32,
+    /// When a further run was first refused since the last one.
+    exhausted_since: Option<Duration>,
     suspected: bool,
     /// When an inspection last found the run at its engine; the wait starts anew from then.
     confirmed_at: Duration,
@@ -129,6 +140,8 @@
             replacing_since: None,
             replace_after: Duration::ZERO,
             awaits_retry: false,
+            turned_away: 0,
+            exhausted_since: None,
             suspected: false,
             confirmed_at: Duration::ZERO,
             confirmations: 0,
@@ -200,7 +213,7 @@
         match input {
             Input::Placed(place) => self.handle_placed(now, place),
             Input::Unplaced(code) => self.handle_unplaced(now, code),
-            Input::Exhausted(code) => self.handle_exhausted(code),
+            Input::Exhausted(code) => self.handle_exhausted(now, code),
             Input::Opened(conn) => self.handle_opened(now, conn),
             Input::Chunk(conn, chunk) => self.handle_chunk(now, conn, &chunk),
             Input::Failed(conn, error) => self.handle_failure(now, conn, error),
@@ -298,22 +311,22 @@
         if !waits {
             return self.finish(Outcome::Failed(code));
         }
-        self.replace_after = now + PLACE_RETRY_PAUSE;
-        if !connected {
-            self.awaits_retry = true;
-            // Engines that failed earlier may have recovered, and no other was found.
-            self.avoid.clear();
+        if connected {
+            self.replace_after = now + PLACE_RETRY_PAUSE;
+        } else {
+            self.await_retry(now + PLACE_RETRY_PAUSE);
         }
         Vec::new()
     }
 
-    /// Leaves a connected run at its engine for good; otherwise the generation fails.
-    fn handle_exhausted(&mut self, code: Code) -> Vec<Effect> {
-        if self.replacing_since.take().is_none() {
+    /// Leaves a connected run at its engine; an answer that has lost its run waits for
+    /// [`EXHAUSTED_WAIT`] at most.
+    fn handle_exhausted(&mut self, now: Duration, code: Code) -> Vec<Effect> {
+        let since = *self.exhausted_since.get_or_insert(now);
+        if self.replacing_since.is_none() && now >= since + EXHAUSTED_WAIT {
             return self.finish(Outcome::Failed(code));
         }
-        self.replace_after = Duration::MAX;
-        Vec::new()
+        self.handle_unplaced(now, code)
     }
 
     fn submit(&mut self, now: Duration, place: Place) -> Vec<Effect> {
@@ -322,6 +335,8 @@
         }
         let Place { upstream, version, has_copy, backup } = place;
         self.phase = Phase::Submitting;
+        self.replace_after = Duration::ZERO;
+        self.exhausted_since = None;
         self.upstream = Some(upstream.clone());
         self.version.get_or_insert(version);
         self.copies.begin(backup, has_copy);
@@ -435,6 +450,7 @@
         self.last_progress = now;
         self.backoff = 1;
         self.failures_without_progress = 0;
+        self.turned_away = 0;
     }
 
     fn record_activity(&mut self, now: Duration) {
@@ -461,7 +477,7 @@
             (Phase::Submitting, Error::Refused | Error::Busy | Error::OtherVersion)
                 if self.replacing_since.is_none() =>
             {
-                self.replace_unused_engine()
+                self.handle_turned_away(now)
             }
             _ if !self.settings.resumable => self.finish(Outcome::Failed(Code::UpstreamFailed)),
             _ if self.replacing_since.is_some() => self.replace_engine(),
@@ -472,7 +488,7 @@
 
     /// Closes the current connection and probes the engine, which may still have the run.
     fn handle_broken_connection(&mut self, now: Duration, conn: u32) -> Vec<Effect> {
-        if self.replacing_since.is_some() {
+        if self.replacing_since.is_some() || !self.settings.resumable {
             return self.replace_engine();
         }
         self.current_conn = None;
@@ -543,15 +559,35 @@
         }
     }
 
-    fn replace_unused_engine(&mut self) -> Vec<Effect> {
+    /// Replaces an engine that did not take the run. An answer that has begun pauses after a few of
+    /// them, for longer each time, as each request draws on the retry budget.
+    fn handle_turned_away(&mut self, now: Duration) -> Vec<Effect> {
         let failed = self.upstream.take();
         self.avoid.extend(failed);
         let mut effects = self.close_all();
         self.splice.begin_attempt();
-        effects.extend(self.place());
+        self.turned_away += 1;
+        let waits = self.begun && self.settings.probe == Probe::Connect;
+        match self.turned_away.checked_sub(MAX_TURNED_AWAY) {
+            Some(more) if waits => {
+                self.phase = Phase::Placing;
+                self.retire_copy();
+                self.await_retry(
+                    now + PLACE_RETRY_PAUSE * 2_u32.pow(more.min(MAX_PAUSE_DOUBLINGS)),
+                );
+            }
+            _ => effects.extend(self.place()),
+        }
         effects
     }
 
+    /// Requests an engine again at `at`. Those that failed earlier may have recovered.
+    fn await_retry(&mut self, at: Duration) {
+        self.replace_after = at;
+        self.awaits_retry = true;
+        self.avoid.clear();
+    }
+
     /// Starts another attempt at any engine, also the same one: only the connection is known to be
     /// broken.
     fn place_again(&mut self) -> Vec<Effect> {
@@ -586,7 +622,9 @@
         }
         self.inspecting = false;
         if !self.settings.resumable {
-            self.replace_after = now + self.max_wait();
+            self.probe_at = Some(now + self.max_wait().max(CHECK_PAUSE_BEFORE_PIECE));
+            self.confirmed_at = now;
+            return Vec::new();
         }
         if now < self.replace_after {
             self.probe_at = Some(self.replace_after);
--- a/quetzaltiller/src/proxy/reader.rs
+++ b/quetzaltiller/src/proxy/reader.rs
@@ -33,6 +33,8 @@
     Ended(u32),
     /// The engine answered with an error status instead of a stream.
     Answered(u32, Answer),
+    /// Another upstream has the engine's address and rejected the request.
+    Misdirected(u32),
     /// The connection failed.
     Failed(u32, engine::Error),
     /// The engine accepts connections.
@@ -83,6 +85,7 @@
         };
         let last = match self.client.send(call).await {
             Ok(response) => self.read(response).await,
+            Err(Error::Misdirected) => Notice::Misdirected(self.conn),
             Err(error) => Notice::Failed(self.conn, engine_error(error)),
         };
         self.notify(last).await;
--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -27,7 +27,7 @@
 use crate::routes::Kind;
 use coordination::detector::Bounds;
 use coordination::wait_policy::WaitPolicy;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
 
@@ -113,8 +113,11 @@
     readers: BTreeMap<u32, AbortHandle>,
     /// Number of requests that engines received or may have received.
     sent: u32,
-    /// Engines to which these requests were sent.
+    /// Engines to which these requests were sent and that did not turn them away.
     tried: Vec<String>,
+    /// Engines whose connections to a run broke, and those of them that have ended.
+    broken: BTreeSet<String>,
+    ended: BTreeSet<String>,
     /// Connection of the newest run; connections of checks don't count.
     run_conn: Option<u32>,
     beginning: Beginning,
@@ -161,6 +164,8 @@
             readers: BTreeMap::new(),
             sent: 0,
             tried: Vec::new(),
+            broken: BTreeSet::new(),
+            ended: BTreeSet::new(),
             run_conn: None,
             beginning,
             events: 0,
@@ -265,7 +270,8 @@
         self.drop_unused_placements();
         let connected = self.machine.upstream().is_some();
         let need = Need { avoid, copy, cached, resumed, connected };
-        self.placing.request(need, self.attempts());
+        let attempts = self.attempts();
+        self.placing.request(need, attempts);
     }
 
     /// Releases the placements of engines that don't run the generation.
@@ -276,10 +282,10 @@
 
     /// Runs so far. Once the answer has begun, those at engines that have ended don't count: the
     /// caller can't be refused any more.
-    fn attempts(&self) -> Attempts {
-        let lost = self.context.placer.lost();
-        let lost = lost.borrow();
-        let remaining = self.tried.iter().filter(|id| !lost.contains(*id)).count() as u32;
+    fn attempts(&mut self) -> Attempts {
+        let lost = self.context.placer.lost().borrow().clone();
+        self.ended.extend(self.broken.iter().filter(|id| lost.contains(id)).cloned());
+        let remaining = self.tried.iter().filter(|id| !self.ended.contains(*id)).count() as u32;
         let counted = if self.events > 0 { remaining } else { self.sent };
         Attempts { sent: self.sent, counted }
     }
@@ -359,15 +365,15 @@
                     backup:? = place.backup, restores = place.has_copy,
                     expected_ms = placement.wait.as_millis() as u64
                 });
-                if let Some(backup) = &placement.backup {
-                    self.copies.record_backup(backup);
-                }
+                let backup = placement.backup.clone();
                 let settings =
                     settings(&self.request, &self.plan, self.time_limit, placement.speed);
                 self.machine.configure(settings);
                 self.placements.insert(id.clone(), placement);
                 self.advance(Input::Placed(place));
-                if self.machine.upstream() != Some(&id) {
+                if self.machine.upstream() == Some(&id) {
+                    backup.iter().for_each(|backup| self.copies.record_backup(backup));
+                } else {
                     info!("placement_unused", kv: { request = self.request.id, upstream = id });
                     self.placing.refund();
                 }
@@ -465,7 +471,17 @@
                 };
                 self.handle_failure(conn, error);
             }
-            Notice::Failed(conn, error) => self.handle_failure(conn, error),
+            Notice::Misdirected(conn) => {
+                self.handle_failure(conn, engine::Error::Refused);
+            }
+            Notice::Failed(conn, error) => {
+                let unsent = error == engine::Error::Refused && self.run_conn == Some(conn);
+                let is_repeat = self.sent > 1;
+                self.handle_failure(conn, error);
+                if unsent && is_repeat {
+                    self.placing.refund();
+                }
+            }
         }
     }
 
@@ -483,17 +499,22 @@
         self.beginning.record_break(conn);
         match error {
             // The engine has no such copy or no free slot; it did not fail.
-            engine::Error::Busy => {}
-            engine::Error::Refused => self.context.placer.record_unreachable(&upstream),
-            _ => self.context.placer.record_disconnect(&upstream),
+            engine::Error::Busy => self.tried.retain(|tried| *tried != upstream),
+            engine::Error::Refused => {
+                if self.broken.contains(&upstream) {
+                    self.ended.insert(upstream.clone());
+                }
+                self.context.placer.record_unreachable(&upstream);
+            }
+            _ => {
+                self.broken.insert(upstream.clone());
+                self.context.placer.record_disconnect(&upstream);
+            }
         }
         if error == engine::Error::Refused && self.run_conn == Some(conn) {
             self.run_conn = None;
             self.sent = self.sent.saturating_sub(1);
             self.tried.pop();
-            if self.sent > 0 {
-                self.placing.refund();
-            }
         }
         self.advance(Input::Failed(conn, error));
     }
--- a/quetzaltiller/tests/silence.rs
+++ b/quetzaltiller/tests/silence.rs
@@ -3,6 +3,7 @@
 
 use quetzaltiller::proxy::Request;
 use rstest::rstest;
+use standin::fleet::Fault;
 use standin::site::{Seen, Site, ZONES, configuration, draft, generate};
 use std::time::Duration;
 use tokio::task::JoinHandle;
@@ -75,6 +76,31 @@
     assert!(cut.is_empty(), "{} of {}: {cut:?}", cut.len(), seen.len());
 }
 
+/// Guards against attempts that are used up by engines which accept a connection and then turn the
+/// run away.
+#[tokio::test(start_paused = true)]
+async fn engines_that_turn_a_begun_draft_away_end_no_draft() {
+    let site = Site::start(4).await;
+
+    let drafts = start_drafts(&site, 3).await;
+    sleep(Duration::from_millis(1_500)).await;
+    let places: Vec<_> =
+        (0..3).filter_map(|n| site.fleet.place_of(&format!("draft-{n}"))).collect();
+    let engines = ZONES.iter().flat_map(|zone| site.fleet.of_zone(zone));
+    for engine in engines.filter(|id| id.starts_with("engine") && !places.contains(id)) {
+        site.fleet.change(&engine, |node| node.fault = Some(Fault::Shed));
+    }
+    places.iter().for_each(|engine| site.fleet.crash(engine, false));
+    sleep(Duration::from_millis(1_500)).await;
+    for engine in ZONES.iter().flat_map(|zone| site.fleet.of_zone(zone)) {
+        site.fleet.change(&engine, |node| node.fault = None);
+    }
+    let seen = await_drafts(drafts).await;
+
+    let cut = cut(&seen);
+    assert!(cut.is_empty(), "{} of {}: {cut:?}", cut.len(), seen.len());
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_begun_draft_outlives_a_moment_without_engines() {
     let site = Site::start(2).await;
