Cancel a run whose caller turns out to have left while an event is sent

A caller that leaves is noticed by its closed channel, or by an event that can't be sent; after the latter nothing waited for the former any more, and the engine worked to the end of the run (GONE). Change: a send that fails cancels the run.

--- a/quetzaltiller/src/proxy/caller.rs
+++ b/quetzaltiller/src/proxy/caller.rs
@@ -65,6 +65,11 @@
         self.state = State::Closed;
     }
 
+    /// Whether nothing more is sent.
+    pub fn is_closed(&self) -> bool {
+        matches!(self.state, State::Closed)
+    }
+
     /// Completes when the caller has disconnected; never for a closed one.
     pub async fn disconnected(&mut self) {
         match &mut self.state {
--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -537,6 +537,9 @@
             self.record_first_event();
         }
         self.send(Chunk::Events(event.bytes)).await;
+        if self.caller.is_closed() && self.outcome.is_none() {
+            self.handle_disconnect();
+        }
     }
 
     fn record_first_event(&self) {
