Let callers receive the ends of their answers before a router ends

Cause: a leaving qt-router waited until no request was open and then ended. Change: the process waits for the graceful stop of the callers' server, at most 5 s. Its tasks have a scope of their own, as stopping the scope would cut them. Not changed: qt-entry, which also ends when no request is open; its requests are closed elsewhere, and no run here has tried it.

--- a/quetzaltiller/src/bin/qt-router.rs
+++ b/quetzaltiller/src/bin/qt-router.rs
@@ -12,11 +12,14 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
 /// Maximum number of operators' connections at once.
 const MAX_OPERATOR_CONNECTIONS: usize = 64;
+/// Longest wait for callers to receive the ends of their responses when the process ends.
+const LAST_RESPONSE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Routes callers' requests to engines and services.
 #[derive(FromArgs)]
@@ -93,15 +96,17 @@
         operators::routes(&operator_process),
         MAX_OPERATOR_CONNECTIONS,
     )?;
+    let callers = Scope::default();
     let server =
-        daemon::serve_http(&scope, caller_listener, front::routes(&router), max_connections)?;
+        daemon::serve_http(&callers, caller_listener, front::routes(&router), max_connections)?;
     tokio::select! {
         biased;
         () = daemon::terminated() => {}
         () = process.leave.notified() => {}
     }
     router.drain().await;
-    server.stop_graceful(None);
+    server.stop_graceful(LAST_RESPONSE_TIMEOUT);
+    callers.join().await;
     router.stop();
     logs::finish(&log_buffer).await;
     scope.stop();
--- a/quetzaltiller/src/scope.rs
+++ b/quetzaltiller/src/scope.rs
@@ -50,6 +50,12 @@
         self.token.cancelled().await;
     }
 
+    /// Waits until all tasks have ended, those of parent and child scopes included.
+    pub async fn join(&self) {
+        self.tracker.close();
+        self.tracker.wait().await;
+    }
+
     /// Number of running tasks, those of parent and child scopes included.
     pub fn len(&self) -> usize {
         self.tracker.len()
