Keep the routers under test from replacing engines that a busy machine delays

Cause: engines of the fixture run in the test's process. Beside load they are silent for longer than min_silence (80 ms), and the router replaces them, as it should; the test of a killed router then counts one more token decoded than sent: 192 for 191. Change: silence and open timeouts of 4 s, as the peer timeout already is 5 s. The assertion stays; no test of this file makes an engine silent, which tests/machine.rs and the soak do.

--- a/quetzaltiller/tests/daemons.rs
+++ b/quetzaltiller/tests/daemons.rs
@@ -202,6 +202,8 @@
     }
 }
 
+/// Settings of a router whose thresholds allow for pauses of peers and engines on a busy machine, as
+/// no test here makes one of these fail without ending it.
 async fn router_settings(index: usize, platform_address: &str) -> Value {
     let zone = if index == 0 { "zone-a" } else { "zone-b" };
     json!({
@@ -212,7 +214,10 @@
         "operator_address": free_address().await,
         "platform_address": platform_address,
         "limits": { "max_body_bytes": 4_096 },
-        "timing": { "entry_lifetime_ms": 300, "peer_timeout_ms": 5_000 },
+        "timing": {
+            "entry_lifetime_ms": 300, "peer_timeout_ms": 5_000, "open_timeout_ms": 4_000,
+            "min_silence_ms": 4_000, "max_silence_ms": 4_000,
+        },
     })
 }
 
