End the processes of a soak with it, whatever ends it and when

Cause: qt-soak installed its handler of SIGTERM when it first waited for the signal, after its first processes had started; before that the signal ended it at once, and nothing ends its processes with it. SIGKILL left them at any time. Change: daemon::terminated installs its handlers when it is called, and each program calls it first. The first unsafe block of the workspace: `pre_exec` has no safe form. Not changed: SIGHUP to a qt-entry within its first ms ends it, as its handler isn't there yet; the soak can do that by chance.

--- a/demo/src/main.rs
+++ b/demo/src/main.rs
@@ -55,7 +55,7 @@
         return once::run(&system).await;
     }
     print_hints(&system);
-    daemon::terminated().await;
+    daemon::terminated()?.await;
     Ok(true)
 }
 
--- a/quetzaltiller/src/bin/qt-router.rs
+++ b/quetzaltiller/src/bin/qt-router.rs
@@ -74,6 +74,7 @@
 
 #[tokio::main]
 async fn run(config: Config, verbose: bool) -> Result<(), Box<dyn std::error::Error>> {
+    let terminated = daemon::terminated()?;
     let scope = Scope::default();
     let log_buffer = logs::start(&scope, verbose)?;
     let caller_listener = TcpListener::bind(&config.caller_address).await?;
@@ -101,7 +102,7 @@
         daemon::serve_http(&callers, caller_listener, front::routes(&router), max_connections)?;
     tokio::select! {
         biased;
-        () = daemon::terminated() => {}
+        () = terminated => {}
         () = process.leave.notified() => {}
     }
     router.drain().await;
--- a/quetzaltiller/src/bin/qt-steward.rs
+++ b/quetzaltiller/src/bin/qt-steward.rs
@@ -70,6 +70,7 @@
 
 #[tokio::main]
 async fn run(config: config::StewardConfig) -> Result<(), Box<dyn std::error::Error>> {
+    let terminated = daemon::terminated()?;
     let scope = Scope::default();
     let log_buffer = logs::start(&scope, false)?;
     let operator_listener = TcpListener::bind(&config.operator_address).await?;
@@ -86,7 +87,7 @@
     )?;
     tokio::select! {
         biased;
-        () = daemon::terminated() => {}
+        () = terminated => {}
         () = process.leave.notified() => {}
     }
     logs::finish(&log_buffer).await;
--- a/quetzaltiller/src/daemon.rs
+++ b/quetzaltiller/src/daemon.rs
@@ -7,6 +7,7 @@
 use salvo::{Router, Server};
 use spdlog::prelude::*;
 use std::error::Error;
+use std::io;
 use std::process::ExitCode;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
@@ -38,18 +39,18 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |time| time.as_millis() as u64)
 }
 
-/// Waits for SIGTERM or SIGINT.
-pub async fn terminated() {
-    let terminate = signal(SignalKind::terminate());
-    let interrupt = signal(SignalKind::interrupt());
-    let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        biased;
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+/// Installs handlers of SIGTERM and SIGINT; the returned future ends with the first of these
+/// signals. A process calls this before it starts anything that has to be ended.
+pub fn terminated() -> io::Result<impl Future<Output = ()>> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    Ok(async move {
+        tokio::select! {
+            biased;
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    })
 }
 
 /// Serves HTTP on `listener` in a task of `scope`; the returned handle stops the server.
@@ -58,7 +59,7 @@
     listener: TcpListener,
     routes: Router,
     max_connections: usize,
-) -> std::io::Result<ServerHandle> {
+) -> io::Result<ServerHandle> {
     let acceptor = TcpAcceptor::try_from(listener)?;
     let server = Server::new(acceptor).max_connections(max_connections);
     let handle = server.handle();
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -74,12 +74,14 @@
         folder: args.folder.clone(),
         keep: args.keep,
     };
+    let terminated = daemon::terminated()?;
+    tokio::pin!(terminated);
     let mut report = Report::default();
     for seed in args.from..=args.to {
         let result = tokio::select! {
             biased;
             result = run::play(seed, &options) => result?,
-            () = daemon::terminated() => {
+            () = &mut terminated => {
                 return Err(format!("stopped in seed {seed}; its processes end").into());
             }
         };
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -1,9 +1,12 @@
 //! A process of the deployment that can be started, signalled and killed repeatedly.
 
+use nix::errno::Errno;
+use nix::sys::prctl;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use std::fs::{File, OpenOptions};
 use std::io;
+use std::os::unix::process::CommandExt as _;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
@@ -34,7 +37,8 @@
         self.arguments = arguments;
     }
 
-    /// Starts the process unless it runs already.
+    /// Starts the process unless it runs already. It ends with the thread that started it at the
+    /// latest, however this program ends, so that thread must live as long as the process.
     pub fn start(&mut self) -> io::Result<()> {
         if self.is_running() {
             return Ok(());
@@ -46,6 +50,7 @@
         let mut command = Command::new(&self.program);
         command.args(&self.arguments).stdin(Stdio::null());
         command.stdout(append(&self.log)?).stderr(errors);
+        end_with_parent(&mut command);
         self.child = Some(command.spawn()?);
         Ok(())
     }
@@ -80,6 +85,21 @@
     }
 }
 
+/// Lets the kernel kill the process when the thread that starts it ends.
+fn end_with_parent(command: &mut Command) {
+    let parent = Pid::this();
+    let prepare = move || {
+        prctl::set_pdeathsig(Signal::SIGKILL)?;
+        // A parent that ended before the call above sends no signal.
+        if Pid::parent() != parent {
+            return Err(Errno::ESRCH.into());
+        }
+        Ok(())
+    };
+    // SAFETY: `prepare` only makes system calls that are safe between fork and exec.
+    unsafe { command.pre_exec(prepare) };
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         self.kill();
--- a/standin/src/bin/qt-standin.rs
+++ b/standin/src/bin/qt-standin.rs
@@ -94,6 +94,7 @@
 
 #[tokio::main]
 async fn run(kind: Kind) -> Result<(), Box<dyn std::error::Error>> {
+    let terminated = daemon::terminated()?;
     let (scope, network) = (Scope::default(), Network::new(Duration::ZERO));
     let log = logs::start(&scope, false)?;
     match kind {
@@ -127,7 +128,7 @@
             serve_service(&scope, listener, (&args.listen, service), &network)?;
         }
     }
-    daemon::terminated().await;
+    terminated.await;
     logs::finish(&log).await;
     scope.stop();
     Ok(())
