Reserve the addresses of a soak until its last process has ended

Cause: a soak took a loopback network as free if it could bind the store's address, and released that before the store started; nothing kept a network from a new soak while one that had been stopped or killed was still closing its listeners. By reading, an ending soak closes its proxies' listeners after the deployment is dropped. Change: a listener on a port of its own reserves the network. The run's processes inherit it, so that it lasts until the last of them has ended. Networks with a running store are passed over as before, now found by connecting, which leaves nothing bound.

--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -6,14 +6,17 @@
 use crate::process::Process;
 use crate::proxy::Proxy;
 use serde_json::json;
+use socket2::SockRef;
 use std::io;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 
 /// Names of the availability zones.
 pub const ZONES: [&str; 3] = ["a", "b", "c"];
 /// Number of upstreams in one block of addresses, which share the third byte.
 const BLOCK: usize = 200;
+/// Port whose listener reserves the network of a run.
+const RESERVATION_PORT: u16 = 8741;
 const STORE_PORT: u16 = 8742;
 const STORE_PROXY_PORT: u16 = 8743;
 const CALLER_PORT: u16 = 8740;
@@ -35,14 +38,19 @@
 }
 
 impl Layout {
-    /// Finds a loopback network that no other run uses, by binding its store address; fails with
-    /// `AddrInUse` if there is none.
-    pub fn find() -> io::Result<Self> {
+    /// Reserves a loopback network that no other run uses, for as long as the returned listener
+    /// exists; fails with `AddrInUse` if there is none.
+    pub fn reserve() -> io::Result<(Self, TcpListener)> {
         let first = std::process::id() % 250;
         let layouts = (0..250).map(|n| Self { network: 1 + ((first + n) % 250) as u8 });
-        let is_free = |layout: &Self| TcpListener::bind(layout.store()).is_ok();
-        let mut free = layouts.filter(is_free);
-        free.next().ok_or_else(|| io::Error::from(io::ErrorKind::AddrInUse))
+        let reserve = |layout: Self| {
+            let reservation = TcpListener::bind(layout.address(0, 0, RESERVATION_PORT)).ok()?;
+            // Processes of the run inherit it, so that it lasts until all of them have ended.
+            SockRef::from(&reservation).set_cloexec(false).ok()?;
+            let has_store = TcpStream::connect(layout.store()).is_ok();
+            (!has_store).then_some((layout, reservation))
+        };
+        layouts.filter_map(reserve).next().ok_or_else(|| io::ErrorKind::AddrInUse.into())
     }
 
     /// Address of the store.
@@ -136,6 +144,8 @@
     pub upstreams: Vec<Upstream>,
     /// Entry VMs by number.
     pub entries: Vec<Entry>,
+    /// Keeps other runs from the addresses.
+    _reservation: TcpListener,
 }
 
 impl Deployment {
@@ -146,13 +156,19 @@
         size: Size,
         seed: u64,
     ) -> io::Result<Self> {
-        let layout = Layout::find()?;
+        let (layout, reservation) = Layout::reserve()?;
         let arguments = ["store", "--listen", &layout.store().to_string(), "--seed"];
         let arguments = arguments.into_iter().map(str::to_owned).chain([seed.to_string()]);
         let mut store = Process::new(&programs.platform, folder, "store", arguments.collect());
         store.start()?;
-        let mut deployment =
-            Self { layout, size, store, upstreams: Vec::new(), entries: Vec::new() };
+        let mut deployment = Self {
+            layout,
+            size,
+            store,
+            upstreams: Vec::new(),
+            entries: Vec::new(),
+            _reservation: reservation,
+        };
         for number in 0..size.engines + size.replicas {
             let process =
                 Process::new(&programs.platform, folder, &format!("u{number}"), Vec::new());
