Start the daemons under test on ports that the kernel selects

Cause: free_address bound a port and released it. A child that another test forks holds the listener until it has executed its program, so that the daemon can't bind and ends with status 1. Change: settings allowed port 0 before, but peers and callers were told ":0". The daemons now tell the port in use, and log their addresses in router_started and steward_started, which the fixture reads. It keeps logs and standard error of all daemons, names the folder when a configuration isn't accepted, and fails at once with standard error if a daemon ends at its start. Not done: qt-entry with a port 0 still tells ":0", as its reload compares the addresses with the file's.

--- a/quetzaltiller/src/bin/qt-router.rs
+++ b/quetzaltiller/src/bin/qt-router.rs
@@ -13,7 +13,6 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
 /// Maximum number of operators' connections at once.
@@ -73,13 +72,13 @@
 }
 
 #[tokio::main]
-async fn run(config: Config, verbose: bool) -> Result<(), Box<dyn std::error::Error>> {
+async fn run(mut config: Config, verbose: bool) -> Result<(), Box<dyn std::error::Error>> {
     let terminated = daemon::terminated()?;
     let scope = Scope::default();
     let log_buffer = logs::start(&scope, verbose)?;
-    let caller_listener = TcpListener::bind(&config.caller_address).await?;
-    let peer_listener = TcpListener::bind(&config.peer_address).await?;
-    let operator_listener = TcpListener::bind(&config.operator_address).await?;
+    let caller_listener = daemon::listen(&mut config.caller_address).await?;
+    let peer_listener = daemon::listen(&mut config.peer_address).await?;
+    let operator_listener = daemon::listen(&mut config.operator_address).await?;
     let ports = Ports {
         store: Arc::new(HttpStore::new(&config.platform_address)),
         engines: Arc::new(HttpEngine),
--- a/quetzaltiller/src/bin/qt-steward.rs
+++ b/quetzaltiller/src/bin/qt-steward.rs
@@ -10,10 +10,10 @@
 use quetzaltiller::steward::Steward;
 use quetzaltiller::{daemon, logs, operators};
 use serde_json::{Value, json};
+use spdlog::prelude::*;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
-use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
 /// Maximum number of operators' connections at once.
@@ -69,11 +69,14 @@
 }
 
 #[tokio::main]
-async fn run(config: config::StewardConfig) -> Result<(), Box<dyn std::error::Error>> {
+async fn run(mut config: config::StewardConfig) -> Result<(), Box<dyn std::error::Error>> {
     let terminated = daemon::terminated()?;
     let scope = Scope::default();
     let log_buffer = logs::start(&scope, false)?;
-    let operator_listener = TcpListener::bind(&config.operator_address).await?;
+    let operator_listener = daemon::listen(&mut config.operator_address).await?;
+    info!("steward_started", kv: {
+        name = config.name, operator_address = config.operator_address
+    });
     let metrics = Arc::new(Metrics::new(config.metrics_address.as_deref()));
     let store = Arc::new(HttpStore::new(&config.platform_address));
     scope.spawn(Steward::new(store, metrics.clone()).run());
--- a/quetzaltiller/src/daemon.rs
+++ b/quetzaltiller/src/daemon.rs
@@ -53,6 +53,13 @@
     })
 }
 
+/// Listens on `address` and sets it to the address in use, as port 0 lets the kernel select one.
+pub async fn listen(address: &mut String) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(address.as_str()).await?;
+    *address = listener.local_addr()?.to_string();
+    Ok(listener)
+}
+
 /// Serves HTTP on `listener` in a task of `scope`; the returned handle stops the server.
 pub fn serve_http(
     scope: &Scope,
--- a/quetzaltiller/src/router/builder.rs
+++ b/quetzaltiller/src/router/builder.rs
@@ -157,7 +157,11 @@
             metrics: metrics.clone(),
         };
         let (closed, rng) = (AtomicBool::new(false), Mutex::new(rng));
-        info!("router_started", kv: { name = config.name, zone = config.zone, incarnation });
+        info!("router_started", kv: {
+            name = config.name, zone = config.zone, incarnation,
+            caller_address = config.caller_address, peer_address = config.peer_address,
+            operator_address = config.operator_address
+        });
         Self {
             config,
             ports,
--- a/quetzaltiller/tests/daemons.rs
+++ b/quetzaltiller/tests/daemons.rs
@@ -3,6 +3,7 @@
 
 use quetzaltiller::adapters::{Method, Outgoing, fetch};
 use quetzaltiller::caller::{Caller, Http, Reply, Unfinished};
+use quetzaltiller::evidence::Line;
 use quetzaltiller::generation::Request;
 use quetzaltiller::objects::Object;
 use quetzaltiller::platform::Vm;
@@ -16,16 +17,17 @@
 use standin::serve::{serve_engine, serve_platform, serve_service};
 use standin::service::{self, Service};
 use standin::text;
-use std::path::PathBuf;
-use std::process::{Child, Command, Output, Stdio};
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 
 const KEY: &str = "oslo-nights-example-key";
-static NEXT_PORT: AtomicU16 = AtomicU16::new(21_000);
+/// Loopback address with a port that the kernel selects.
+const ANY_PORT: &str = "127.0.0.1:0";
 const PATIENCE: Duration = Duration::from_secs(60);
 
 struct Fixture {
@@ -39,9 +41,11 @@
     _scope: Scope,
 }
 
+/// A started daemon. Standard output goes to `log`, standard error to a file beside it.
 struct Daemon {
     child: Child,
-    settings: Value,
+    log: PathBuf,
+    started: Line,
 }
 
 impl Drop for Daemon {
@@ -52,17 +56,42 @@
 }
 
 impl Daemon {
-    fn start(binary: &str, folder: &std::path::Path, settings: Value) -> Self {
+    /// Starts a daemon and waits until it has logged where it listens.
+    async fn start(binary: &str, folder: &Path, settings: Value) -> Self {
         let name = settings["name"].as_str().unwrap();
         let path = folder.join(format!("{}-{name}.json", binary.rsplit('/').next().unwrap()));
+        let log = path.with_extension("log");
         std::fs::write(&path, settings.to_string()).unwrap();
         let mut command = Command::new(binary);
-        command.arg("--config").arg(&path).stderr(Stdio::null());
-        Self { child: command.spawn().unwrap(), settings }
+        command.arg("--config").arg(&path).stdout(File::create(&log).unwrap());
+        command.stderr(File::create(log.with_extension("err")).unwrap());
+        let mut daemon = Self { child: command.spawn().unwrap(), log, started: Line::default() };
+        daemon.started = daemon.wait_for_start().await;
+        daemon
     }
 
+    async fn wait_for_start(&mut self) -> Line {
+        loop {
+            self.assert_running();
+            let log = std::fs::read_to_string(&self.log).unwrap();
+            let complete = log.rsplit_once('\n').map_or("", |(lines, _)| lines);
+            let mut events = complete.lines().filter_map(|line| Line::parse("", line));
+            if let Some(started) = events.find(|line| line.event.ends_with("_started")) {
+                return started;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    fn assert_running(&mut self) {
+        let ended = self.child.try_wait().unwrap();
+        let errors = std::fs::read_to_string(self.log.with_extension("err"));
+        assert_eq!(ended, None, "{} ended: {errors:?}", self.log.display());
+    }
+
+    /// Value of the line that the daemon has logged at its start.
     fn address(&self, key: &str) -> String {
-        self.settings[key].as_str().unwrap().to_owned()
+        self.started.value(key).unwrap().to_owned()
     }
 
     fn terminate(&self) {
@@ -77,7 +106,7 @@
         std::fs::create_dir_all(&folder).unwrap();
         let (scope, network) = (Scope::default(), Network::new(Duration::ZERO));
         let platform = Platform::new(1);
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let listener = TcpListener::bind(ANY_PORT).await.unwrap();
         let platform_address = listener.local_addr().unwrap().to_string();
         serve_platform(&scope, listener, &platform).unwrap();
         let service = Service::new(service::Settings::default(), 1);
@@ -87,7 +116,7 @@
             let Object::Upstream(upstream) = object else {
                 continue;
             };
-            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let listener = TcpListener::bind(ANY_PORT).await.unwrap();
             upstream.address = listener.local_addr().unwrap().to_string();
             let name = upstream.name.as_str();
             if upstream.pool == "drafts" {
@@ -101,8 +130,8 @@
         }
         let mut routers = Vec::new();
         for index in 0..2 {
-            let settings = router_settings(index, &platform_address).await;
-            routers.push(Daemon::start(env!("CARGO_BIN_EXE_qt-router"), &folder, settings));
+            let settings = router_settings(index, &platform_address);
+            routers.push(Daemon::start(env!("CARGO_BIN_EXE_qt-router"), &folder, settings).await);
         }
         let vm = |daemon: &Daemon| Vm {
             name: daemon.address("name"),
@@ -113,10 +142,10 @@
         platform.set_vms(routers.iter().map(vm).collect());
         let settings = json!({
             "name": "entry-0",
-            "operator_address": free_address().await,
+            "operator_address": ANY_PORT,
             "platform_address": platform_address,
         });
-        let steward = Daemon::start(env!("CARGO_BIN_EXE_qt-steward"), &folder, settings);
+        let steward = Daemon::start(env!("CARGO_BIN_EXE_qt-steward"), &folder, settings).await;
         let mut fixture = Self {
             engines,
             service,
@@ -137,7 +166,8 @@
         std::fs::write(&file, serde_json::to_string(objects).unwrap()).unwrap();
         let path = file.display().to_string();
         let output = self.qtctl(&["apply", "--wait", "--wait-ms", "60000", &path]).await;
-        assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+        let errors = String::from_utf8_lossy(&output.stderr);
+        assert!(output.status.success(), "{errors}, logs are in {}", self.folder.display());
     }
 
     async fn qtctl(&self, args: &[&str]) -> Output {
@@ -153,10 +183,7 @@
     async fn wait_for_peers(&mut self) {
         for index in 0..self.routers.len() {
             loop {
-                for daemon in &mut self.routers {
-                    let ended = daemon.child.try_wait().unwrap();
-                    assert_eq!(ended, None, "a router ended at its start: {}", daemon.settings);
-                }
+                self.routers.iter_mut().for_each(Daemon::assert_running);
                 let router = &self.routers[index];
                 let output = self.qtctl(&["dump", &router.address("operator_address")]).await;
                 let dump: Value = serde_json::from_slice(&output.stdout).unwrap_or_default();
@@ -188,30 +215,16 @@
     }
 }
 
-/// Returns an address that nothing else binds before a daemon does. The port is below those that
-/// the kernel assigns to outgoing connections and is used once in this process; the loopback
-/// network depends on the process id, so that other processes with these tests use other addresses.
-async fn free_address() -> String {
-    let [.., high, low] = std::process::id().to_be_bytes();
-    loop {
-        let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-        let address = format!("127.{}.{high}.{}:{port}", 1 + low / 2, 1 + low % 2);
-        if TcpListener::bind(&address).await.is_ok() {
-            return address;
-        }
-    }
-}
-
 /// Settings of a router whose thresholds allow for pauses of peers and engines on a busy machine, as
 /// no test here makes one of these fail without ending it.
-async fn router_settings(index: usize, platform_address: &str) -> Value {
+fn router_settings(index: usize, platform_address: &str) -> Value {
     let zone = if index == 0 { "zone-a" } else { "zone-b" };
     json!({
         "name": format!("entry-{index}"),
         "zone": zone,
-        "caller_address": free_address().await,
-        "peer_address": free_address().await,
-        "operator_address": free_address().await,
+        "caller_address": ANY_PORT,
+        "peer_address": ANY_PORT,
+        "operator_address": ANY_PORT,
         "platform_address": platform_address,
         "limits": { "max_body_bytes": 4_096 },
         "timing": {
