Take a stream for complete only where the engine's answer proves it

Callers saw, in an operator's report: a stream had begun and broke off, the next engine answered with an error, and the stream ended as if it were complete or held the error's text.

Cause: the end of any 2xx answer ended the generation as whole, whatever had come before.

Only a 200 that states no type or that of event streams is a stream now. Its end counts if its last event is not older than the caller's. Without an event it counts as the answer to a run that resumes, framed by a length or chunks, which the platform's client passes on as a fact; so a stream that lost only its end still ends whole. All others have been broken off.

--- a/quetzaltiller/src/proxy/reader.rs
+++ b/quetzaltiller/src/proxy/reader.rs
@@ -7,12 +7,16 @@
 use crate::prelude::*;
 use crate::upstream::{Call, Client, Copy, Error, Response};
 use futures::{StreamExt as _, TryStreamExt as _};
-use hyper::{HeaderMap, StatusCode};
+use hyper::StatusCode;
+use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use std::io;
 use tokio::sync::mpsc;
 use tokio_util::codec::FramedRead;
 use tokio_util::io::StreamReader;
 
+/// Media type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Status and headers of an answer.
 #[derive(Clone, Debug)]
 pub struct Head {
@@ -131,30 +135,56 @@
                 Err(error) => Notice::Failed(self.conn, engine_error(error)),
             };
         }
-        let Response { status, headers, body, .. } = response;
+        let Response { status, headers, delimited, body, .. } = response;
+        if !is_event_stream(status, &headers) {
+            let error = format!("status {status} without an event stream");
+            return Notice::Failed(self.conn, engine::Error::Protocol(error));
+        }
         if !self.notify(Notice::Opened(self.conn, Head { status, headers })).await {
             return Notice::Failed(self.conn, engine::Error::Reset);
         }
         let bytes = StreamReader::new(body.map_err(io::Error::other));
         let mut events = FramedRead::new(bytes, Codec::default());
+        let mut last = None;
         loop {
             match events.next().await {
                 Some(Ok(event)) => {
+                    last = event.number.map(u64::from);
                     if !self.notify(Notice::Event(self.conn, event)).await {
                         return Notice::Failed(self.conn, engine::Error::Reset);
                     }
                 }
-                Some(Err(_)) => return Notice::Failed(self.conn, engine::Error::Reset),
-                None => return Notice::Ended(self.conn),
+                None if self.is_complete(last, delimited) => return Notice::Ended(self.conn),
+                Some(Err(_)) | None => return Notice::Failed(self.conn, engine::Error::Reset),
             }
         }
     }
 
+    /// Whether a stream that ended after the event numbered `last` is complete. A run ends with an
+    /// event, unless it resumes after the last one; where the connection marks the end, an empty
+    /// stream may have been broken off.
+    fn is_complete(&self, last: Option<u64>, delimited: bool) -> bool {
+        match last {
+            Some(last) => self.last_event.is_none_or(|known| last >= known),
+            None => self.last_event.is_some() && delimited,
+        }
+    }
+
     async fn notify(&self, notice: Notice) -> bool {
         self.notices.send(notice).await.is_ok()
     }
 }
 
+/// Whether an answer is a stream of events; one that doesn't state its type may be.
+fn is_event_stream(status: StatusCode, headers: &HeaderMap) -> bool {
+    let media_type = headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
+    let is_other_type = media_type.is_some_and(|media_type| {
+        let prefix = media_type.get(..EVENT_STREAM.len());
+        !prefix.is_some_and(|prefix| prefix.eq_ignore_ascii_case(EVENT_STREAM))
+    });
+    status == StatusCode::OK && !is_other_type
+}
+
 fn engine_error(error: Error) -> engine::Error {
     match error {
         Error::Unsent | Error::Misdirected => engine::Error::Refused,
--- a/quetzaltiller/src/upstream.rs
+++ b/quetzaltiller/src/upstream.rs
@@ -127,6 +127,9 @@
     pub headers: HeaderMap,
     /// Whether the upstream states that it did not run the request.
     pub not_run: bool,
+    /// Whether the answer states where its body ends. Otherwise the body ends with the connection,
+    /// as it does when the upstream's process ends.
+    pub delimited: bool,
     /// Body as a stream; ends with an error if it was cut off.
     pub body: BoxStream<'static, Result<Bytes, Error>>,
 }
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -190,7 +190,7 @@
             let body =
                 futures::stream::iter([Ok(Bytes::from(format!("done {}", call.request.id)))])
                     .boxed();
-            Response { status, headers: HeaderMap::new(), not_run, body }
+            Response { status, headers: HeaderMap::new(), not_run, delimited: true, body }
         };
         match fault {
             Some(Fault::Shed | Fault::Close(_)) => {
--- a/standin/src/fleet/stream.rs
+++ b/standin/src/fleet/stream.rs
@@ -87,7 +87,13 @@
         }
         run.copied_at = Instant::now();
         let body = futures::stream::unfold(run, Self::step).boxed();
-        Ok(Response { status: StatusCode::OK, headers: HeaderMap::new(), not_run: false, body })
+        Ok(Response {
+            status: StatusCode::OK,
+            headers: HeaderMap::new(),
+            not_run: false,
+            delimited: true,
+            body,
+        })
     }
 
     async fn step(mut self) -> Option<(Result<Bytes, Error>, Self)> {
@@ -158,7 +164,7 @@
     fleet.count().turned_away += 1;
     let body = futures::stream::empty().boxed();
     let status = StatusCode::SERVICE_UNAVAILABLE;
-    Response { status, headers: HeaderMap::new(), not_run: true, body }
+    Response { status, headers: HeaderMap::new(), not_run: true, delimited: true, body }
 }
 
 /// Completes when the process ends and its connections break; never if they go silent.
