Reject an event that goes on with the head of another answer

Callers saw, in an operator's report: the head and text of an error in the middle of their stream.

Shown here by a case of platform/tests/broken_streams.rs: an engine whose answer is framed by the close breaks off inside event 4 and writes a 500 on the same connection. On the code before, the caller's event 4 read "data: tHTTP/1.1 500 Internal Server Error" with the head's lines and the error's text, and the stream ended as complete.

Cause: the bytes up to the next empty line are an event, whatever they hold.

Lines of events end with a line feed, and those of a head with a carriage return too. An event with one is invalid, and the run is resumed elsewhere. The case passes; text without a head that an engine appends to an event can't be told from the event's own.

--- a/quetzaltiller/src/proxy/event.rs
+++ b/quetzaltiller/src/proxy/event.rs
@@ -1,4 +1,7 @@
 //! Splits a stream of server-sent events into events and leaves their bytes unchanged.
+//!
+//! Lines end with a line feed. A carriage return is invalid: an engine that breaks off may go on with
+//! the head of another answer, whose lines end with both.
 
 use bytes::{Bytes, BytesMut};
 use memchr::memmem;
@@ -44,6 +47,9 @@
         let end = self.searched + found + EVENT_END.len();
         self.searched = 0;
         let bytes = buffer.split_to(end).freeze();
+        if memchr::memchr(b'\r', &bytes).is_some() {
+            return Err(io::Error::from(io::ErrorKind::InvalidData));
+        }
         Ok(Some(Event { number: parse_number(&bytes), bytes }))
     }
 
