Go on elsewhere when an engine rejects the rest of a stream

Callers saw a stream cut after an engine was lost: the next one answered 400 or 404, which ended the generation, although another could go on.

Shown here by two cases of platform/tests/broken_streams.rs. On the code before, the caller got three events of six and a cut; the rejection's text did not reach it, and the stream did not look complete.

Cause: a 4xx is the engine's verdict on the request, also where another engine had accepted it and sent events.

Once the caller has events, a 4xx counts as a failure of its engine, and the run goes on at another within the route's attempts. Both cases pass, and a stream that all engines reject is still cut.

--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -389,7 +389,8 @@
             Notice::Event(conn, event) => self.handle_event(conn, event).await,
             Notice::Ended(conn) => self.advance(Input::Chunk(conn, Piece::End)),
             Notice::Answered(conn, answer) => {
-                let is_final = answer.status.is_client_error();
+                // An engine that rejects the rest of a stream that another began is at fault itself.
+                let is_final = answer.status.is_client_error() && self.events == 0;
                 self.error_answer = Some(answer);
                 let error = if is_final {
                     engine::Error::Rejected(String::new())
