--- a/standin/src/control.rs
+++ b/standin/src/control.rs
@@ -1,32 +1,58 @@
 //! Stand-in of the store that holds configuration, upstreams and members, in process on tokio's
 //! clock.
+//!
+//! In a drill the store returns from an older copy: its era rises, the revisions after the copy's
+//! are given out again, and what the operator and the upstreams wrote since is written again after
+//! a while. What entry VMs wrote is lost.
 
 use async_trait::async_trait;
 use quetzaltiller::control::{Changes, Configuration, Error, Member, Store};
 use quetzaltiller::fleet::{Change, Listing, Upstream};
 use quetzaltiller::routes::{Content, Table};
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Time that each call takes.
 const CALL_TIME: Duration = Duration::from_millis(4);
 /// Longest wait of a watch without a change.
 const WATCH_LIMIT: Duration = Duration::from_secs(20);
 
-#[derive(Default)]
-struct State {
+/// Era and revision of the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Version {
+    /// Number of drills so far.
+    pub era: u64,
+    /// Revision within the era.
+    pub revision: u64,
+}
+
+/// What the store holds at one revision.
+#[derive(Clone, Default)]
+struct Contents {
     configuration: Content,
     configured_at: u64,
     upstreams: BTreeMap<String, Upstream>,
+    members: Vec<Member>,
+}
+
+#[derive(Default)]
+struct State {
+    contents: Contents,
+    /// Contents after each change, with their time and revision.
+    copies: Vec<(Instant, u64, Contents)>,
     changes: Vec<(u64, Change)>,
     /// Highest revision whose changes are compacted; a watch from before it fails with `Expired`.
     compacted: u64,
-    members: Vec<Member>,
+    era: u64,
     away: bool,
     calls: u64,
+    announcements: Vec<String>,
+    /// Time from the reading of an answer until it arrives.
+    answer_time: Duration,
     /// Time that a listing of all upstreams takes in addition to that of a call.
     listing_time: Duration,
 }
@@ -36,11 +62,20 @@
 pub struct ControlStore {
     state: Arc<Mutex<State>>,
     revision: Arc<watch::Sender<u64>>,
+    link: Arc<Link>,
+}
+
+/// Connection of one client to the store.
+#[derive(Default)]
+struct Link {
+    cut: AtomicBool,
+    calls: AtomicU64,
 }
 
 impl Default for ControlStore {
     fn default() -> Self {
-        Self { state: Arc::default(), revision: Arc::new(watch::Sender::new(1)) }
+        let revision = Arc::new(watch::Sender::new(1));
+        Self { state: Arc::default(), revision, link: Arc::default() }
     }
 }
 
@@ -49,24 +84,27 @@
     pub fn configure(&self, content: Content) {
         let revision = self.next_revision();
         let mut state = self.lock();
-        state.configuration = content;
-        state.configured_at = revision;
+        state.contents.configuration = content;
+        state.contents.configured_at = revision;
+        state.copy(revision);
     }
 
     /// Adds or replaces the entry of an upstream.
     pub fn list(&self, upstream: Upstream) {
         let revision = self.next_revision();
         let mut state = self.lock();
-        state.upstreams.insert(upstream.id.clone(), upstream.clone());
+        state.contents.upstreams.insert(upstream.id.clone(), upstream.clone());
         state.changes.push((revision, Change::Set(upstream)));
+        state.copy(revision);
     }
 
     /// Removes the entry of an upstream.
     pub fn remove(&self, id: &str) {
         let revision = self.next_revision();
         let mut state = self.lock();
-        state.upstreams.remove(id);
+        state.contents.upstreams.remove(id);
         state.changes.push((revision, Change::Removed(id.to_owned())));
+        state.copy(revision);
     }
 
     /// Compacts the history of changes up to the current revision.
@@ -81,6 +119,102 @@
         self.revision.send_modify(|_| {});
     }
 
+    /// Returns a client of this store that can be cut off from it alone.
+    pub fn client(&self) -> Self {
+        Self { link: Arc::default(), ..self.clone() }
+    }
+
+    /// Returns the number of calls of this client so far.
+    pub fn own_calls(&self) -> u64 {
+        self.link.calls.load(Ordering::Relaxed)
+    }
+
+    /// Cuts this client off from the store, or connects it again.
+    pub fn set_cut(&self, cut: bool) {
+        self.link.cut.store(cut, Ordering::Relaxed);
+        self.revision.send_modify(|_| {});
+    }
+
+    /// Sets the time from the reading of an answer until it arrives.
+    pub fn set_answer_time(&self, time: Duration) {
+        self.lock().answer_time = time;
+    }
+
+    /// Returns the version of the store.
+    pub fn version(&self) -> Version {
+        Version { era: self.lock().era, revision: *self.revision.borrow() }
+    }
+
+    /// Returns the listed upstreams.
+    pub fn listed(&self) -> Vec<Upstream> {
+        self.lock().contents.upstreams.values().cloned().collect()
+    }
+
+    /// Returns the number of the stored configuration.
+    pub fn configured(&self) -> u64 {
+        self.lock().contents.configuration.number
+    }
+
+    /// Returns the number of announced entry VMs.
+    pub fn members_listed(&self) -> usize {
+        self.lock().contents.members.len()
+    }
+
+    /// Returns the names in all announcements so far, in order.
+    pub fn announcements(&self) -> Vec<String> {
+        self.lock().announcements.clone()
+    }
+
+    /// Continues from the copy of the time `age` ago, in the next era. What the operator and the
+    /// upstreams wrote since is written again after `rewrite`, unless it was changed meanwhile.
+    pub fn drill(&self, age: Duration, rewrite: Option<Duration>) {
+        let (lost, copy) = {
+            let mut state = self.lock();
+            let kept = match Instant::now().checked_sub(age) {
+                Some(cut) => state.copies.partition_point(|(at, ..)| *at <= cut),
+                None => 0,
+            };
+            state.copies.truncate(kept);
+            let (revision, copy) = match state.copies.last() {
+                Some((_, revision, contents)) => (*revision, contents.clone()),
+                None => (1, Contents::default()),
+            };
+            let lost = std::mem::replace(&mut state.contents, copy.clone());
+            state.changes.retain(|(at, _)| *at <= revision);
+            state.compacted = state.compacted.min(revision);
+            state.era += 1;
+            self.revision.send_replace(revision);
+            (lost, copy)
+        };
+        if let Some(delay) = rewrite {
+            let store = self.clone();
+            tokio::spawn(async move {
+                sleep(delay).await;
+                store.rewrite(&lost, &copy);
+            });
+        }
+    }
+
+    /// Writes what is in `lost` and not in `copy`, unless it was changed since.
+    fn rewrite(&self, lost: &Contents, copy: &Contents) {
+        let current = self.lock().contents.clone();
+        let number = lost.configuration.number;
+        if number != copy.configuration.number && current.configuration == copy.configuration {
+            self.configure(lost.configuration.clone());
+        }
+        let is_unchanged = |id: &String| current.upstreams.get(id) == copy.upstreams.get(id);
+        for (id, upstream) in &lost.upstreams {
+            if copy.upstreams.get(id) != Some(upstream) && is_unchanged(id) {
+                self.list(upstream.clone());
+            }
+        }
+        for id in copy.upstreams.keys() {
+            if !lost.upstreams.contains_key(id) && is_unchanged(id) {
+                self.remove(id);
+            }
+        }
+    }
+
     /// Sets the time that a listing of all upstreams takes in addition to that of a call.
     pub fn set_listing_time(&self, time: Duration) {
         self.lock().listing_time = time;
@@ -104,8 +238,20 @@
     /// Counts a call and waits for its time; fails if the store is unavailable.
     async fn begin_call(&self) -> Result<(), Error> {
         self.lock().calls += 1;
+        self.link.calls.fetch_add(1, Ordering::Relaxed);
         sleep(CALL_TIME).await;
-        if self.lock().away { Err(Error::Unavailable("away".into())) } else { Ok(()) }
+        if self.is_away() { Err(Error::Unavailable("away".into())) } else { Ok(()) }
+    }
+
+    fn is_away(&self) -> bool {
+        self.lock().away || self.link.cut.load(Ordering::Relaxed)
+    }
+
+    /// Delays an answer that was read before.
+    async fn delay_answer<T>(&self, answer: T) -> Result<T, Error> {
+        let time = self.lock().answer_time;
+        sleep(time).await;
+        if self.link.cut.load(Ordering::Relaxed) { Err(Error::Lost) } else { Ok(answer) }
     }
 
     fn changes_since(&self, revision: u64) -> Vec<Change> {
@@ -114,20 +260,22 @@
         since.map(|(_, change)| change.clone()).collect()
     }
 
-    /// Waits until `newer` holds or `WATCH_LIMIT` has passed; returns the current revision. Fails
-    /// with `Expired` if the changes after `revision` are compacted and with `Lost` if the store
-    /// becomes unavailable.
-    async fn wait(&self, revision: u64, newer: impl Fn(&State) -> bool) -> Result<u64, Error> {
+    /// Waits until `newer` holds or `WATCH_LIMIT` has passed; returns the current version. Fails
+    /// with `Expired` if the store has no changes after `revision` and with `Lost` if it becomes
+    /// unavailable or another era begins.
+    async fn wait(&self, revision: u64, newer: impl Fn(&State) -> bool) -> Result<Version, Error> {
         self.begin_call().await?;
-        if revision < self.lock().compacted {
+        if revision < self.lock().compacted || revision > *self.revision.borrow() {
             return Err(Error::Expired);
         }
+        let era = self.lock().era;
         let mut seen = self.revision.subscribe();
         let changed = async {
             loop {
-                let (away, newer) = {
+                let away = self.is_away();
+                let newer = {
                     let state = self.lock();
-                    (state.away, newer(&state))
+                    state.era != era || newer(&state)
                 };
                 if away || newer || seen.changed().await.is_err() {
                     return;
@@ -135,10 +283,17 @@
             }
         };
         let _ = timeout(WATCH_LIMIT, changed).await;
-        if self.lock().away {
+        if self.is_away() || self.lock().era != era {
             return Err(Error::Lost);
         }
-        Ok(*self.revision.borrow())
+        Ok(self.version())
+    }
+}
+
+impl State {
+    /// Keeps the contents after a change for a later drill.
+    fn copy(&mut self, revision: u64) {
+        self.copies.push((Instant::now(), revision, self.contents.clone()));
     }
 }
 
@@ -146,47 +301,61 @@
 impl Store for ControlStore {
     async fn configuration(&self) -> Result<Configuration, Error> {
         self.begin_call().await?;
-        let table = Table::from(self.lock().configuration.clone());
-        Ok(Configuration { revision: *self.revision.borrow(), table: Some(table) })
+        let table = Table::from(self.lock().contents.configuration.clone());
+        let version = self.version();
+        self.delay_answer(Configuration { revision: version.revision, table: Some(table) }).await
     }
 
     async fn next_configuration(&self, revision: u64) -> Result<Configuration, Error> {
-        let newest = self.wait(revision, |state| state.configured_at > revision).await?;
-        let state = self.lock();
-        let newer = state.configured_at > revision;
-        let table = newer.then(|| Table::from(state.configuration.clone()));
-        Ok(Configuration { revision: newest, table })
+        let is_newer = |state: &State| state.contents.configured_at > revision;
+        let version = self.wait(revision, is_newer).await?;
+        let table = {
+            let state = self.lock();
+            is_newer(&state).then(|| Table::from(state.contents.configuration.clone()))
+        };
+        self.delay_answer(Configuration { revision: version.revision, table }).await
     }
 
     async fn upstreams(&self) -> Result<Listing, Error> {
         self.begin_call().await?;
         let time = self.lock().listing_time;
         sleep(time).await;
-        let upstreams = self.lock().upstreams.values().cloned().collect();
-        Ok(Listing { revision: *self.revision.borrow(), upstreams })
+        let listing = Listing { revision: self.version().revision, upstreams: self.listed() };
+        self.delay_answer(listing).await
     }
 
     async fn next_upstreams(&self, revision: u64) -> Result<Changes, Error> {
         let newer = |state: &State| state.changes.last().is_some_and(|(at, _)| *at > revision);
-        let newest = self.wait(revision, newer).await?;
-        Ok(Changes { revision: newest, changes: self.changes_since(revision) })
+        let version = self.wait(revision, newer).await?;
+        self.delay_answer(Changes {
+            revision: version.revision,
+            changes: self.changes_since(revision),
+        })
+        .await
     }
 
     async fn upstreams_since(&self, revision: u64) -> Result<Changes, Error> {
-        let newest = self.wait(revision, |_| true).await?;
-        Ok(Changes { revision: newest, changes: self.changes_since(revision) })
+        let version = self.wait(revision, |_| true).await?;
+        self.delay_answer(Changes {
+            revision: version.revision,
+            changes: self.changes_since(revision),
+        })
+        .await
     }
 
     async fn members(&self) -> Result<Vec<Member>, Error> {
         self.begin_call().await?;
-        Ok(self.lock().members.clone())
+        Ok(self.lock().contents.members.clone())
     }
 
     async fn announce(&self, member: &Member) -> Result<(), Error> {
         self.begin_call().await?;
+        let revision = *self.revision.borrow();
         let mut state = self.lock();
-        state.members.retain(|known| known.name != member.name);
-        state.members.push(member.clone());
+        state.contents.members.retain(|known| known.name != member.name);
+        state.contents.members.push(member.clone());
+        state.announcements.push(member.name.clone());
+        state.copy(revision);
         Ok(())
     }
 }
--- a/standin/src/site.rs
+++ b/standin/src/site.rs
@@ -11,6 +11,7 @@
 use quetzaltiller::fleet::Upstream;
 use quetzaltiller::proxy::{Chunk, Part, Prompt, Reply, Request};
 use quetzaltiller::routes::{Account, Content, Engine, Kind, Route, Service, Target};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -62,6 +63,8 @@
     pub hub: Hub,
     /// Entry VMs that run.
     pub entries: Vec<Arc<Entry>>,
+    /// Clients with which the entry VMs reach the store, by name.
+    pub clients: BTreeMap<String, ControlStore>,
 }
 
 impl Site {
@@ -73,6 +76,7 @@
             store: ControlStore::default(),
             hub: Hub::default(),
             entries: Vec::new(),
+            clients: BTreeMap::new(),
         };
         site.store.configure(configuration(1));
         for (z, zone) in ZONES.iter().enumerate() {
@@ -97,15 +101,30 @@
 
     /// Starts an entry VM in a zone.
     pub fn join(&mut self, zone: &str, incarnation: u64) -> Arc<Entry> {
-        let name = format!("entry-{zone}");
+        self.join_with(config(zone, incarnation))
+    }
+
+    /// Starts the entry VM `name` in a zone that has other ones.
+    pub fn join_as(&mut self, name: &str, zone: &str) -> Arc<Entry> {
+        self.join_with(Config {
+            name: name.to_owned(),
+            caller_address: format!("{name}:1"),
+            peer_address: name.to_owned(),
+            ..config(zone, 1)
+        })
+    }
+
+    fn join_with(&mut self, config: Config) -> Arc<Entry> {
+        let (name, client) = (config.name.clone(), self.store.client());
         let ports = Ports {
-            store: Arc::new(self.store.clone()),
+            store: Arc::new(client.clone()),
             client: Arc::new(self.fleet.clone()),
             link: self.hub.link(&name),
         };
-        let entry = Entry::start(config(zone, incarnation), ports);
+        let entry = Entry::start(config, ports);
         self.hub.insert(&name, entry.clone());
         self.entries.push(entry.clone());
+        self.clients.insert(name, client);
         entry
     }
 
