Order by the store's era before its revision

Cause: a listing or change counted only if its revision was higher. After the store's return from an older copy an entry VM kept the directory of the lost history until revisions had caught up, or joined changes of two histories under one revision. Upstreams that the copy lacks vanished at once, those that had left since came back, and announcements in the lost seconds were not written again.

Changes apply only within an era; a newer one begins with a listing, which the relay of a zone reads at once, the deputy after 0.9 s and the others after 1.3 s unless a peer was first. Upstreams that the copy lacks are kept for 2 s. Those that it lists although they had left are disputed: no new work until they write again, start anew or answer their health check (upstream::Client::accepts_work). One line, store_era_changed, with both versions.

--- a/quetzaltiller/src/control.rs
+++ b/quetzaltiller/src/control.rs
@@ -1,5 +1,9 @@
 //! Port to the platform's store: configuration, upstreams and entry VMs, in this crate's types.
 
+mod version;
+
+pub use version::Version;
+
 use crate::fleet::{Change, Listing};
 use crate::routes::Table;
 use async_trait::async_trait;
@@ -32,20 +36,20 @@
     }
 }
 
-/// Newest configuration as of a revision.
+/// Newest configuration as of a version of the store.
 #[derive(Clone, Debug)]
 pub struct Configuration {
-    /// Revision of the store up to which the configuration is the newest.
-    pub revision: u64,
-    /// Configuration; `None` if there is none, or none since the requested revision.
+    /// Version of the store up to which the configuration is the newest.
+    pub version: Version,
+    /// Configuration; `None` if there is none, or none since the requested version.
     pub table: Option<Table>,
 }
 
-/// Changes of upstreams up to a revision.
+/// Changes of upstreams up to a version of the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Changes {
-    /// Revision of the store that the changes lead up to.
-    pub revision: u64,
+    /// Version of the store that the changes lead up to. They apply only to a state of its era.
+    pub version: Version,
     /// Changes, in the order of their revisions.
     pub changes: Vec<Change>,
 }
@@ -67,23 +71,23 @@
     /// Reads the newest configuration.
     async fn configuration(&self) -> Result<Configuration, Error>;
 
-    /// Waits until the configuration has changed since `revision`, up to a time limit of the
-    /// implementation.
-    async fn next_configuration(&self, revision: u64) -> Result<Configuration, Error>;
+    /// Waits until the configuration has changed since `version`, up to a time limit of the
+    /// implementation. An answer of another era may lack earlier changes of that era.
+    async fn next_configuration(&self, version: Version) -> Result<Configuration, Error>;
 
     /// Lists all upstreams.
     async fn upstreams(&self) -> Result<Listing, Error>;
 
-    /// Waits until an upstream has changed since `revision`, up to a time limit of the
-    /// implementation.
-    async fn next_upstreams(&self, revision: u64) -> Result<Changes, Error>;
+    /// Waits until an upstream has changed since `version`, up to a time limit of the
+    /// implementation. An answer of another era may lack earlier changes of that era.
+    async fn next_upstreams(&self, version: Version) -> Result<Changes, Error>;
 
-    /// Reads the changes of upstreams since `revision` without waiting for one.
-    async fn upstreams_since(&self, revision: u64) -> Result<Changes, Error>;
+    /// Reads the changes of upstreams since `version` without waiting for one.
+    async fn upstreams_since(&self, version: Version) -> Result<Changes, Error>;
 
     /// Lists the announced entry VMs, including those that no longer exist.
     async fn members(&self) -> Result<Vec<Member>, Error>;
 
-    /// Announces an entry VM in the store.
-    async fn announce(&self, member: &Member) -> Result<(), Error>;
+    /// Announces an entry VM in the store; returns the era in which the store has it.
+    async fn announce(&self, member: &Member) -> Result<u64, Error>;
 }
--- a/quetzaltiller/src/entry/builder.rs
+++ b/quetzaltiller/src/entry/builder.rs
@@ -82,6 +82,8 @@
         self.scope.spawn(startup::apply_successors(found_successors, self.follower.clone()));
         self.scope.spawn(startup::update_placer(placer.clone(), self.follower.clone()));
         self.scope.spawn(startup::limit_wait_for_members(placer.clone()));
+        let client = self.ports.client.clone();
+        self.scope.spawn(startup::check_disputed(client, self.follower.clone()));
         placer
     }
 
@@ -109,7 +111,8 @@
         let member =
             Member { name: name.clone(), zone: zone.clone(), peer_address: peer_address.clone() };
         let store = self.ports.store.clone();
-        self.scope.spawn(startup::announce(store, member, members.clone(), placer.clone()));
+        let known = (members.clone(), self.follower.clone());
+        self.scope.spawn(startup::announce(store, member, known, placer.clone()));
         members
     }
 
--- a/quetzaltiller/src/entry/delegate.rs
+++ b/quetzaltiller/src/entry/delegate.rs
@@ -107,11 +107,11 @@
     /// Whether the sender of `beat` has newer upstreams that should be pulled. Far members are only
     /// pulled from if the own zone delivers nothing in time, as bytes between zones are expensive.
     fn has_newer_upstreams(&self, beat: &wire::Heartbeat) -> bool {
-        let own_revision = self.follower.revision();
+        let (remote, own) = (beat.store_version(), self.follower.version());
         if self.is_near(&beat.zone) {
-            return beat.revision > own_revision;
+            return remote > own;
         }
-        self.watchers().lag.record_revision(self.clock.now(), beat.revision, own_revision)
+        self.watchers().lag.record_version(self.clock.now(), remote, own)
     }
 }
 
@@ -122,7 +122,7 @@
 
     fn fill_heartbeat(&self, beat: &mut wire::Heartbeat, near: bool) {
         beat.number = self.follower.routes().number();
-        beat.revision = self.follower.revision();
+        beat.set_store_version(self.follower.version());
         beat.ready = self.follower.is_ready();
         if near || self.follower.is_store_unreachable() {
             let encode = |successor: &Successor| wire::Successor {
--- a/quetzaltiller/src/entry/dump.rs
+++ b/quetzaltiller/src/entry/dump.rs
@@ -1,5 +1,6 @@
 //! State of the process, for operators.
 
+use crate::control::Version;
 use crate::drain::Phase;
 use crate::members::View;
 use crate::placement::State;
@@ -18,8 +19,9 @@
     pub phase: Phase,
     /// Number of the configuration in force.
     pub number: u64,
-    /// Revision of the known upstreams.
-    pub revision: u64,
+    /// Version of the store that lists the known upstreams.
+    #[serde(flatten)]
+    pub store: Version,
     /// Number of open requests.
     pub open: u64,
     /// Other entry VMs.
--- a/quetzaltiller/src/entry/lag.rs
+++ b/quetzaltiller/src/entry/lag.rs
@@ -5,34 +5,30 @@
 //! zones are expensive, so they pull only after the time in which their own zone would have
 //! delivered the update.
 
+use crate::control::Version;
 use std::time::Duration;
 
 /// Maximum time in which the own zone delivers an update: the batching of its relay (200 ms), a
 /// heartbeat (400 ms) and the delay before a pull (250 ms).
 const ZONE_RELAY_LIMIT: Duration = Duration::from_millis(900);
 
-/// Newer revision of another zone that this entry VM waits for, and since when.
+/// Newer version of another zone that this entry VM waits for, and since when.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Lag {
-    awaited: Option<(u64, Duration)>,
+    awaited: Option<(Version, Duration)>,
 }
 
 impl Lag {
-    /// Records at `now` the revision of a far member and that of this entry VM; returns whether to
+    /// Records at `now` the version of a far member and that of this entry VM; returns whether to
     /// pull from the member.
-    pub fn record_revision(
-        &mut self,
-        now: Duration,
-        remote_revision: u64,
-        own_revision: u64,
-    ) -> bool {
-        if remote_revision <= own_revision {
+    pub fn record_version(&mut self, now: Duration, remote: Version, own: Version) -> bool {
+        if remote <= own {
             return false;
         }
         match self.awaited {
-            Some((revision, since)) if own_revision < revision => now >= since + ZONE_RELAY_LIMIT,
+            Some((version, since)) if own < version => now >= since + ZONE_RELAY_LIMIT,
             _ => {
-                self.awaited = Some((remote_revision, now));
+                self.awaited = Some((remote, now));
                 false
             }
         }
--- a/quetzaltiller/src/entry/mod.rs
+++ b/quetzaltiller/src/entry/mod.rs
@@ -206,7 +206,7 @@
             incarnation: self.config.incarnation,
             phase: self.drain.phase(),
             number: self.follower.routes().number(),
-            revision: self.follower.directory().revision(),
+            store: self.follower.directory().version(),
             open: self.local.open(),
             members: self.members.view().as_ref().clone(),
             upstreams: self.placer.dump().await,
@@ -227,8 +227,9 @@
                 wire::Reply::Accepted(encode_newer(table.number(), newer))
             }
             wire::Ask::Upstreams(pull) => {
-                let update = self.follower.update_since(pull.number).await;
-                wire::Reply::Upstreams(encode_newer(self.follower.revision(), update.as_ref()))
+                let update = self.follower.update_since(pull.into()).await;
+                let revision = self.follower.version().revision;
+                wire::Reply::Upstreams(encode_newer(revision, update.as_ref()))
             }
             wire::Ask::Book(book) => {
                 let booked = self.placer.book(book.into()).await;
--- a/quetzaltiller/src/entry/pull.rs
+++ b/quetzaltiller/src/entry/pull.rs
@@ -29,19 +29,19 @@
         let address = &self.beat.peer_address;
         let number = self.follower.routes().number();
         if self.beat.number > number {
-            let ask = wire::Ask::Pull(wire::Pull { number });
+            let ask = wire::Ask::Pull(wire::Pull { number, era: 0 });
             if let Ok(wire::Reply::Accepted(accepted)) = self.link.call(address, ask).await
                 && let Some(table) = parse(&accepted)
             {
                 self.follower.update_routes(table);
             }
         }
-        let revision = self.follower.revision();
+        let known = self.follower.version();
         // A whole directory is large. While the store sends it, a pull would only load the peer's
         // link.
-        let awaits_listing = revision == 0 && !self.follower.is_store_unreachable();
-        if self.upstreams && self.beat.revision > revision && !awaits_listing {
-            let ask = wire::Ask::Upstreams(wire::Pull { number: revision });
+        let awaits_listing = known.revision == 0 && !self.follower.is_store_unreachable();
+        if self.upstreams && self.beat.store_version() > known && !awaits_listing {
+            let ask = wire::Ask::Upstreams(known.into());
             if let Ok(wire::Reply::Upstreams(accepted)) = self.link.call(address, ask).await
                 && let Some(update) = parse::<Update>(&accepted)
             {
--- a/quetzaltiller/src/fleet/directory.rs
+++ b/quetzaltiller/src/fleet/directory.rs
@@ -1,21 +1,24 @@
-//! Directory of all upstreams at one revision.
+//! Directory of all upstreams at one version of the platform's store.
 //!
-//! Revisions are those of the platform's store. They order listings and changes from the store and
-//! from peers; those that are not newer than the directory are ignored.
+//! Versions order listings and changes from the store and from peers; those that are not newer than
+//! the directory are ignored. Changes apply only within the directory's era: a newer era begins
+//! with a listing.
 
 use super::Upstream;
+use crate::control::Version;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// List of all upstreams at one revision of the store.
+/// List of all upstreams at one version of the store.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Listing {
-    /// Revision of the store.
-    pub revision: u64,
-    /// All upstreams at that revision.
+    /// Version of the store.
+    #[serde(flatten)]
+    pub version: Version,
+    /// All upstreams at that version.
     pub upstreams: Vec<Upstream>,
 }
 
@@ -39,17 +42,17 @@
     }
 }
 
-/// All upstreams at one revision of the store, by id.
+/// All upstreams at one version of the store, by id.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
-    revision: u64,
+    version: Version,
     upstreams: BTreeMap<String, Arc<Upstream>>,
 }
 
 impl Directory {
-    /// Revision of the directory; 0 before any listing.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// Version of the directory; its revision is 0 before any listing.
+    pub fn version(&self) -> Version {
+        self.version
     }
 
     /// All upstreams, ordered by id.
@@ -75,7 +78,7 @@
     /// Listing of all upstreams, for peers.
     pub fn listing(&self) -> Listing {
         let upstreams = self.upstreams.values().map(|upstream| (**upstream).clone()).collect();
-        Listing { revision: self.revision, upstreams }
+        Listing { version: self.version, upstreams }
     }
 
     /// Removes upstreams whose address is served by a later process: they have ended, even if they
@@ -89,6 +92,18 @@
         self.upstreams.retain(|_, upstream| upstream.incarnation >= latest[&upstream.address]);
     }
 
+    /// Removes the upstream with this id.
+    pub fn remove(&mut self, id: &str) {
+        self.upstreams.remove(id);
+    }
+
+    /// Marks the upstream with this id as leaving.
+    pub fn mark_leaving(&mut self, id: &str) {
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            Arc::make_mut(upstream).leaving = true;
+        }
+    }
+
     /// Adds those of `upstreams` whose ids are not in the directory.
     pub fn insert_missing(&mut self, upstreams: impl Iterator<Item = Arc<Upstream>>) {
         for upstream in upstreams {
@@ -104,10 +119,10 @@
 
     /// Replaces all upstreams if the listing is newer; returns whether it was.
     pub fn replace(&mut self, listing: Listing) -> bool {
-        if listing.revision <= self.revision {
+        if listing.version <= self.version {
             return false;
         }
-        self.revision = listing.revision;
+        self.version = listing.version;
         self.upstreams = listing
             .upstreams
             .into_iter()
@@ -116,12 +131,13 @@
         true
     }
 
-    /// Applies the changes up to `revision` if that is newer; returns whether it was.
-    pub fn apply(&mut self, revision: u64, changes: Vec<Change>) -> bool {
-        if revision <= self.revision {
+    /// Applies the changes up to `version` if that is newer and of the same era; returns whether it
+    /// was.
+    pub fn apply(&mut self, version: Version, changes: Vec<Change>) -> bool {
+        if !self.version.leads_to(version) {
             return false;
         }
-        self.revision = revision;
+        self.version = version;
         for change in changes {
             match change {
                 Change::Set(upstream) => {
--- a/quetzaltiller/src/fleet/mod.rs
+++ b/quetzaltiller/src/fleet/mod.rs
@@ -1,7 +1,7 @@
 //! Upstreams as listed in the platform's directory.
 //!
-//! An [`Upstream`] is one start of a process; a [`Directory`] holds all upstreams at one revision
-//! of the platform's store.
+//! An [`Upstream`] is one start of a process; a [`Directory`] holds all upstreams at one version of
+//! the platform's store.
 
 mod directory;
 mod history;
--- a/quetzaltiller/src/follower/message.rs
+++ b/quetzaltiller/src/follower/message.rs
@@ -1,8 +1,9 @@
 //! Messages to the task of the follower.
 
-use crate::control::{Changes, Configuration};
-use crate::fleet::{Listing, Update};
+use crate::control::{Changes, Configuration, Version};
+use crate::fleet::{Listing, Update, Upstream};
 use crate::placement::Successor;
+use crate::prelude::*;
 use crate::routes::Table;
 use tokio::sync::oneshot;
 
@@ -19,10 +20,12 @@
     Changed(Changes),
     /// A new process serves the address of a lost upstream.
     SuccessorFound(Successor),
-    /// Request for the changes since a revision, to be sent to a peer.
+    /// The process of a disputed upstream has answered its health check.
+    Confirmed(Arc<Upstream>),
+    /// Request for the changes since a version, to be sent to a peer.
     UpdateRequested {
-        /// Revision that the peer knows.
-        known_revision: u64,
+        /// Version that the peer knows.
+        known: Version,
         /// Receiver of the changes; none if the peer knows all.
         reply: oneshot::Sender<Option<Update>>,
     },
--- a/quetzaltiller/src/follower/mod.rs
+++ b/quetzaltiller/src/follower/mod.rs
@@ -1,19 +1,24 @@
 //! Follows the platform's configuration and directory of upstreams.
 //!
 //! The store is watched, and peers offer newer data. A configuration is replaced only by one with a
-//! higher number, and the directory only by one with a higher revision of the store, regardless of
-//! the source.
+//! higher number, and the directory only by one of a newer version of the store, regardless of the
+//! source.
 //!
 //! While the store can't be reached, it may drop upstreams that are alive. They are kept for
 //! `LAPSE_GRACE` after the store's return, the time in which live upstreams are listed again. An
 //! outage may go undetected while a watch waits, so upstreams are also kept, for `VANISH_GRACE`, if
 //! half of the upstreams of a service vanish at once.
 //!
+//! The store may return from an older copy, in a newer era. Upstreams that the copy lacks are kept as
+//! after an outage. Those that it lists although they had left since are disputed: they get no new
+//! work until they are written again or their own process answers.
+//!
 //! A service may start a new process at the address of a lost one. An entry VM that calls the
 //! address detects this successor before the store lists it, and is the only source of it while the
 //! store can't be reached. A successor is used until the store lists it, or for at most
 //! `SUCCESSOR_TTL` while the store can be reached.
 
+mod dispute;
 mod message;
 mod source;
 mod store_status;
@@ -23,8 +28,8 @@
 pub use watch_pause::Role;
 
 use crate::clock::Clock;
-use crate::control::{Changes, Store};
-use crate::fleet::{Directory, Update};
+use crate::control::{Changes, Store, Version};
+use crate::fleet::{Directory, Update, Upstream};
 use crate::mailbox::Mailbox;
 use crate::metrics::Metrics;
 use crate::placement::Successor;
@@ -115,9 +120,32 @@
         self.mailbox.send(Message::SuccessorFound(successor));
     }
 
-    /// Revision of the listed upstreams; 0 before any listing.
-    pub fn revision(&self) -> u64 {
-        self.status.borrow().revision
+    /// Version of the listed upstreams; its revision is 0 before any listing.
+    pub fn version(&self) -> Version {
+        self.status.borrow().version
+    }
+
+    /// Upstreams that the newest era of the store lists although they had left.
+    pub fn disputed(&self) -> Vec<Arc<Upstream>> {
+        self.status.borrow().disputed.clone()
+    }
+
+    /// Waits until there are disputed upstreams; false if the follower has ended.
+    pub async fn wait_for_disputes(&self) -> bool {
+        self.status.clone().wait_for(|status| !status.disputed.is_empty()).await.is_ok()
+    }
+
+    /// Waits until the upstreams are those of an era after `era`; returns the new era, or none if
+    /// the follower has ended.
+    pub async fn wait_for_era_after(&self, era: u64) -> Option<u64> {
+        let mut status = self.status.clone();
+        let newer = status.wait_for(|status| status.version.era > era).await.ok()?;
+        Some(newer.version.era)
+    }
+
+    /// Uses a disputed upstream again: its own process has shown that it accepts work.
+    pub fn confirm(&self, upstream: Arc<Upstream>) {
+        self.mailbox.send(Message::Confirmed(upstream));
     }
 
     /// Whether requests can be served: a configuration and at least one upstream are known.
@@ -149,15 +177,13 @@
     pub fn update_upstreams(&self, update: Update) {
         self.mailbox.send(match update {
             Update::Listed(listing) => Message::Listed(listing),
-            Update::Changed { revision, changes } => {
-                Message::Changed(Changes { revision, changes })
-            }
+            Update::Changed { version, changes } => Message::Changed(Changes { version, changes }),
         });
     }
 
-    /// Update for a peer that knows the revision `known_revision` of the store's upstreams; none if
-    /// the peer knows all.
-    pub async fn update_since(&self, known_revision: u64) -> Option<Update> {
-        self.mailbox.request(|reply| Message::UpdateRequested { known_revision, reply }).await?
+    /// Update for a peer that knows the upstreams at the store's version `known`; none if the peer
+    /// knows all.
+    pub async fn update_since(&self, known: Version) -> Option<Update> {
+        self.mailbox.request(|reply| Message::UpdateRequested { known, reply }).await?
     }
 }
--- a/quetzaltiller/src/follower/source.rs
+++ b/quetzaltiller/src/follower/source.rs
@@ -4,7 +4,7 @@
 use super::store_status::StoreStatus;
 use super::watch_pause::WatchPause;
 use crate::clock::Clock;
-use crate::control::{Changes, Error, Store};
+use crate::control::{Changes, Error, Store, Version};
 use crate::mailbox::Mailbox;
 use crate::metrics::{Counter, Metrics};
 use crate::prelude::*;
@@ -28,7 +28,7 @@
     pub metrics: Arc<Metrics>,
     /// Mailbox of the task that receives what is read.
     pub mailbox: Mailbox<Message>,
-    /// Status with the revision of the listed upstreams, which peers may advance.
+    /// Status with the version of the listed upstreams, which peers may advance.
     pub status: watch::Receiver<StoreStatus>,
     /// Conditions that end the pause between watches of the upstreams.
     pub watch_pause: watch::Receiver<WatchPause>,
@@ -40,23 +40,30 @@
 impl Source {
     /// Follows the configuration until the process ends.
     pub async fn follow_routes(self) {
-        let mut revision = None;
+        let mut version = None;
         let mut retry_delay = MIN_RETRY_DELAY;
         loop {
             self.metrics.count(Counter::StoreCall);
-            let result = match revision {
+            let result = match version {
                 None => self.store.configuration().await,
-                Some(revision) => self.store.next_configuration(revision).await,
+                Some(version) => self.store.next_configuration(version).await,
             };
             match result {
                 Ok(configuration) => {
-                    revision = Some(configuration.revision);
+                    let newest = configuration.version;
                     retry_delay = MIN_RETRY_DELAY;
                     self.mailbox.send(Message::StoreConfiguration(configuration));
+                    if is_other_era(version, newest) {
+                        info!("store_history_gone", kv: { kind = "configuration" });
+                        version = None;
+                        tokio::time::sleep(MIN_RETRY_DELAY).await;
+                    } else {
+                        version = Some(newest);
+                    }
                 }
                 Err(Error::Expired) => {
                     info!("store_history_gone", kv: { kind = "configuration" });
-                    revision = None;
+                    version = None;
                 }
                 Err(_) => {
                     self.end_pause.notify_one();
@@ -69,35 +76,43 @@
 
     /// Follows the upstreams until the process ends.
     pub async fn follow_upstreams(mut self) {
-        let mut revision = None;
+        let mut version = None;
         let mut retry_delay = MIN_RETRY_DELAY;
         let mut store_unreachable = false;
         loop {
             self.metrics.count(Counter::StoreCall);
-            let result = match revision {
+            let result = match version {
                 None => self.list().await,
                 // A watch returns only at the next change, a read as soon as the store can be
                 // reached.
-                Some(revision) if store_unreachable => {
-                    self.store.upstreams_since(revision).await.map(changes_message)
+                Some(version) if store_unreachable => {
+                    self.store.upstreams_since(version).await.map(changes_message)
                 }
-                Some(revision) => self.store.next_upstreams(revision).await.map(changes_message),
+                Some(version) => self.store.next_upstreams(version).await.map(changes_message),
             };
             match result {
                 Ok((newest, message)) => {
                     if std::mem::take(&mut store_unreachable) {
-                        info!("store_regained", kv: { revision = newest });
+                        info!("store_regained", kv: { era = newest.era, revision = newest.revision });
                         self.mailbox.send(Message::StoreRegained);
                     }
                     self.mailbox.send(message);
                     retry_delay = MIN_RETRY_DELAY;
+                    if let Some(known) = version.filter(|_| is_other_era(version, newest)) {
+                        info!("store_history_gone", kv: { kind = "upstreams" });
+                        version = self.await_relayed_listing(known).await;
+                        continue;
+                    }
                     self.pause_watch().await;
                     // Peers may have sent newer changes during the pause.
-                    revision = Some(newest.max(self.status.borrow().revision));
+                    version = Some(newest.max(self.status.borrow().version));
                 }
                 Err(Error::Expired) => {
                     info!("store_history_gone", kv: { kind = "upstreams" });
-                    revision = None;
+                    version = match version {
+                        Some(known) => self.await_relayed_listing(known).await,
+                        None => None,
+                    };
                 }
                 Err(reason) => {
                     if !std::mem::replace(&mut store_unreachable, true) {
@@ -125,12 +140,27 @@
         }
     }
 
-    async fn list(&self) -> Result<(u64, Message), Error> {
+    /// Waits until peers have sent upstreams that are newer than `known`; returns their version, or
+    /// none if this entry VM has to list the upstreams itself.
+    async fn await_relayed_listing(&mut self, known: Version) -> Option<Version> {
+        let delay = self.watch_pause.borrow().role.listing_delay();
+        let newer = self.status.wait_for(|status| status.version > known);
+        let status = tokio::time::timeout(delay, newer).await.ok()?.ok()?;
+        Some(status.version)
+    }
+
+    async fn list(&self) -> Result<(Version, Message), Error> {
         let listing = self.store.upstreams().await?;
-        Ok((listing.revision, Message::Listed(listing)))
+        Ok((listing.version, Message::Listed(listing)))
     }
 }
 
-fn changes_message(changes: Changes) -> (u64, Message) {
-    (changes.revision, Message::Changed(changes))
+fn changes_message(changes: Changes) -> (Version, Message) {
+    (changes.version, Message::Changed(changes))
+}
+
+/// Whether an answer belongs to another era than the version that was watched, so that earlier
+/// changes of its era may be missing.
+fn is_other_era(watched: Option<Version>, answered: Version) -> bool {
+    watched.is_some_and(|watched| watched.era != answered.era)
 }
--- a/quetzaltiller/src/follower/store_status.rs
+++ b/quetzaltiller/src/follower/store_status.rs
@@ -1,14 +1,19 @@
 //! State of the store as it is reported to peers.
 
+use crate::control::Version;
+use crate::fleet::Upstream;
 use crate::placement::Successor;
+use crate::prelude::*;
 
 /// State of the store as known to this entry VM.
 #[derive(Clone, Debug, Default)]
 pub struct StoreStatus {
-    /// Revision of the listed upstreams; 0 before any listing.
-    pub revision: u64,
+    /// Version of the listed upstreams; its revision is 0 before any listing.
+    pub version: Version,
     /// Successors of lost upstreams that the store does not list yet.
     pub successors: Vec<Successor>,
+    /// Upstreams that a newer era lists although they had left.
+    pub disputed: Vec<Arc<Upstream>>,
     /// Whether the store can't be reached.
     pub unreachable: bool,
 }
--- a/quetzaltiller/src/follower/task.rs
+++ b/quetzaltiller/src/follower/task.rs
@@ -1,9 +1,10 @@
 //! Task that owns the configuration and the directory of upstreams.
 
+use super::dispute::Dispute;
 use super::message::Message;
 use super::store_status::StoreStatus;
 use crate::clock::Clock;
-use crate::control::{Changes, Configuration};
+use crate::control::{Changes, Configuration, Version};
 use crate::fleet::{Change, Directory, History, Tombstones, Upstream};
 use crate::placement::Successor;
 use crate::prelude::*;
@@ -35,6 +36,8 @@
     /// Ids of upstreams that were removed. Peers that don't know of the removal may still report
     /// them as successors.
     removed: Tombstones,
+    /// Upstreams by id that the newest era lists although they had left before it began.
+    disputed: BTreeMap<String, Dispute>,
     /// Successors by id, and the time until which they are used without being listed; without limit
     /// while the store can't be reached.
     successors: BTreeMap<String, (Successor, Option<Duration>)>,
@@ -64,6 +67,7 @@
             history: History::default(),
             lapsed: BTreeMap::new(),
             removed: Tombstones::default(),
+            disputed: BTreeMap::new(),
             successors: BTreeMap::new(),
             store_unreachable: false,
             grace_until: Duration::ZERO,
@@ -101,28 +105,46 @@
             Message::Listed(listing) => {
                 let before = self.directory.clone();
                 if self.directory.replace(listing) {
-                    self.history.reset(self.directory.revision());
+                    self.history.reset(self.directory.version());
+                    let known = before.version();
+                    let is_new_era = known.revision > 0 && known.era < self.directory.version().era;
+                    if is_new_era {
+                        self.begin_era(&before);
+                    }
                     self.handle_directory_change(&before);
+                    if is_new_era {
+                        self.log_era(known);
+                    }
                 }
             }
-            Message::Changed(Changes { revision, changes }) => {
+            Message::Changed(Changes { version, changes }) => {
                 let before = self.directory.clone();
+                if version.era != before.version().era {
+                    return;
+                }
                 for change in &changes {
                     if let Change::Removed(id) = change {
-                        self.removed.insert(id);
+                        let incarnation = before.upstream(id).map_or(0, |known| known.incarnation);
+                        self.removed.insert(id, incarnation);
                         self.successors.remove(id);
                     }
                 }
-                if revision > before.revision() {
-                    self.history.record(revision, &changes);
+                if !before.version().leads_to(version) {
+                    return;
                 }
-                if self.directory.apply(revision, changes) {
+                // An upstream that writes its entry in the new era is alive.
+                changes.iter().for_each(|change| {
+                    self.disputed.remove(change.id());
+                });
+                self.history.record(version, &changes);
+                if self.directory.apply(version, changes) {
                     self.handle_directory_change(&before);
                 }
             }
+            Message::Confirmed(upstream) => self.confirm(&upstream),
             Message::SuccessorFound(successor) => self.add_successor(successor),
-            Message::UpdateRequested { known_revision, reply } => {
-                let _ = reply.send(self.history.since(known_revision, &self.directory));
+            Message::UpdateRequested { known, reply } => {
+                let _ = reply.send(self.history.since(known, &self.directory));
             }
             Message::StoreLost => {
                 self.store_unreachable = true;
@@ -149,16 +171,69 @@
         }
     }
 
+    /// Prepares for the directory of a newer era, an older copy of the one in `before`: upstreams
+    /// that it lacks are kept for a time, and those that had left since are disputed.
+    fn begin_era(&mut self, before: &Directory) {
+        self.grace_until = self.clock.now() + LAPSE_GRACE;
+        let mut current = before.clone();
+        current.drop_superseded();
+        for upstream in self.directory.upstreams() {
+            let id = upstream.id.as_str();
+            let known = current.upstream(id);
+            let had_left = known.is_none()
+                && !self.lapsed.contains_key(id)
+                && (before.upstream(id).is_some_and(|k| upstream.incarnation <= k.incarnation)
+                    || self.removed.contains_start(upstream));
+            let was_leaving =
+                known.is_some_and(|k| k.leaving && upstream.incarnation <= k.incarnation);
+            if had_left {
+                self.disputed.insert(id.to_owned(), Dispute::Gone);
+            } else if was_leaving && !upstream.leaving {
+                self.disputed.insert(id.to_owned(), Dispute::Leaving);
+            }
+        }
+    }
+
+    fn log_era(&self, from: Version) {
+        let to = self.directory.version();
+        info!("store_era_changed", kv: {
+            from_era = from.era, from_revision = from.revision,
+            era = to.era, revision = to.revision,
+            kept = self.lapsed.len(), disputed = self.disputed.len(),
+            number = self.configuration.number(), rewrites = "announcement"
+        });
+    }
+
+    fn confirm(&mut self, upstream: &Upstream) {
+        let listed = self.directory.upstream(&upstream.id);
+        if listed.is_some_and(|listed| listed.incarnation == upstream.incarnation)
+            && self.disputed.remove(&upstream.id).is_some()
+        {
+            info!("upstream_confirmed", kv: { upstream = upstream.id });
+            self.publish();
+        }
+    }
+
     fn handle_directory_change(&mut self, before: &Directory) {
         let now = self.clock.now();
+        let (directory, disputed) = (&self.directory, &mut self.disputed);
+        let is_unchanged = |id: &String| {
+            directory.upstream(id).is_some_and(|listed| {
+                before.upstream(id).is_none_or(|known| known.incarnation >= listed.incarnation)
+            })
+        };
+        let ended: Vec<_> =
+            disputed.keys().filter(|id| directory.upstream(id).is_none()).cloned().collect();
+        disputed.retain(|id, _| is_unchanged(id));
         let gone = before.upstreams().filter(|old| self.directory.upstream(&old.id).is_none());
         for upstream in gone {
-            self.removed.insert(&upstream.id);
+            self.removed.insert(&upstream.id, upstream.incarnation);
             let lapsed = self.store_unreachable || now < self.grace_until;
             let half_missing = self.is_half_of_service_missing(before, &upstream.service);
-            let keeps = (lapsed || half_missing) && !upstream.leaving;
+            let was_used = !upstream.leaving && !ended.contains(&upstream.id);
+            let keeps = (lapsed || half_missing) && was_used;
             info!("upstream_gone", kv: {
-                upstream = upstream.id, revision = self.directory.revision(), keeps
+                upstream = upstream.id, revision = self.directory.version().revision, keeps
             });
             if keeps {
                 // An upstream that is still missing at the end of the grace time after an outage
@@ -171,21 +246,24 @@
                 self.lapsed.insert(upstream.id.clone(), (upstream.clone(), until));
             }
         }
-        let first = before.revision() == 0;
+        let first = before.version().revision == 0;
         if first {
-            let (revision, upstreams) = (self.directory.revision(), self.directory.len());
-            info!("upstreams_listed", kv: { revision, upstreams });
+            let (version, upstreams) = (self.directory.version(), self.directory.len());
+            info!("upstreams_listed", kv: {
+                era = version.era, revision = version.revision, upstreams
+            });
         }
         for upstream in self.directory.upstreams() {
             self.lapsed.remove(&upstream.id);
             self.successors.remove(&upstream.id);
             let known = before.upstream(&upstream.id);
             let is_new_or_changed = known.is_none_or(|known| known.leaving != upstream.leaving);
-            if is_new_or_changed && (!first || upstream.leaving) {
+            let disputed = self.disputed.contains_key(&upstream.id);
+            if is_new_or_changed && !disputed && (!first || upstream.leaving) {
                 info!("upstream_listed", kv: {
                     upstream = upstream.id, service = upstream.service,
                     address:? = upstream.address, leaving = upstream.leaving,
-                    revision = self.directory.revision()
+                    revision = self.directory.version().revision
                 });
             }
         }
@@ -224,15 +302,26 @@
 
     fn publish(&self) {
         let mut directory = self.directory.clone();
-        directory.drop_superseded();
+        for (id, dispute) in &self.disputed {
+            match dispute {
+                Dispute::Gone => directory.remove(id),
+                Dispute::Leaving => directory.mark_leaving(id),
+            }
+        }
         directory.insert_missing(self.lapsed.values().map(|(upstream, _)| upstream.clone()));
+        directory.drop_superseded();
         for (successor, _) in self.successors.values() {
             directory.apply_successor(&successor.lost, successor.upstream.clone());
         }
         self.published.directory.send_replace(Arc::new(directory));
         let successors = self.successors.values().map(|(successor, _)| successor.clone());
         let (successors, unreachable) = (successors.collect(), self.store_unreachable);
-        let revision = self.directory.revision();
-        self.published.status.send_replace(StoreStatus { revision, successors, unreachable });
+        let disputed = self.disputed.keys().filter_map(|id| self.directory.upstream(id));
+        self.published.status.send_replace(StoreStatus {
+            version: self.directory.version(),
+            successors,
+            disputed: disputed.cloned().collect(),
+            unreachable,
+        });
     }
 }
--- a/quetzaltiller/src/follower/watch_pause.rs
+++ b/quetzaltiller/src/follower/watch_pause.rs
@@ -32,6 +32,19 @@
     Relayed,
 }
 
+impl Role {
+    /// Time to wait for a listing through the entry VMs that watch for the zone, after the history
+    /// that this one followed has ended. Covers a heartbeat (400 ms), the delay before a pull
+    /// (250 ms) and the transfer.
+    pub fn listing_delay(self) -> Duration {
+        match self {
+            Self::Relay => Duration::ZERO,
+            Self::Deputy => Duration::from_millis(900),
+            Self::Relayed => Duration::from_millis(1_300),
+        }
+    }
+}
+
 /// Conditions that end the pause before the next watch.
 #[derive(Clone, Copy, Debug)]
 pub struct WatchPause {
--- a/quetzaltiller/src/placement/placer.rs
+++ b/quetzaltiller/src/placement/placer.rs
@@ -228,7 +228,7 @@
 
     /// Replaces the upstreams by those of `directory`.
     pub fn set_upstreams(&self, directory: Arc<Directory>) {
-        let listed = directory.revision() > 0;
+        let listed = directory.version().revision > 0;
         self.mailbox.send(Message::Upstreams(directory));
         self.listed.send_if_modified(|known| listed && !std::mem::replace(known, true));
     }
--- a/quetzaltiller/src/proxy/mod.rs
+++ b/quetzaltiller/src/proxy/mod.rs
@@ -116,7 +116,7 @@
         info!("start_awaited", kv: {
             request = request.id, waited_ms = (self.context.clock.now() - began).as_millis() as u64,
             others = MAX_STARTUP_WAITERS - self.startup_permits.available_permits(),
-            number = follower.routes().number(), revision = follower.directory().revision()
+            number = follower.routes().number(), revision = follower.directory().version().revision
         });
     }
 
--- a/quetzaltiller/src/router/delegate.rs
+++ b/quetzaltiller/src/router/delegate.rs
@@ -71,7 +71,7 @@
 }
 
 async fn pull_configuration(catalog: &Catalog, link: &dyn Link, address: &str) {
-    let ask = wire::Ask::Pull(wire::Pull { number: catalog.number() });
+    let ask = wire::Ask::Pull(wire::Pull { number: catalog.number(), era: 0 });
     if let Ok(wire::Reply::Accepted(accepted)) = link.call(address, ask).await
         && !accepted.json.is_empty()
     {
--- a/quetzaltiller/src/upstream.rs
+++ b/quetzaltiller/src/upstream.rs
@@ -215,6 +215,10 @@
         limit: Duration,
     ) -> Option<Vec<u64>>;
 
+    /// Whether the upstream's own process answers its health check at `path` within `limit`,
+    /// healthy and not leaving.
+    async fn accepts_work(&self, upstream: &Upstream, path: &str, limit: Duration) -> bool;
+
     /// Id of the upstream at an address, read from its health check at `path`; `None` without an
     /// answer within `limit`.
     async fn identify(&self, address: SocketAddr, path: &str, limit: Duration) -> Option<String>;
--- a/quetzaltiller/src/wire.rs
+++ b/quetzaltiller/src/wire.rs
@@ -1,5 +1,6 @@
 //! Messages between entry VMs, encoded as protocol buffers.
 
+use crate::control::Version;
 use coordination::membership;
 use prost::{Message, Oneof};
 
@@ -150,6 +151,21 @@
     /// Newest limits that upstreams stated for all members together.
     #[prost(message, repeated, tag = "20")]
     pub limits: Vec<Limit>,
+    /// Store's era of the upstreams that the member knows; 0 from members that don't send it.
+    #[prost(uint64, tag = "22")]
+    pub era: u64,
+}
+
+impl Heartbeat {
+    /// Version of the store that lists the upstreams that the member knows.
+    pub fn store_version(&self) -> Version {
+        Version { era: self.era, revision: self.revision }
+    }
+
+    /// Sets the version of the store that lists the upstreams that the member knows.
+    pub fn set_store_version(&mut self, Version { era, revision }: Version) {
+        (self.era, self.revision) = (era, revision);
+    }
 }
 
 /// Limit that an upstream stated for all members together.
@@ -464,9 +480,25 @@
 /// Request for a newer configuration or newer upstreams.
 #[derive(Clone, Copy, Message, PartialEq)]
 pub struct Pull {
-    /// Number that the requester has.
+    /// Number that the requester has: of the configuration, or the store's revision of the
+    /// upstreams.
     #[prost(uint64, tag = "1")]
     pub number: u64,
+    /// Store's era of the upstreams that the requester has.
+    #[prost(uint64, tag = "2")]
+    pub era: u64,
+}
+
+impl From<Version> for Pull {
+    fn from(Version { era, revision }: Version) -> Self {
+        Self { number: revision, era }
+    }
+}
+
+impl From<Pull> for Version {
+    fn from(Pull { number, era }: Pull) -> Self {
+        Self { era, revision: number }
+    }
 }
 
 /// Accepted configuration, or the upstreams.
--- a/quetzaltiller/tests/entry.rs
+++ b/quetzaltiller/tests/entry.rs
@@ -1,6 +1,7 @@
 //! Complete entry VMs over stand-ins, under losses of engines, zones, the store and other entry
 //! VMs.
 
+use quetzaltiller::control::Version;
 use quetzaltiller::entry::{Entry, Lag};
 use quetzaltiller::fleet::Upstream;
 use quetzaltiller::proxy::{Reply, Request};
@@ -12,6 +13,10 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
+fn version(revision: u64) -> Version {
+    Version { era: 0, revision }
+}
+
 /// Starts `count` drafts, `gap` apart, at the entry VMs in turn; returns their tasks.
 async fn start_drafts(
     site: &Site,
@@ -769,7 +774,7 @@
     let mut lag = Lag::default();
     let pulled = (0..20).map(Duration::from_millis).map(|n| n * 100).any(|now| {
         let known = if now < Duration::from_millis(delivered_after_ms) { 7 } else { 9 };
-        lag.record_revision(now, 9, known)
+        lag.record_version(now, version(9), version(known))
     });
 
     assert_eq!(pulled, pulls);
--- a/quetzaltiller/tests/fleet.rs
+++ b/quetzaltiller/tests/fleet.rs
@@ -1,6 +1,7 @@
-//! Directory of upstreams: updates for peers that know an earlier revision.
+//! Directory of upstreams: updates for peers that know an earlier version.
 
 use proptest::prelude::*;
+use quetzaltiller::control::Version;
 use quetzaltiller::fleet::{Change, Directory, History, Listing, Update};
 use standin::site::engine;
 
@@ -25,7 +26,11 @@
     ]
 }
 
-/// Applies the events; returns the directory at each revision and the history at the end.
+fn version(revision: u64) -> Version {
+    Version { era: 0, revision }
+}
+
+/// Applies the events; returns the directory at each version and the history at the end.
 fn run(events: &[StoreEvent]) -> (Vec<Directory>, History) {
     let (mut directory, mut history) = (Directory::default(), History::default());
     let mut states = vec![directory.clone()];
@@ -38,13 +43,13 @@
         match event {
             StoreEvent::Changes(changes) => {
                 let changes: Vec<_> = changes.iter().map(change).collect();
-                history.record(revision, &changes);
-                directory.apply(revision, changes);
+                history.record(version(revision), &changes);
+                directory.apply(version(revision), changes);
             }
             StoreEvent::Listing(changes) => {
                 let mut later = directory.clone();
-                later.apply(revision, changes.iter().map(change).collect());
-                history.reset(revision);
+                later.apply(version(revision), changes.iter().map(change).collect());
+                history.reset(version(revision));
                 directory.replace(later.listing());
             }
         }
@@ -55,14 +60,14 @@
 
 fn apply_update(directory: &mut Directory, update: Update) {
     match update {
-        Update::Changed { revision, changes } => directory.apply(revision, changes),
+        Update::Changed { version, changes } => directory.apply(version, changes),
         Update::Listed(listing) => directory.replace(listing),
     };
 }
 
 proptest! {
     #[test]
-    fn update_brings_a_peer_from_any_revision_to_the_newest(
+    fn update_brings_a_peer_from_any_version_to_the_newest(
         events in prop::collection::vec(event(), 1..30),
         at in any::<prop::sample::Index>(),
     ) {
@@ -70,8 +75,8 @@
         let newest = states.last().unwrap();
         let mut peer = states[at.index(states.len())].clone();
 
-        let update = history.since(peer.revision(), newest);
-        prop_assert_eq!(update.is_none(), peer.revision() == newest.revision());
+        let update = history.since(peer.version(), newest);
+        prop_assert_eq!(update.is_none(), peer.version() == newest.version());
         if let Some(update) = update {
             apply_update(&mut peer, update);
         }
@@ -86,13 +91,13 @@
 fn peer_that_misses_one_change_gets_only_that_change() {
     let (mut directory, mut history) = (Directory::default(), History::default());
     let upstreams = (0..3_000).map(|n| engine(&format!("engine-{n}"), "a", 1)).collect();
-    directory.replace(Listing { revision: 1, upstreams });
-    history.reset(1);
+    directory.replace(Listing { version: version(1), upstreams });
+    history.reset(version(1));
     let change = vec![Change::Removed("engine-7".to_owned())];
-    history.record(2, &change);
-    directory.apply(2, change.clone());
+    history.record(version(2), &change);
+    directory.apply(version(2), change.clone());
 
-    let update = history.since(1, &directory);
+    let update = history.since(version(1), &directory);
 
-    assert_eq!(update, Some(Update::Changed { revision: 2, changes: change }));
+    assert_eq!(update, Some(Update::Changed { version: version(2), changes: change }));
 }
--- a/quetzaltiller/tests/limits.rs
+++ b/quetzaltiller/tests/limits.rs
@@ -2,6 +2,7 @@
 //! entry VMs choose upstreams under pressure, without I/O.
 
 use quetzaltiller::control::Member;
+use quetzaltiller::control::Version;
 use quetzaltiller::fleet::{Change, Directory};
 use quetzaltiller::placement::{Choice, Demand, Peer, Run, Table};
 use quetzaltiller::routes;
@@ -26,7 +27,7 @@
             Change::Set(engine(&format!("engine-{zone}"), zone, number + 50)),
         ]
     });
-    directory.apply(1, listed.collect());
+    directory.apply(Version { era: 0, revision: 1 }, listed.collect());
     directory
 }
 
--- a/quetzaltiller/tests/placement.rs
+++ b/quetzaltiller/tests/placement.rs
@@ -1,5 +1,6 @@
 //! Tests of the choice among upstreams under load and after losses, without I/O.
 
+use quetzaltiller::control::Version;
 use quetzaltiller::fleet::{Change, Directory, Upstream};
 use quetzaltiller::placement::{
     Assignment, Booking, Choice, Demand, Load, Peer, Reported, Run, Table,
@@ -29,7 +30,7 @@
     });
     let changes =
         listed.map(|(id, zone, number)| Change::Set(engine(&id, zone, number as u8))).collect();
-    directory.apply(1, changes);
+    directory.apply(Version { era: 0, revision: 1 }, changes);
     directory
 }
 
@@ -375,7 +376,7 @@
     let replica = |(z, zone): (usize, &&str)| {
         Change::Set(standin::site::replica(&format!("desk-{zone}"), zone, 200 + z as u8))
     };
-    directory.apply(1, listed.map(replica).collect());
+    directory.apply(Version { era: 0, revision: 1 }, listed.map(replica).collect());
     table.set_upstreams(&directory);
     table
 }
@@ -439,10 +440,10 @@
     let mut directory = Directory::default();
     let ready = |incarnation| Change::Set(Upstream { incarnation, ..(*listed).clone() });
 
-    directory.apply(2, vec![ready(listed.incarnation)]);
+    directory.apply(Version { era: 0, revision: 2 }, vec![ready(listed.incarnation)]);
     table.set_upstreams(&directory);
     let same = table.states()["desk-a"].is_leaving();
-    directory.apply(3, vec![ready(listed.incarnation + 1)]);
+    directory.apply(Version { era: 0, revision: 3 }, vec![ready(listed.incarnation + 1)]);
     table.set_upstreams(&directory);
     let restarted = table.states()["desk-a"].is_leaving();
 
--- a/quetzaltiller/tests/prompts.rs
+++ b/quetzaltiller/tests/prompts.rs
@@ -2,6 +2,7 @@
 
 use async_trait::async_trait;
 use quetzaltiller::clock::Clock;
+use quetzaltiller::control::Version;
 use quetzaltiller::fleet::{Change, Directory, Upstream};
 use quetzaltiller::placement::{self, Booked, Booking, Peer, Placer, Registrar, Table};
 use quetzaltiller::prompts::{Finder, Neighbours, PromptQuery};
@@ -46,6 +47,10 @@
 
     async fn drop_copy(&self, _holder: SocketAddr, _copy: &Copy, _limit: Duration) {}
 
+    async fn accepts_work(&self, _upstream: &Upstream, _path: &str, _limit: Duration) -> bool {
+        true
+    }
+
     async fn report(&self, _address: SocketAddr, _limit: Duration) -> Option<Report> {
         None
     }
@@ -138,7 +143,10 @@
 fn start(scope: &Scope, entries: usize, engines: u16) -> Vec<Node> {
     quetzaltiller::logs::stop();
     let mut directory = Directory::default();
-    directory.apply(1, (1..=engines).map(|number| Change::Set(upstream(number))).collect());
+    directory.apply(
+        Version { era: 0, revision: 1 },
+        (1..=engines).map(|number| Change::Set(upstream(number))).collect(),
+    );
     let directory = Arc::new(directory);
     let clock = Clock::default();
     let node = |number: usize, others: &Others| {
--- a/standin/src/control.rs
+++ b/standin/src/control.rs
@@ -6,7 +6,7 @@
 //! a while. What entry VMs wrote is lost.
 
 use async_trait::async_trait;
-use quetzaltiller::control::{Changes, Configuration, Error, Member, Store};
+use quetzaltiller::control::{Changes, Configuration, Error, Member, Store, Version};
 use quetzaltiller::fleet::{Change, Listing, Upstream};
 use quetzaltiller::routes::{Content, Table};
 use std::collections::BTreeMap;
@@ -21,15 +21,6 @@
 /// Longest wait of a watch without a change.
 const WATCH_LIMIT: Duration = Duration::from_secs(20);
 
-/// Era and revision of the store.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Version {
-    /// Number of drills so far.
-    pub era: u64,
-    /// Revision within the era.
-    pub revision: u64,
-}
-
 /// What the store holds at one revision.
 #[derive(Clone, Default)]
 struct Contents {
@@ -303,44 +294,37 @@
         self.begin_call().await?;
         let table = Table::from(self.lock().contents.configuration.clone());
         let version = self.version();
-        self.delay_answer(Configuration { revision: version.revision, table: Some(table) }).await
+        self.delay_answer(Configuration { version, table: Some(table) }).await
     }
 
-    async fn next_configuration(&self, revision: u64) -> Result<Configuration, Error> {
-        let is_newer = |state: &State| state.contents.configured_at > revision;
-        let version = self.wait(revision, is_newer).await?;
+    async fn next_configuration(&self, since: Version) -> Result<Configuration, Error> {
+        let is_newer = |state: &State| state.contents.configured_at > since.revision;
+        let version = self.wait(since.revision, is_newer).await?;
         let table = {
             let state = self.lock();
             is_newer(&state).then(|| Table::from(state.contents.configuration.clone()))
         };
-        self.delay_answer(Configuration { revision: version.revision, table }).await
+        self.delay_answer(Configuration { version, table }).await
     }
 
     async fn upstreams(&self) -> Result<Listing, Error> {
         self.begin_call().await?;
         let time = self.lock().listing_time;
         sleep(time).await;
-        let listing = Listing { revision: self.version().revision, upstreams: self.listed() };
+        let listing = Listing { version: self.version(), upstreams: self.listed() };
         self.delay_answer(listing).await
     }
 
-    async fn next_upstreams(&self, revision: u64) -> Result<Changes, Error> {
+    async fn next_upstreams(&self, since: Version) -> Result<Changes, Error> {
+        let Version { revision, .. } = since;
         let newer = |state: &State| state.changes.last().is_some_and(|(at, _)| *at > revision);
         let version = self.wait(revision, newer).await?;
-        self.delay_answer(Changes {
-            revision: version.revision,
-            changes: self.changes_since(revision),
-        })
-        .await
+        self.delay_answer(Changes { version, changes: self.changes_since(revision) }).await
     }
 
-    async fn upstreams_since(&self, revision: u64) -> Result<Changes, Error> {
-        let version = self.wait(revision, |_| true).await?;
-        self.delay_answer(Changes {
-            revision: version.revision,
-            changes: self.changes_since(revision),
-        })
-        .await
+    async fn upstreams_since(&self, since: Version) -> Result<Changes, Error> {
+        let version = self.wait(since.revision, |_| true).await?;
+        self.delay_answer(Changes { version, changes: self.changes_since(since.revision) }).await
     }
 
     async fn members(&self) -> Result<Vec<Member>, Error> {
@@ -348,7 +332,7 @@
         Ok(self.lock().contents.members.clone())
     }
 
-    async fn announce(&self, member: &Member) -> Result<(), Error> {
+    async fn announce(&self, member: &Member) -> Result<u64, Error> {
         self.begin_call().await?;
         let revision = *self.revision.borrow();
         let mut state = self.lock();
@@ -356,6 +340,6 @@
         state.contents.members.push(member.clone());
         state.announcements.push(member.name.clone());
         state.copy(revision);
-        Ok(())
+        Ok(state.era)
     }
 }
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -260,6 +260,14 @@
         self.lock().get(&address).map(|node| node.upstream.id.clone())
     }
 
+    async fn accepts_work(&self, upstream: &Upstream, _path: &str, limit: Duration) -> bool {
+        self.count().checks += 1;
+        let connected = tokio::time::timeout(limit, self.connect(upstream.address)).await;
+        let nodes = self.lock();
+        let node = nodes.get(&upstream.address).filter(|node| node.upstream.id == upstream.id);
+        matches!(connected, Ok(Ok(()))) && node.is_some_and(|node| !node.departing)
+    }
+
     async fn report(&self, address: SocketAddr, limit: Duration) -> Option<Report> {
         self.count().reports += 1;
         tokio::time::timeout(limit, self.connect(address)).await.ok()?.ok()?;
