qtctl logs summary: a line for each return of the store from an older copy

Cause: what a drill of the store cost could only be found by reading the store_era_changed lines of all entry VMs.

Evidence: a_change_of_the_stores_era_is_summarised_over_all_entry_vms failed with a qtctl from before the change (no such row).

Change: evidence::EraChange, a table under the requests: entry VMs that saw the era, the highest version known before and the lowest read after, the time from the first entry VM to the last, upstreams kept and disputed, announcements.

--- a/quetzaltiller/src/evidence/summary.rs
+++ b/quetzaltiller/src/evidence/summary.rs
@@ -1,6 +1,6 @@
 //! Counts how and why requests ended.
 
-use super::Line;
+use super::{EraChange, Line};
 use crate::ctl::Table;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -28,6 +28,8 @@
     pub ends: Vec<(RequestEnd, u64)>,
     /// Number of requests in each second by outcome, from the second in which the first one ended.
     pub seconds: BTreeMap<String, Vec<u64>>,
+    /// Returns of the store from an older copy.
+    pub eras: Vec<EraChange>,
     /// Number of log lines that entry VMs dropped because standard output was slow.
     pub dropped: u64,
 }
@@ -69,7 +71,7 @@
         let mut ends: Vec<_> = counts.into_iter().collect();
         ends.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
         let dropped = lines.iter().filter_map(|line| line.number("dropped")).sum();
-        Self { ends, seconds, dropped }
+        Self { ends, seconds, eras: EraChange::all(lines), dropped }
     }
 }
 
@@ -81,6 +83,9 @@
             table.push([count.to_string()].into_iter().chain(names));
         }
         write!(f, "{table}")?;
+        if !self.eras.is_empty() {
+            write!(f, "{}", era_table(&self.eras))?;
+        }
         if self.dropped > 0 {
             writeln!(f, "{} lines are missing: standard output was slow", self.dropped)?;
         }
@@ -88,6 +93,32 @@
     }
 }
 
+fn era_table(eras: &[EraChange]) -> Table {
+    let mut table = Table::new(&[
+        "STORE ERA",
+        "ENTRY VMS",
+        "FROM",
+        "TO",
+        "SPREAD",
+        "KEPT",
+        "DISPUTED",
+        "ANNOUNCED AGAIN",
+    ]);
+    for change in eras {
+        table.push([
+            change.era.to_string(),
+            change.vms.to_string(),
+            change.from.clone(),
+            change.to.clone(),
+            format!("{} s", change.spread_s),
+            change.kept.to_string(),
+            change.disputed.to_string(),
+            change.announcements.to_string(),
+        ]);
+    }
+    table
+}
+
 fn cause(line: &Line) -> Option<String> {
     let key = match line.event.as_str() {
         "engine_failed" => "reason",
--- a/quetzaltiller/tests/evidence.rs
+++ b/quetzaltiller/tests/evidence.rs
@@ -13,6 +13,8 @@
 time=2026-08-26T18:03:06.400Z level=info event=generation_placed request=d-1 upstream=i-9e zone=b backup=Some("i-12") restores=true expected_ms=40
 time=2026-08-26T18:03:12.082Z level=info event=generation_ended request=d-1 route=r-draft outcome=Whole events=141 sent=2 late=true took_ms=7043 first_ms=Some(1322) longest_pause_ms=1361
 time=2026-08-26T18:03:12.500Z level=warn event=log_lines_dropped dropped=3
+time=2026-08-26T18:03:13.100Z level=info event=store_era_changed from_era=3 from_revision=512 era=4 revision=480 kept=2 disputed=1 number=7 rewrites=announcement
+time=2026-08-26T18:03:13.900Z level=info event=announcement_repeated era=4
 "#;
 /// A refused order and a slow lookup, with a line that is no event.
 const WEST: &str = r#"
@@ -21,6 +23,7 @@
 time=2026-08-26T18:03:07.101Z level=info event=request_ended request=o-1 route=r-order status=503 took_ms=3
 this line is no event
 time=2026-08-26T18:03:08.000Z level=info event=request_ended request=s-1 route=r-status status=200 took_ms=31
+time=2026-08-26T18:03:14.200Z level=info event=store_era_changed from_era=3 from_revision=498 era=4 revision=483 kept=0 disputed=3 number=7 rewrites=announcement
 "#;
 
 struct Logs {
@@ -109,6 +112,19 @@
     assert!(std::fs::read_to_string(svg).unwrap().contains("<svg"));
 }
 
+#[test]
+fn a_change_of_the_stores_era_is_summarised_over_all_entry_vms() {
+    let logs = Logs::write("eras");
+    let [east, west] = logs.both();
+
+    let output = qtctl(&["logs", "summary", &east, &west]);
+
+    let printed = text(&output.stdout);
+    let row = printed.lines().skip_while(|line| !line.starts_with("STORE ERA")).nth(1);
+    let cells: Vec<_> = row.unwrap_or_default().split_whitespace().collect();
+    assert_eq!(cells, ["4", "2", "3.512", "4.480", "1", "s", "2", "3", "1"], "{printed}");
+}
+
 #[test]
 fn unknown_requests_and_missing_files_are_reported_as_errors() {
     let logs = Logs::write("errors");
