Don't keep a disputed upstream that leaves the store again

Cause: the removal of a disputed upstream ended its dispute before the directory was compared, so it was taken for one that an outage had dropped and was used until the end of the grace time.

Evidence: a_disputed_upstream_that_vanishes_is_not_kept failed: engine-1 and engine-2, gone and leaving before the drill, were in use from 0.8 s after it.

Change: only an entry that the upstream writes ends its dispute at once; those that vanish are settled, and not kept, where the directory is compared.

--- a/quetzaltiller/src/follower/task.rs
+++ b/quetzaltiller/src/follower/task.rs
@@ -10,7 +10,7 @@
 use crate::prelude::*;
 use crate::routes::Table;
 use coordination::feed::Feed;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use tokio::sync::{mpsc, watch};
 
 /// Time after an outage of the store for which upstreams that it dropped are kept. Within this time
@@ -133,9 +133,11 @@
                     return;
                 }
                 // An upstream that writes its entry in the new era is alive.
-                changes.iter().for_each(|change| {
-                    self.disputed.remove(change.id());
-                });
+                for change in &changes {
+                    if let Change::Set(upstream) = change {
+                        self.disputed.remove(&upstream.id);
+                    }
+                }
                 self.history.record(version, &changes);
                 if self.directory.apply(version, changes) {
                     self.handle_directory_change(&before);
@@ -214,23 +216,29 @@
         }
     }
 
+    /// Ends the disputes of upstreams that have started anew or are no longer listed; returns the
+    /// latter.
+    fn end_disputes(&mut self, before: &Directory) -> BTreeSet<String> {
+        let mut vanished = BTreeSet::new();
+        self.disputed.retain(|id, _| {
+            let Some(listed) = self.directory.upstream(id) else {
+                vanished.insert(id.clone());
+                return false;
+            };
+            before.upstream(id).is_none_or(|known| known.incarnation >= listed.incarnation)
+        });
+        vanished
+    }
+
     fn handle_directory_change(&mut self, before: &Directory) {
         let now = self.clock.now();
-        let (directory, disputed) = (&self.directory, &mut self.disputed);
-        let is_unchanged = |id: &String| {
-            directory.upstream(id).is_some_and(|listed| {
-                before.upstream(id).is_none_or(|known| known.incarnation >= listed.incarnation)
-            })
-        };
-        let ended: Vec<_> =
-            disputed.keys().filter(|id| directory.upstream(id).is_none()).cloned().collect();
-        disputed.retain(|id, _| is_unchanged(id));
+        let vanished_disputed = self.end_disputes(before);
         let gone = before.upstreams().filter(|old| self.directory.upstream(&old.id).is_none());
         for upstream in gone {
             self.removed.insert(&upstream.id, upstream.incarnation);
             let lapsed = self.store_unreachable || now < self.grace_until;
             let half_missing = self.is_half_of_service_missing(before, &upstream.service);
-            let was_used = !upstream.leaving && !ended.contains(&upstream.id);
+            let was_used = !upstream.leaving && !vanished_disputed.contains(&upstream.id);
             let keeps = (lapsed || half_missing) && was_used;
             info!("upstream_gone", kv: {
                 upstream = upstream.id, revision = self.directory.version().revision, keeps
--- a/quetzaltiller/tests/eras.rs
+++ b/quetzaltiller/tests/eras.rs
@@ -219,6 +219,27 @@
     assert!(directory.upstream("engine-2").is_some_and(|upstream| upstream.leaving));
 }
 
+/// They leave the store again within the time for which upstreams that vanish are kept.
+#[tokio::test(start_paused = true)]
+async fn a_disputed_upstream_that_vanishes_is_not_kept() {
+    let (follower, store, _scope) = start().await;
+    store.remove("engine-1");
+    store.list(leaving(2));
+    sleep(Duration::from_millis(100)).await;
+    store.remove("engine-2");
+    sleep(MAX_LAG).await;
+
+    store.drill(COPY_AGE, Some(Duration::from_millis(700)));
+    let mut used = Vec::new();
+    for _ in 0..30 {
+        sleep(Duration::from_millis(100)).await;
+        used.push(ids(&follower));
+    }
+
+    assert_eq!(store.listed().len(), 2);
+    assert!(used.iter().all(|ids| *ids == ["engine-0", "engine-3"]), "{used:?}");
+}
+
 /// They are used again when their own process has written its entry, or started anew.
 #[rstest]
 #[case::written_again(Upstream { slots: 9, ..listed(1) })]
