Soak: drills of the store, alone and beside other faults

Change: Fault::Drill keeps the store away for up to 1.2 s and returns it from a copy 0.2 to 6 s old; what the platform wrote is there again after 0.1 to 2.5 s. Seven of eight have a fault beside them that starts within a second: kills of one or all entry VMs, a paused entry VM, a cut from the store, a configuration, an engine that leaves or is killed.

--- a/soak/src/injector.rs
+++ b/soak/src/injector.rs
@@ -6,7 +6,7 @@
 use nix::sys::signal::Signal;
 use platform_standin::calls::call;
 use platform_standin::operator;
-use platform_standin::store::{Faults, Mode};
+use platform_standin::store::{Drill, Faults, Mode};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -162,6 +162,7 @@
                 self.deployment().await.entries[entry].store.set(0, false, false);
             }
             Fault::Store(fault) => self.inject_store_fault(fault, lasts).await,
+            Fault::Drill(drill) => self.drill_store(drill, lasts).await,
             Fault::Configure => self.configure(false).await,
             Fault::Revoke => self.configure(true).await,
         }
@@ -247,6 +248,14 @@
         self.set_store_faults(Faults::default()).await;
     }
 
+    async fn drill_store(&self, drill: Drill, away: Duration) {
+        if !away.is_zero() {
+            self.set_store_faults(Faults { mode: Mode::Reset, ..Faults::default() }).await;
+            sleep(away).await;
+        }
+        self.set_store_faults(Faults { drill: Some(drill), ..Faults::default() }).await;
+    }
+
     async fn set_store_faults(&self, faults: Faults) {
         let body = serde_json::to_value(faults).unwrap_or(Value::Null);
         // A stopped store reads this when it continues; `end_all_faults` sends it again in any
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -2,6 +2,7 @@
 //!
 //! The same seed, sizes and length always give the same plan, so a failed run can be repeated.
 
+use platform_standin::store::Drill;
 use rand::seq::IndexedRandom as _;
 use rand::{Rng, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -20,6 +21,17 @@
 /// the same.
 const BABBLE_STREAM: u64 = 1;
 
+/// Range of the pause between the starts of two drills of the store, in milliseconds.
+const DRILL_PAUSE_MS: std::ops::Range<u64> = 1_500..7_000;
+/// Range of the time for which a drill keeps the store away, in milliseconds.
+const DRILL_AWAY_MS: std::ops::Range<u64> = 0..1_200;
+/// Range of the age of the copy from which the store returns, in milliseconds.
+const COPY_AGE_MS: std::ops::Range<u64> = 200..6_000;
+/// Range of the time after which the platform has written again what a drill lost, in milliseconds.
+const REWRITE_MS: std::ops::Range<u64> = 100..2_500;
+/// Random number stream for drills and the faults beside them.
+const DRILL_STREAM: u64 = 2;
+
 /// Number of entry VMs, upstreams and callers in a run.
 #[derive(Clone, Copy, Debug, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -92,6 +104,8 @@
     CutStore(usize),
     /// The store fails for all of its clients.
     Store(StoreFault),
+    /// The store is away for the fault's duration and returns from an older copy.
+    Drill(Drill),
     /// A new configuration is written.
     Configure,
     /// A new configuration replaces the account key of the callers.
@@ -136,6 +150,7 @@
             at += Duration::from_millis(random.random_range(pause));
         }
         events.extend(draw_babble(seed, size, length));
+        events.extend(draw_drills(seed, size, length));
         events.sort_by_key(|event| event.at);
         Self { seed, size, events }
     }
@@ -156,6 +171,42 @@
     events
 }
 
+/// Draws drills of the store from their own random number stream. Most have another fault around
+/// their end, when the entry VMs first see the copy.
+fn draw_drills(seed: u64, size: Size, length: Duration) -> Vec<Event> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(DRILL_STREAM);
+    let mut events = Vec::new();
+    let mut at = Duration::from_millis(random.random_range(DRILL_PAUSE_MS));
+    while at < length {
+        let lasts = Duration::from_millis(random.random_range(DRILL_AWAY_MS));
+        let drill = Drill {
+            age_ms: random.random_range(COPY_AGE_MS),
+            rewrite_ms: random.random_range(REWRITE_MS),
+        };
+        events.push(Event { at, lasts, fault: Fault::Drill(drill) });
+        let (entry, upstream) =
+            (random.random_range(0..size.entries), random.random_range(0..size.engines));
+        let beside = [
+            None,
+            Some(Fault::KillEntry(entry)),
+            Some(Fault::KillEntries),
+            Some(Fault::StopEntry(entry)),
+            Some(Fault::CutStore(entry)),
+            Some(Fault::Configure),
+            Some(Fault::LeaveUpstream(upstream)),
+            Some(Fault::KillUpstream(upstream)),
+        ];
+        let offset = Duration::from_millis(random.random_range(0..1_000));
+        let beside_lasts = Duration::from_millis(random.random_range(FAULT_MS));
+        if let Some(fault) = beside.choose(&mut random).copied().flatten() {
+            events.push(Event { at: at + offset, lasts: beside_lasts, fault });
+        }
+        at += Duration::from_millis(random.random_range(DRILL_PAUSE_MS));
+    }
+    events
+}
+
 /// Draws a fault and what it applies to. Each call takes the same draws in the same order,
 /// whichever fault is chosen.
 fn draw_fault(random: &mut ChaCha8Rng, size: Size) -> Fault {
