--- a/quetzaltiller/src/quarantine/source.rs
+++ b/quetzaltiller/src/quarantine/source.rs
@@ -1,7 +1,7 @@
 //! Reads the records from the store for the task of the quarantine.
 
 use super::message::Message;
-use crate::control::{Error, Store};
+use crate::control::{Error, Store, Version};
 use crate::mailbox::Mailbox;
 use crate::metrics::{Counter, Metrics};
 use crate::prelude::*;
@@ -27,22 +27,22 @@
 impl Source {
     /// Follows the records until the process ends.
     pub async fn run(self) {
-        let mut revision = None;
+        let mut version: Option<Version> = None;
         let mut retry_delay = MIN_RETRY_DELAY;
         loop {
             self.metrics.count(Counter::StoreCall);
-            let result = match revision {
-                None => self.store.quarantines().await.map(|listed| (listed.revision, listed)),
-                Some(revision) => self
-                    .store
-                    .next_quarantines(revision)
-                    .await
-                    .map(|changed| (changed.revision, changed)),
+            let result = match version {
+                None => self.store.quarantines().await,
+                Some(since) => self.store.next_quarantines(since).await,
             };
             match result {
-                Ok((newest, quarantines)) => {
+                // The changes may be of another history than what was listed.
+                Ok(changed) if version.is_some_and(|known| known.era != changed.version.era) => {
+                    version = None;
+                }
+                Ok(quarantines) => {
                     retry_delay = MIN_RETRY_DELAY;
-                    let is_listing = revision.replace(newest).is_none();
+                    let is_listing = version.replace(quarantines.version).is_none();
                     if is_listing {
                         self.mailbox.send(Message::Listed(quarantines));
                     } else if !quarantines.changes.is_empty() {
@@ -50,12 +50,12 @@
                         tokio::time::sleep(GATHER_PAUSE).await;
                     }
                 }
-                Err(Error::Expired) if revision.is_some() => {
+                Err(Error::Expired) if version.is_some() => {
                     info!("store_history_gone", kv: { kind = "quarantine" });
-                    revision = None;
+                    version = None;
                 }
                 Err(_) => {
-                    revision = None;
+                    version = None;
                     tokio::time::sleep(retry_delay).await;
                     retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
                 }
