--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -472,9 +472,8 @@
                 };
                 self.handle_failure(conn, error);
             }
-            Notice::Misdirected(conn) => {
-                self.handle_failure(conn, engine::Error::Refused);
-            }
+            // The request reached an upstream, so its repeat stays withdrawn from the budget.
+            Notice::Misdirected(conn) => self.handle_failure(conn, engine::Error::Refused),
             Notice::Failed(conn, error) => {
                 let unsent = error == engine::Error::Refused && self.run_conn == Some(conn);
                 let is_repeat = self.sent > 1;
