--- a/coordination/src/quarantine/entry.rs
+++ b/coordination/src/quarantine/entry.rs
@@ -1,3 +1,7 @@
+//! Record of a part and what this member alone knows of it.
+//!
+//! Times are local: each member counts moments and lifetimes from when it learned of a change.
+
 use super::Record;
 use super::outages::Outages;
 use std::time::Duration;
--- a/coordination/src/quarantine/ledger.rs
+++ b/coordination/src/quarantine/ledger.rs
@@ -1,3 +1,8 @@
+//! Records of all parts that one member knows, and what follows from them.
+//!
+//! A crash is attributed to the parts that have not settled lately. A condemned part refuses requests
+//! unless another condemned part, which the request lacks, explains its crashes.
+
 use super::entry::Entry;
 use super::outages::Outages;
 use super::settlements::Settlements;
--- a/coordination/src/quarantine/outages.rs
+++ b/coordination/src/quarantine/outages.rs
@@ -1,3 +1,7 @@
+//! Engines that ended lately while a run began, under whatever part.
+//!
+//! Where many engines end of another cause, each part was present at few of these ends.
+
 use super::Record;
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/coordination/src/quarantine/record.rs
+++ b/coordination/src/quarantine/record.rs
@@ -1,3 +1,7 @@
+//! Record of one part, which members share.
+//!
+//! Records of a part form a join semilattice: copies may arrive late, twice and in any order.
+
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 
@@ -14,8 +18,6 @@
 const MAX_UNEXPLAINED: usize = 1;
 
 /// Crashes of engines that began to answer a prompt with one part.
-///
-/// Records of a part form a join semilattice: copies may arrive late, twice and in any order.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, rename_all = "snake_case")]
 pub struct Record {
--- a/coordination/src/quarantine/settlements.rs
+++ b/coordination/src/quarantine/settlements.rs
@@ -1,3 +1,7 @@
+//! Parts whose runs have settled at this member.
+//!
+//! One settled run spares a part from suspicion; two at distinct times prove it sound.
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
--- a/coordination/src/quarantine/verdicts.rs
+++ b/coordination/src/quarantine/verdicts.rs
@@ -1,3 +1,7 @@
+//! Condemned parts at one time.
+//!
+//! A snapshot of the ledger, which requests check without waiting for its owner.
+
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Condemned parts at one time, for checks without the ledger.
--- a/quetzaltiller/src/quarantine/state.rs
+++ b/quetzaltiller/src/quarantine/state.rs
@@ -1,3 +1,5 @@
+//! State of the quarantine, for operators.
+
 use crate::control::Record;
 use serde::Serialize;
 use std::collections::BTreeMap;
