Quarantine: a subject instead of a part

Evidence: the tests of the quarantine pass as before (20 in quetzaltiller, 8 in platform, 110 in coordination); no decision is changed. Change: quarantine::Subject, a part or a request, names records, verdicts and the store's objects; parts keep their names there. The events part_* are quarantine_*, with the subject. Nothing is attributed to a request yet.

--- a/coordination/src/quarantine.rs
+++ b/coordination/src/quarantine.rs
@@ -18,10 +18,10 @@
 //! crashed.
 //!
 //! ```
-//! use coordination::quarantine::Ledger;
+//! use coordination::quarantine::{Ledger, Subject};
 //! use std::time::Duration;
 //!
-//! let [system_prompt, document, other] = [1, 2, 3];
+//! let [system_prompt, document, other] = [1, 2, 3].map(Subject::Part);
 //! let mut ledger = Ledger::new();
 //! for n in 0..4 {
 //!     let now = Duration::from_millis(700 * n);
@@ -38,8 +38,10 @@
 mod outages;
 mod record;
 mod settlements;
+mod subject;
 mod verdicts;
 
 pub use ledger::Ledger;
 pub use record::Record;
+pub use subject::Subject;
 pub use verdicts::Verdicts;
--- a/coordination/src/quarantine/ledger.rs
+++ b/coordination/src/quarantine/ledger.rs
@@ -6,7 +6,7 @@
 use super::entry::Entry;
 use super::outages::Outages;
 use super::settlements::Settlements;
-use super::{Record, Verdicts};
+use super::{Record, Subject, Verdicts};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -18,11 +18,11 @@
 /// Records of all parts that one VM knows.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
-    entries: BTreeMap<u64, Entry>,
+    entries: BTreeMap<Subject, Entry>,
     settlements: Settlements,
     outages: Outages,
     /// Parts whose records this VM changed last and has dropped for lack of room.
-    dropped: BTreeSet<u64>,
+    dropped: BTreeSet<Subject>,
 }
 
 impl Ledger {
@@ -32,7 +32,7 @@
     }
 
     /// Records that a run with these parts settled; returns the parts that were acquitted.
-    pub fn record_settled(&mut self, now: Duration, parts: &[u64]) -> Vec<u64> {
+    pub fn record_settled(&mut self, now: Duration, parts: &[Subject]) -> Vec<Subject> {
         for part in parts {
             self.settlements.record(now, *part);
         }
@@ -53,13 +53,14 @@
 
     /// Records that `engine`, the name of one start of a process, ended while a run with these
     /// parts began; returns the parts whose records changed.
-    pub fn record_crash(&mut self, now: Duration, parts: &[u64], engine: &str) -> Vec<u64> {
+    pub fn record_crash(&mut self, now: Duration, parts: &[Subject], engine: &str) -> Vec<Subject> {
         let mut changed = Vec::new();
         let suspects = self.suspects(now, parts);
         // The connection of a part that settled once may have been delayed. If all parts are
         // proven, one of them may be at fault all the same.
-        let (proven, unproven) =
-            parts.iter().partition::<Vec<u64>, _>(|part| self.settlements.is_proven(now, **part));
+        let (proven, unproven) = parts
+            .iter()
+            .partition::<Vec<Subject>, _>(|part| self.settlements.is_proven(now, **part));
         for part in if unproven.is_empty() { proven } else { unproven } {
             self.settlements.doubt(part);
         }
@@ -78,7 +79,7 @@
 
     /// Joins a copy of a record from the store or a peer; returns whether this ledger then knows
     /// more than the copy.
-    pub fn merge(&mut self, now: Duration, part: u64, record: &Record) -> bool {
+    pub fn merge(&mut self, now: Duration, part: Subject, record: &Record) -> bool {
         let is_proven = self.settlements.is_proven(now, part);
         for engine in record.crashes() {
             self.outages.record(now, engine);
@@ -93,24 +94,25 @@
     }
 
     /// Forgets a record that was removed from the store.
-    pub fn remove(&mut self, part: u64) {
+    pub fn remove(&mut self, part: Subject) {
         self.entries.remove(&part);
         self.dropped.remove(&part);
     }
 
     /// Record of a part, if any.
-    pub fn record(&self, part: u64) -> Option<&Record> {
+    pub fn record(&self, part: Subject) -> Option<&Record> {
         self.entries.get(&part).map(|entry| entry.record())
     }
 
     /// All records by part.
-    pub fn records(&self) -> impl Iterator<Item = (u64, &Record)> {
+    pub fn records(&self) -> impl Iterator<Item = (Subject, &Record)> {
         self.entries.iter().map(|(part, entry)| (*part, entry.record()))
     }
 
     /// The part for which a request with these parts is to be refused.
-    pub fn refused(&self, now: Duration, parts: &[u64]) -> Option<u64> {
-        let is_kept = |part: &u64| self.entries.get(part).is_some_and(|entry| entry.is_kept(now));
+    pub fn refused(&self, now: Duration, parts: &[Subject]) -> Option<Subject> {
+        let is_kept =
+            |part: &Subject| self.entries.get(part).is_some_and(|entry| entry.is_kept(now));
         // The last parts of a prompt are the most specific ones.
         parts.iter().rev().copied().find(|part| is_kept(part) && self.is_refused(*part, parts))
     }
@@ -134,7 +136,7 @@
 
     /// Removes records past their lifetime; returns the parts whose records are to be deleted from
     /// the store.
-    pub fn expire(&mut self, now: Duration) -> Vec<u64> {
+    pub fn expire(&mut self, now: Duration) -> Vec<Subject> {
         let mut removed = std::mem::take(&mut self.dropped);
         self.entries.retain(|part, entry| {
             let is_kept = entry.is_kept(now);
@@ -146,12 +148,12 @@
         removed.into_iter().collect()
     }
 
-    fn condemned(&self) -> impl Iterator<Item = (u64, &Record)> {
+    fn condemned(&self) -> impl Iterator<Item = (Subject, &Record)> {
         self.records().filter(|(_, record)| record.is_condemned())
     }
 
     /// Whether a part is condemned and no part outside the request explains its crashes.
-    fn is_refused(&self, part: u64, parts: &[u64]) -> bool {
+    fn is_refused(&self, part: Subject, parts: &[Subject]) -> bool {
         let Some(record) = self.record(part).filter(|record| record.is_condemned()) else {
             return false;
         };
@@ -163,14 +165,15 @@
     /// are condemned all the same.
     ///
     /// A part that only accompanies the one at fault thus has no crash that this one lacks.
-    fn suspects(&self, now: Duration, parts: &[u64]) -> BTreeSet<u64> {
-        let is_suspect =
-            |part: &u64| !self.settlements.contains(now, *part) || self.is_refused(*part, parts);
+    fn suspects(&self, now: Duration, parts: &[Subject]) -> BTreeSet<Subject> {
+        let is_suspect = |part: &Subject| {
+            !self.settlements.contains(now, *part) || self.is_refused(*part, parts)
+        };
         parts.iter().copied().filter(is_suspect).collect()
     }
 
     /// Drops another record if that of a part is new and there is no room.
-    fn make_room(&mut self, part: u64) {
+    fn make_room(&mut self, part: Subject) {
         self.dropped.remove(&part);
         if !self.entries.contains_key(&part) && self.entries.len() >= MAX_RECORDS {
             self.drop_one();
@@ -179,7 +182,7 @@
 
     /// Drops the record that changed longest ago, one of a condemned part last.
     fn drop_one(&mut self) {
-        let age = |(part, entry): (&u64, &Entry)| {
+        let age = |(part, entry): (&Subject, &Entry)| {
             (entry.record().is_condemned(), entry.changed_at(), *part)
         };
         if let Some((_, _, part)) = self.entries.iter().map(age).min()
--- a/coordination/src/quarantine/settlements.rs
+++ b/coordination/src/quarantine/settlements.rs
@@ -2,6 +2,7 @@
 //!
 //! One settled run spares a part from suspicion; two at distinct times prove it sound.
 
+use super::Subject;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -29,13 +30,13 @@
 /// Parts whose runs have settled at this VM.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Settlements {
-    spans: BTreeMap<u64, Span>,
-    by_last: BTreeSet<(Duration, u64)>,
+    spans: BTreeMap<Subject, Span>,
+    by_last: BTreeSet<(Duration, Subject)>,
 }
 
 impl Settlements {
     /// Records a settled run.
-    pub(super) fn record(&mut self, now: Duration, part: u64) {
+    pub(super) fn record(&mut self, now: Duration, part: Subject) {
         let first = self.span(now, part).map_or(now, |span| span.first);
         self.remove(part);
         self.spans.insert(part, Span { first, last: now });
@@ -48,30 +49,30 @@
     }
 
     /// Takes back what settled runs prove: a proven part has only settled, another has not.
-    pub(super) fn doubt(&mut self, part: u64) {
+    pub(super) fn doubt(&mut self, part: Subject) {
         match self.spans.get_mut(&part) {
             Some(span) if span.is_proof() => span.first = span.last,
             _ => self.remove(part),
         }
     }
 
-    fn remove(&mut self, part: u64) {
+    fn remove(&mut self, part: Subject) {
         if let Some(span) = self.spans.remove(&part) {
             self.by_last.remove(&(span.last, part));
         }
     }
 
     /// Whether a run with the part has settled lately.
-    pub(super) fn contains(&self, now: Duration, part: u64) -> bool {
+    pub(super) fn contains(&self, now: Duration, part: Subject) -> bool {
         self.span(now, part).is_some()
     }
 
     /// Whether runs with the part have settled at distinct times.
-    pub(super) fn is_proven(&self, now: Duration, part: u64) -> bool {
+    pub(super) fn is_proven(&self, now: Duration, part: Subject) -> bool {
         self.span(now, part).is_some_and(|span| span.is_proof())
     }
 
-    fn span(&self, now: Duration, part: u64) -> Option<&Span> {
+    fn span(&self, now: Duration, part: Subject) -> Option<&Span> {
         self.spans.get(&part).filter(|span| now.saturating_sub(span.last) < LIFETIME)
     }
 }
--- a/coordination/tests/fleet/mod.rs
+++ b/coordination/tests/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod store;
 mod vm;
 
+use coordination::quarantine::Subject;
 use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -28,11 +29,11 @@
 const WATCH_PAUSE_MS: u64 = 200;
 const STORE_TIMEOUT_MS: u64 = 1_000;
 /// The part that crashes engines.
-pub const BAD: u64 = 666;
+pub const BAD: Subject = Subject::Part(666);
 /// First parts that are in use from the start.
-const KNOWN: [u64; 3] = [1, 2, 3];
+const KNOWN: [Subject; 3] = [Subject::Part(1), Subject::Part(2), Subject::Part(3)];
 /// First parts that come into use together with the bad part.
-const FRESH: [u64; 3] = [11, 12, 13];
+const FRESH: [Subject; 3] = [Subject::Part(11), Subject::Part(12), Subject::Part(13)];
 /// Other parts, each shared by the requests of a session.
 const SESSIONS: std::ops::Range<u64> = 1_000..1_040;
 
@@ -146,7 +147,7 @@
 
 #[derive(Clone, Debug)]
 struct Run {
-    parts: Vec<u64>,
+    parts: Vec<Subject>,
     vm: usize,
     vm_start: u32,
     engine: usize,
@@ -174,7 +175,7 @@
     Sync(usize, u32),
     Flush(usize, u32),
     Arrive(usize, u32, Write),
-    Answer(usize, u32, u64, Option<Result<u64, Option<Object>>>),
+    Answer(usize, u32, Subject, Option<Result<u64, Option<Object>>>),
     VmStart(usize),
     VmKill(usize),
     Freeze(usize, u64),
@@ -415,22 +416,27 @@
         }
     }
 
-    fn bad_parts(&mut self) -> Vec<u64> {
+    fn bad_parts(&mut self) -> Vec<Subject> {
         match self.plan.shape {
             Shape::Known => vec![KNOWN[0], BAD],
             Shape::Fresh => vec![FRESH[0], BAD],
             Shape::KnownVaried => vec![*KNOWN.choose(&mut self.random).unwrap(), BAD],
             Shape::FreshVaried => vec![*FRESH.choose(&mut self.random).unwrap(), BAD],
-            Shape::First => vec![BAD, self.random.random_range(SESSIONS)],
+            Shape::First => vec![BAD, self.session()],
         }
     }
 
-    fn sound_parts(&mut self) -> Vec<u64> {
+    fn sound_parts(&mut self) -> Vec<Subject> {
         let is_fresh = matches!(self.plan.shape, Shape::Fresh | Shape::FreshVaried)
             && self.now > BAD_FROM_MS
             && self.random.random_bool(0.5);
         let first = if is_fresh { FRESH } else { KNOWN }.choose(&mut self.random).copied();
-        vec![first.unwrap(), self.random.random_range(SESSIONS)]
+        vec![first.unwrap(), self.session()]
+    }
+
+    /// Part of a session, by lot.
+    fn session(&mut self) -> Subject {
+        Subject::Part(self.random.random_range(SESSIONS))
     }
 
     fn is_in_touch(&self, vm: usize) -> bool {
@@ -444,7 +450,7 @@
     }
 
     /// A request comes at one of the VMs that run.
-    fn receive(&mut self, parts: Vec<u64>) {
+    fn receive(&mut self, parts: Vec<Subject>) {
         let ready = (0..self.vms.len()).filter(|vm| self.vms[*vm].runs(self.now));
         let Some(vm) = ready.collect::<Vec<_>>().choose(&mut self.random).copied() else { return };
         let is_counted = !parts.contains(&BAD) && self.is_in_touch(vm);
@@ -461,7 +467,7 @@
     }
 
     /// Sends a request to an engine that it has not been at.
-    fn send(&mut self, parts: Vec<u64>, vm: usize, attempt: usize, mut tried: BTreeSet<usize>) {
+    fn send(&mut self, parts: Vec<Subject>, vm: usize, attempt: usize, mut tried: BTreeSet<usize>) {
         let usable = |engine: &usize| self.engines[*engine].is_up && !tried.contains(engine);
         let usable = (0..self.engines.len()).filter(usable).collect::<Vec<_>>();
         let Some(engine) = usable.choose(&mut self.random).copied() else { return };
@@ -647,7 +653,7 @@
         &mut self,
         vm: usize,
         start: u32,
-        part: u64,
+        part: Subject,
         answer: Option<Result<u64, Option<Object>>>,
     ) {
         if self.vms[vm].start != start || !self.vms[vm].is_up {
--- a/coordination/tests/fleet/store.rs
+++ b/coordination/tests/fleet/store.rs
@@ -1,4 +1,4 @@
-use coordination::quarantine::Record;
+use coordination::quarantine::{Record, Subject};
 use std::collections::BTreeMap;
 
 /// Time before the present of the copy from which a store is restored.
@@ -14,14 +14,14 @@
 /// The platform's store: conditional updates by revision and a history to watch.
 #[derive(Clone, Debug, Default)]
 pub struct Store {
-    objects: BTreeMap<u64, Object>,
+    objects: BTreeMap<Subject, Object>,
     revision: u64,
     /// Rises when the store is restored from a copy.
     era: u32,
     /// Changed parts and their times, in order.
-    history: Vec<(u64, u64)>,
+    history: Vec<(u64, Subject)>,
     /// Earlier contents by time.
-    copies: Vec<(u64, u64, BTreeMap<u64, Object>)>,
+    copies: Vec<(u64, u64, BTreeMap<Subject, Object>)>,
     pub calls: u64,
 }
 
@@ -31,7 +31,7 @@
     pub fn put(
         &mut self,
         now: u64,
-        part: u64,
+        part: Subject,
         known: Option<u64>,
         record: &Record,
     ) -> Result<u64, Option<Object>> {
@@ -48,11 +48,11 @@
         Ok(self.revision)
     }
 
-    pub fn get(&self, part: u64) -> Option<&Object> {
+    pub fn get(&self, part: Subject) -> Option<&Object> {
         self.objects.get(&part)
     }
 
-    pub fn objects(&self) -> &BTreeMap<u64, Object> {
+    pub fn objects(&self) -> &BTreeMap<Subject, Object> {
         &self.objects
     }
 
@@ -61,7 +61,7 @@
     }
 
     /// Parts that changed since a place in the history, which is moved to its end.
-    pub fn watch(&mut self, cursor: &mut usize) -> Vec<u64> {
+    pub fn watch(&mut self, cursor: &mut usize) -> Vec<Subject> {
         self.calls += 1;
         let changed = self.history[*cursor..].iter().map(|(_, part)| *part).collect();
         *cursor = self.history.len();
--- a/coordination/tests/fleet/vm.rs
+++ b/coordination/tests/fleet/vm.rs
@@ -1,5 +1,5 @@
 use super::store::{Object, Store};
-use coordination::quarantine::{Ledger, Record, Verdicts};
+use coordination::quarantine::{Ledger, Record, Subject, Verdicts};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -21,16 +21,16 @@
     clock: u64,
     cursor: usize,
     era: Option<u32>,
-    revisions: BTreeMap<u64, u64>,
+    revisions: BTreeMap<Subject, u64>,
     /// Parts whose records are to be written and those that are being written.
-    dirty: BTreeSet<u64>,
-    written: BTreeSet<u64>,
+    dirty: BTreeSet<Subject>,
+    written: BTreeSet<Subject>,
 }
 
 /// One write to the store.
 #[derive(Clone, Debug)]
 pub struct Write {
-    pub part: u64,
+    pub part: Subject,
     pub known: Option<u64>,
     pub record: Record,
 }
@@ -81,7 +81,7 @@
         self.refresh();
     }
 
-    fn learn(&mut self, now: u64, part: u64, object: Option<Object>) {
+    fn learn(&mut self, now: u64, part: Subject, object: Option<Object>) {
         let steady = self.steady(now);
         let Some(object) = object else {
             self.revisions.remove(&part);
@@ -111,7 +111,7 @@
     }
 
     /// Takes the answer to a write; none if there was none.
-    pub fn finish(&mut self, now: u64, part: u64, answer: Option<Result<u64, Option<Object>>>) {
+    pub fn finish(&mut self, now: u64, part: Subject, answer: Option<Result<u64, Option<Object>>>) {
         self.written.remove(&part);
         match answer {
             None => {
@@ -125,13 +125,13 @@
         self.refresh();
     }
 
-    pub fn record_crash(&mut self, now: u64, parts: &[u64], engine: &str) {
+    pub fn record_crash(&mut self, now: u64, parts: &[Subject], engine: &str) {
         let changed = self.ledger.record_crash(self.steady(now), parts, engine);
         self.dirty.extend(changed);
         self.refresh();
     }
 
-    pub fn record_settled(&mut self, now: u64, parts: &[u64]) {
+    pub fn record_settled(&mut self, now: u64, parts: &[Subject]) {
         let changed = self.ledger.record_settled(self.steady(now), parts);
         if !changed.is_empty() {
             self.dirty.extend(changed);
--- a/coordination/tests/quarantine.rs
+++ b/coordination/tests/quarantine.rs
@@ -3,7 +3,7 @@
 
 mod fleet;
 
-use coordination::quarantine::{Ledger, Record};
+use coordination::quarantine::{Ledger, Record, Subject};
 use fleet::{BAD, Cause, Outcome, Plan, Shape, Trouble, play};
 use proptest::prelude::*;
 use rstest::rstest;
@@ -12,7 +12,7 @@
 /// Requests with the bad part that may be sent late.
 const MAX_LATE: usize = 3;
 /// Part that the bad part's requests share with others.
-const SHARED: u64 = 1;
+const SHARED: Subject = Subject::Part(1);
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -24,7 +24,7 @@
 }
 
 /// Ledger that saw crashes of distinct engines, half a second apart.
-fn crashed(ledger: Ledger, from: u64, parts: &[u64], count: u64) -> Ledger {
+fn crashed(ledger: Ledger, from: u64, parts: &[Subject], count: u64) -> Ledger {
     (0..count).fold(ledger, |mut ledger, n| {
         ledger.record_crash(ms(from + 500 * n), parts, &format!("engine-{}", from + n));
         ledger
@@ -84,9 +84,9 @@
 fn crashes_at_distinct_moments_condemn() {
     let ledger = crashed(Ledger::new(), 0, &[BAD], 4);
 
-    assert_eq!(ledger.refused(ms(2_000), &[7, BAD]), Some(BAD));
-    assert_eq!(ledger.verdicts().refused(&[7, BAD]), Some(BAD));
-    assert_eq!(ledger.refused(ms(2_000), &[7]), None);
+    assert_eq!(ledger.refused(ms(2_000), &[Subject::Part(7), BAD]), Some(BAD));
+    assert_eq!(ledger.verdicts().refused(&[Subject::Part(7), BAD]), Some(BAD));
+    assert_eq!(ledger.refused(ms(2_000), &[Subject::Part(7)]), None);
 }
 
 /// Engines that lose their power together.
@@ -135,7 +135,7 @@
     for n in 0..8 {
         for other in 0..5 {
             let engine = format!("other-{n}-{other}");
-            ledger.record_crash(ms(500 * n), &[100 + 10 * n + other], &engine);
+            ledger.record_crash(ms(500 * n), &[Subject::Part(100 + 10 * n + other)], &engine);
         }
         ledger.record_crash(ms(500 * n), &[BAD], &format!("engine-{n}"));
         let is_refused = ledger.refused(ms(500 * n), &[BAD]).is_some();
@@ -150,8 +150,8 @@
 fn a_part_that_only_accompanies_the_bad_one_is_served() {
     let ledger = crashed(Ledger::new(), 0, &[SHARED, BAD], 4);
 
-    assert_eq!(ledger.refused(ms(2_000), &[SHARED, 9]), None);
-    assert_eq!(ledger.verdicts().refused(&[SHARED, 9]), None);
+    assert_eq!(ledger.refused(ms(2_000), &[SHARED, Subject::Part(9)]), None);
+    assert_eq!(ledger.verdicts().refused(&[SHARED, Subject::Part(9)]), None);
     assert_eq!(ledger.refused(ms(2_000), &[SHARED, BAD]), Some(BAD));
     assert_eq!(ledger.verdicts().refused(&[SHARED, BAD]), Some(BAD));
 }
@@ -262,8 +262,8 @@
     let mut ledger = crashed(Ledger::new(), 0, &[BAD], 4);
 
     for part in 10_000..13_000 {
-        ledger.record_crash(ms(part), &[part], &format!("engine-{part}"));
-        ledger.record_settled(ms(part), &[1_000_000 + part]);
+        ledger.record_crash(ms(part), &[Subject::Part(part)], &format!("engine-{part}"));
+        ledger.record_settled(ms(part), &[Subject::Part(1_000_000 + part)]);
     }
 
     assert_eq!(ledger.records().count(), 1_024);
--- a/quetzaltiller/src/control.rs
+++ b/quetzaltiller/src/control.rs
@@ -10,7 +10,7 @@
 use async_trait::async_trait;
 use quick_error::quick_error;
 
-pub use coordination::quarantine::Record;
+pub use coordination::quarantine::{Record, Subject};
 
 quick_error! {
     /// Reasons why a call of the store failed.
@@ -68,14 +68,14 @@
     pub peer_address: String,
 }
 
-/// Quarantine record of a part of prompts, as the store holds it.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+/// Quarantine record, as the store holds it.
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Quarantine {
-    /// Id of the part.
-    pub part: u64,
+    /// What the crashes are attributed to.
+    pub subject: Subject,
     /// Revision of the record's last change.
     pub revision: u64,
-    /// What is known of the part.
+    /// What is known of the subject.
     pub record: Record,
 }
 
@@ -84,8 +84,8 @@
 pub enum QuarantineChange {
     /// The record was created or replaced.
     Set(Quarantine),
-    /// The record of this part was removed.
-    Removed(u64),
+    /// The record of this subject was removed.
+    Removed(Subject),
 }
 
 /// Quarantine records up to a revision: all of them, or those that changed.
@@ -139,15 +139,15 @@
     /// the implementation.
     async fn next_quarantines(&self, since: Version) -> Result<Quarantines, Error>;
 
-    /// Replaces the quarantine record of `part` if it has the revision `known`, or creates it if
+    /// Replaces the quarantine record of `subject` if it has the revision `known`, or creates it if
     /// there is none and `known` is `None`.
     async fn write_quarantine(
         &self,
-        part: u64,
+        subject: Subject,
         known: Option<u64>,
         record: &Record,
     ) -> Result<QuarantineWrite, Error>;
 
-    /// Deletes the quarantine record of `part` if it has the revision `known`.
-    async fn delete_quarantine(&self, part: u64, known: u64) -> Result<(), Error>;
+    /// Deletes the quarantine record of `subject` if it has the revision `known`.
+    async fn delete_quarantine(&self, subject: Subject, known: u64) -> Result<(), Error>;
 }
--- a/quetzaltiller/src/proxy/beginning.rs
+++ b/quetzaltiller/src/proxy/beginning.rs
@@ -5,7 +5,7 @@
 //! connection may deliver the first ones long after the engine's end. Where a run breaks before,
 //! its engine is checked: only one that has ended may have been crashed by the run.
 
-use super::{CHECK_LIMIT, Context, Prompt, Request};
+use super::{CHECK_LIMIT, Context, Request};
 use crate::fleet::Upstream;
 use crate::prelude::*;
 
@@ -50,7 +50,7 @@
         run.events += 1;
         if run.events >= SETTLING_EVENTS && now >= run.head_at + SETTLING_TIME {
             self.unsettled = None;
-            self.context.quarantine.record_settled(self.shared_parts());
+            self.context.quarantine.record_settled(self.request.subjects());
         }
     }
 
@@ -67,24 +67,20 @@
             return;
         };
         let (context, request) = (self.context.clone(), self.request.clone());
-        let parts = self.shared_parts();
+        let subjects = self.request.subjects();
         let head_age = self.context.clock.now().saturating_sub(run.head_at);
         self.context.scope.spawn(async move {
             let engine_ended = !context.client.check(run.upstream.address, CHECK_LIMIT).await;
             info!("run_broke_early", kv: {
                 request = request.id, upstream = run.upstream.id,
                 head_age_ms = head_age.as_millis() as u64, events = run.events, engine_ended,
-                parts = parts.len()
+                subjects = subjects.len()
             });
             if engine_ended {
-                context.quarantine.record_crash(parts, start_name(&run.upstream));
+                context.quarantine.record_crash(subjects, start_name(&run.upstream));
             }
         });
     }
-
-    fn shared_parts(&self) -> Vec<u64> {
-        self.request.prompt.as_ref().map(Prompt::shared_parts).unwrap_or_default()
-    }
 }
 
 /// Name of an engine's start: engines mostly have a new id after each.
--- a/quetzaltiller/src/proxy/mod.rs
+++ b/quetzaltiller/src/proxy/mod.rs
@@ -71,7 +71,7 @@
     pub finder: Finder,
     /// Hedging delays and retry budgets.
     pub pacer: Pacer,
-    /// Parts of prompts that crash engines.
+    /// What crashes upstreams.
     pub quarantine: Quarantine,
     /// Client of upstreams.
     pub client: Arc<dyn Client>,
@@ -86,14 +86,13 @@
 }
 
 impl Context {
-    /// Whether the request has a part that crashes engines and must not be sent to one.
+    /// Whether the request crashes upstreams and must not be sent to one.
     fn is_quarantined(&self, request: &Request) -> bool {
-        let parts = request.prompt.as_ref().map(Prompt::shared_parts).unwrap_or_default();
-        let Some(part) = self.quarantine.refused(&parts) else {
+        let Some(subject) = self.quarantine.refused(&request.subjects()) else {
             return false;
         };
         self.metrics.count(Counter::QuarantineRefused);
-        info!("request_quarantined", kv: { request = request.id, part = format!("{part:x}") });
+        info!("request_quarantined", kv: { request = request.id, subject: = subject });
         true
     }
 }
--- a/quetzaltiller/src/quarantine/message.rs
+++ b/quetzaltiller/src/quarantine/message.rs
@@ -1,20 +1,20 @@
 //! Messages to the task of the quarantine.
 
 use super::State;
-use crate::control::{Error, QuarantineWrite, Quarantines, Record};
+use crate::control::{Error, QuarantineWrite, Quarantines, Record, Subject};
 use tokio::sync::oneshot;
 
 /// Message to the task of the quarantine.
 #[derive(Debug)]
 pub enum Message {
-    /// An engine survived the beginning of a run with these parts.
-    Settled(Vec<u64>),
-    /// An engine ended while a run began.
+    /// An upstream survived a request with these subjects.
+    Settled(Vec<Subject>),
+    /// An upstream ended while it served a request.
     Crashed {
-        /// Parts of the run's prompt.
-        parts: Vec<u64>,
-        /// Name of the engine's start.
-        engine: String,
+        /// Subjects of the request.
+        subjects: Vec<Subject>,
+        /// Name of the upstream's start.
+        upstream: String,
     },
     /// List of all records from the store.
     Listed(Quarantines),
@@ -22,8 +22,8 @@
     Changed(Quarantines),
     /// A write of a record has ended.
     Written {
-        /// Part of the record.
-        part: u64,
+        /// Subject of the record.
+        subject: Subject,
         /// Record as it was sent.
         record: Record,
         /// Outcome of the write.
@@ -31,8 +31,8 @@
     },
     /// A deletion of a record has ended.
     Deleted {
-        /// Part of the record.
-        part: u64,
+        /// Subject of the record.
+        subject: Subject,
         /// Outcome of the deletion.
         result: Result<(), Error>,
     },
--- a/quetzaltiller/src/quarantine/mod.rs
+++ b/quetzaltiller/src/quarantine/mod.rs
@@ -14,7 +14,7 @@
 pub use state::State;
 
 use crate::clock::Clock;
-use crate::control::Store;
+use crate::control::{Store, Subject};
 use crate::mailbox::Mailbox;
 use crate::metrics::Metrics;
 use crate::prelude::*;
@@ -60,20 +60,20 @@
         Self { mailbox, verdicts }
     }
 
-    /// The part for which a request with these parts is to be refused.
-    pub fn refused(&self, parts: &[u64]) -> Option<u64> {
-        self.verdicts.borrow().refused(parts)
+    /// The subject for which a request with these subjects is to be refused.
+    pub fn refused(&self, subjects: &[Subject]) -> Option<Subject> {
+        self.verdicts.borrow().refused(subjects)
     }
 
-    /// Records that an engine survived the beginning of a run with these parts.
-    pub fn record_settled(&self, parts: Vec<u64>) {
-        self.mailbox.send(Message::Settled(parts));
+    /// Records that an upstream survived a request with these subjects.
+    pub fn record_settled(&self, subjects: Vec<Subject>) {
+        self.mailbox.send(Message::Settled(subjects));
     }
 
-    /// Records that `engine`, the name of one start of a process, ended while a run with these
-    /// parts began.
-    pub fn record_crash(&self, parts: Vec<u64>, engine: String) {
-        self.mailbox.send(Message::Crashed { parts, engine });
+    /// Records that `upstream`, the name of one start of a process, ended while it served a request
+    /// with these subjects.
+    pub fn record_crash(&self, subjects: Vec<Subject>, upstream: String) {
+        self.mailbox.send(Message::Crashed { subjects, upstream });
     }
 
     /// Records and verdicts, for operators.
--- a/quetzaltiller/src/quarantine/state.rs
+++ b/quetzaltiller/src/quarantine/state.rs
@@ -4,14 +4,14 @@
 use serde::Serialize;
 use std::collections::BTreeMap;
 
-/// State of the quarantine, for operators. Parts are in hexadecimal.
+/// State of the quarantine, for operators. Records have the names of their objects in the store.
 #[derive(Clone, Debug, Default, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub struct State {
-    /// Parts whose requests are refused.
+    /// Subjects whose requests are refused.
     pub condemned: Vec<String>,
-    /// Records of all known parts.
+    /// Records of all known subjects.
     pub records: BTreeMap<String, Record>,
-    /// Parts whose records are to be written to the store or deleted there.
+    /// Subjects whose records are to be written to the store or deleted there.
     pub pending: Vec<String>,
 }
--- a/quetzaltiller/src/quarantine/task.rs
+++ b/quetzaltiller/src/quarantine/task.rs
@@ -3,7 +3,7 @@
 use super::message::Message;
 use super::{Dependencies, State};
 use crate::control::{
-    Error, Quarantine, QuarantineChange, QuarantineWrite, Quarantines, Record, Store,
+    Error, Quarantine, QuarantineChange, QuarantineWrite, Quarantines, Record, Store, Subject,
 };
 use crate::mailbox::Mailbox;
 use crate::metrics::Counter;
@@ -54,10 +54,10 @@
     mailbox: Mailbox<Message>,
     verdicts: watch::Sender<Verdicts>,
     ledger: Ledger,
-    /// Revisions of the records that the store holds, by part.
-    revisions: BTreeMap<u64, u64>,
-    /// Times at which records are to be written, or deleted if the ledger has none, by part.
-    pending: BTreeMap<u64, Duration>,
+    /// Revisions of the records that the store holds, by subject.
+    revisions: BTreeMap<Subject, u64>,
+    /// Times at which records are to be written, or deleted if the ledger has none, by subject.
+    pending: BTreeMap<Subject, Duration>,
     /// Whether a call of the store is in progress.
     is_calling: bool,
     /// Time before which no further write begins.
@@ -112,14 +112,14 @@
     fn handle(&mut self, message: Message) {
         let now = self.now();
         match message {
-            Message::Settled(parts) => {
-                let before = self.copy_records(&parts);
-                let changed = self.ledger.record_settled(now, &parts);
+            Message::Settled(subjects) => {
+                let before = self.copy_records(&subjects);
+                let changed = self.ledger.record_settled(now, &subjects);
                 self.record_own_changes(&changed, &before);
             }
-            Message::Crashed { parts, engine } => {
-                let before = self.copy_records(&parts);
-                let changed = self.ledger.record_crash(now, &parts, &engine);
+            Message::Crashed { subjects, upstream } => {
+                let before = self.copy_records(&subjects);
+                let changed = self.ledger.record_crash(now, &subjects, &upstream);
                 self.record_own_changes(&changed, &before);
             }
             Message::Listed(listed) => self.handle_listing(listed),
@@ -127,23 +127,26 @@
                 changed.changes.into_iter().for_each(|change| self.apply(change));
                 self.publish();
             }
-            Message::Written { part, record, result } => self.handle_write(part, &record, result),
-            Message::Deleted { part, result } => self.handle_deletion(part, result),
+            Message::Written { subject, record, result } => {
+                self.handle_write(subject, &record, result)
+            }
+            Message::Deleted { subject, result } => self.handle_deletion(subject, result),
             Message::StateRequested(reply) => {
                 let _ = reply.send(self.state());
             }
         }
     }
 
-    fn record_own_changes(&mut self, changed: &[u64], before: &BTreeMap<u64, Record>) {
-        for part in changed {
-            let before = before.get(part);
-            self.log_change(*part, before, Origin::Own);
-            // All entry VMs soon acquit a part that sound requests share.
+    fn record_own_changes(&mut self, changed: &[Subject], before: &BTreeMap<Subject, Record>) {
+        for subject in changed {
+            let before = before.get(subject);
+            self.log_change(*subject, before, Origin::Own);
+            // All entry VMs soon acquit a subject that sound requests share.
             let was_condemned = before.is_some_and(Record::is_condemned);
-            let is_urgent = was_condemned || !self.is_acquitted(*part, before);
-            let delay = if is_urgent { Duration::ZERO } else { self.jitter(*part, REWRITE_SPREAD) };
-            self.schedule(*part, delay);
+            let is_urgent = was_condemned || !self.is_acquitted(*subject, before);
+            let delay =
+                if is_urgent { Duration::ZERO } else { self.jitter(*subject, REWRITE_SPREAD) };
+            self.schedule(*subject, delay);
         }
         if !changed.is_empty() {
             self.publish();
@@ -155,10 +158,11 @@
     fn handle_listing(&mut self, listed: Quarantines) {
         self.revisions.clear();
         listed.changes.into_iter().for_each(|change| self.apply(change));
-        let known = self.ledger.records().map(|(part, _)| part);
-        let lacking: Vec<u64> = known.filter(|part| !self.revisions.contains_key(part)).collect();
-        for part in lacking {
-            self.schedule(part, self.jitter(part, REWRITE_SPREAD));
+        let known = self.ledger.records().map(|(subject, _)| subject);
+        let lacking: Vec<Subject> =
+            known.filter(|subject| !self.revisions.contains_key(subject)).collect();
+        for subject in lacking {
+            self.schedule(subject, self.jitter(subject, REWRITE_SPREAD));
         }
         self.publish();
     }
@@ -166,30 +170,30 @@
     fn apply(&mut self, change: QuarantineChange) {
         match change {
             QuarantineChange::Set(quarantine) => {
-                let part = quarantine.part;
+                let subject = quarantine.subject;
                 if self.merge(quarantine) {
-                    self.schedule(part, self.jitter(part, REWRITE_SPREAD));
+                    self.schedule(subject, self.jitter(subject, REWRITE_SPREAD));
                 } else {
-                    self.pending.remove(&part);
+                    self.pending.remove(&subject);
                 }
             }
-            QuarantineChange::Removed(part) => {
-                self.revisions.remove(&part);
-                self.pending.remove(&part);
-                self.ledger.remove(part);
-                info!("part_released", kv: { part = format!("{part:x}") });
+            QuarantineChange::Removed(subject) => {
+                self.revisions.remove(&subject);
+                self.pending.remove(&subject);
+                self.ledger.remove(subject);
+                info!("quarantine_released", kv: { subject: = subject });
             }
         }
     }
 
     /// Joins a stored record; returns whether the ledger then knows more than the store.
     fn merge(&mut self, quarantine: Quarantine) -> bool {
-        let Quarantine { part, revision, record } = quarantine;
-        let newest = self.revisions.entry(part).or_default();
+        let Quarantine { subject, revision, record } = quarantine;
+        let newest = self.revisions.entry(subject).or_default();
         *newest = revision.max(*newest);
-        let before = self.ledger.record(part).cloned();
-        let knows_more = self.ledger.merge(self.now(), part, &record);
-        self.log_change(part, before.as_ref(), Origin::Store);
+        let before = self.ledger.record(subject).cloned();
+        let knows_more = self.ledger.merge(self.now(), subject, &record);
+        self.log_change(subject, before.as_ref(), Origin::Store);
         knows_more
     }
 
@@ -201,12 +205,12 @@
 
     /// Writes the record that is due first, or deletes it if the ledger has none.
     fn start_write(&mut self) {
-        let Some((&part, _)) = self.pending.iter().min_by_key(|(_, due)| **due) else {
+        let Some((&subject, _)) = self.pending.iter().min_by_key(|(_, due)| **due) else {
             return;
         };
-        self.pending.remove(&part);
-        let known = self.revisions.get(&part).copied();
-        let record = self.ledger.record(part).cloned();
+        self.pending.remove(&subject);
+        let known = self.revisions.get(&subject).copied();
+        let record = self.ledger.record(subject).cloned();
         if record.is_none() && known.is_none() {
             return;
         }
@@ -214,56 +218,61 @@
         self.next_write_at = self.now() + WRITE_INTERVAL;
         self.dependencies.metrics.count(Counter::StoreCall);
         let (store, mailbox) = (self.dependencies.store.clone(), self.mailbox.clone());
-        self.scope.spawn(call(store, mailbox, part, known, record));
+        self.scope.spawn(call(store, mailbox, subject, known, record));
     }
 
-    fn handle_write(&mut self, part: u64, sent: &Record, result: Result<QuarantineWrite, Error>) {
+    fn handle_write(
+        &mut self,
+        subject: Subject,
+        sent: &Record,
+        result: Result<QuarantineWrite, Error>,
+    ) {
         self.is_calling = false;
         match result {
             Ok(QuarantineWrite::Stored(revision)) => {
                 self.retry_delay = MIN_RETRY_DELAY;
                 if let Some(revision) = revision {
-                    let newest = self.revisions.entry(part).or_default();
+                    let newest = self.revisions.entry(subject).or_default();
                     *newest = revision.max(*newest);
                 }
-                if self.ledger.record(part) == Some(sent) {
-                    self.pending.remove(&part);
+                if self.ledger.record(subject) == Some(sent) {
+                    self.pending.remove(&subject);
                 }
             }
             Ok(QuarantineWrite::Conflict(Some(stored))) => {
                 if self.merge(stored) {
-                    self.schedule(part, Duration::ZERO);
+                    self.schedule(subject, Duration::ZERO);
                 } else {
-                    self.pending.remove(&part);
+                    self.pending.remove(&subject);
                 }
                 self.publish();
             }
             // The watch tells soon if the record was removed; otherwise it is created.
             Ok(QuarantineWrite::Conflict(None)) => {
-                self.revisions.remove(&part);
-                self.schedule(part, REWRITE_SPREAD);
+                self.revisions.remove(&subject);
+                self.schedule(subject, REWRITE_SPREAD);
             }
             Err(reason) => {
                 debug!("quarantine_unwritten", kv: {
-                    part = format!("{part:x}"), reason:? = reason.to_string()
+                    subject: = subject, reason:? = reason.to_string()
                 });
                 self.postpone_writes();
-                self.schedule(part, Duration::ZERO);
+                self.schedule(subject, Duration::ZERO);
             }
         }
     }
 
-    fn handle_deletion(&mut self, part: u64, result: Result<(), Error>) {
+    fn handle_deletion(&mut self, subject: Subject, result: Result<(), Error>) {
         self.is_calling = false;
         match result {
             Ok(()) => {
-                self.revisions.remove(&part);
+                self.revisions.remove(&subject);
             }
             // Another entry VM has changed the record and keeps it.
             Err(Error::Conflict) => {}
             Err(_) => {
                 self.postpone_writes();
-                self.schedule(part, DELETION_SPREAD);
+                self.schedule(subject, DELETION_SPREAD);
             }
         }
     }
@@ -277,10 +286,10 @@
         let now = self.now();
         self.expire_at = now + EXPIRY_INTERVAL;
         let expired = self.ledger.expire(now);
-        for part in &expired {
-            self.pending.remove(part);
-            if self.revisions.contains_key(part) {
-                self.schedule(*part, self.jitter(*part, DELETION_SPREAD));
+        for subject in &expired {
+            self.pending.remove(subject);
+            if self.revisions.contains_key(subject) {
+                self.schedule(*subject, self.jitter(*subject, DELETION_SPREAD));
             }
         }
         if !expired.is_empty() {
@@ -289,17 +298,17 @@
     }
 
     /// Schedules a record to be written after `delay`, or earlier if it already was to be.
-    fn schedule(&mut self, part: u64, delay: Duration) {
+    fn schedule(&mut self, subject: Subject, delay: Duration) {
         let at = self.now() + delay;
-        if self.pending.len() < MAX_PENDING || self.pending.contains_key(&part) {
-            let due = self.pending.entry(part).or_insert(at);
+        if self.pending.len() < MAX_PENDING || self.pending.contains_key(&subject) {
+            let due = self.pending.entry(subject).or_insert(at);
             *due = at.min(*due);
         }
     }
 
-    /// Delay within `spread` by lot of this entry VM and the part.
-    fn jitter(&self, part: u64, spread: Duration) -> Duration {
-        let lot = xxh3_64(format!("{}/{part:x}", self.dependencies.name).as_bytes());
+    /// Delay within `spread` by lot of this entry VM and the subject.
+    fn jitter(&self, subject: Subject, spread: Duration) -> Duration {
+        let lot = xxh3_64(format!("{}/{subject}", self.dependencies.name).as_bytes());
         spread.mul_f64(lot as f64 / u64::MAX as f64)
     }
 
@@ -311,40 +320,41 @@
         self.verdicts.send_replace(self.ledger.verdicts());
     }
 
-    /// Whether a part was acquitted since it had the record `before`.
-    fn is_acquitted(&self, part: u64, before: Option<&Record>) -> bool {
-        let record = self.ledger.record(part);
+    /// Whether a subject was acquitted since it had the record `before`.
+    fn is_acquitted(&self, subject: Subject, before: Option<&Record>) -> bool {
+        let record = self.ledger.record(subject);
         before.zip(record).is_some_and(|(before, record)| before.round() < record.round())
     }
 
-    fn copy_records(&self, parts: &[u64]) -> BTreeMap<u64, Record> {
-        let record = |part: &u64| Some((*part, self.ledger.record(*part)?.clone()));
-        parts.iter().filter_map(record).collect()
+    fn copy_records(&self, subjects: &[Subject]) -> BTreeMap<Subject, Record> {
+        let record = |subject: &Subject| Some((*subject, self.ledger.record(*subject)?.clone()));
+        subjects.iter().filter_map(record).collect()
     }
 
-    fn log_change(&self, part: u64, before: Option<&Record>, origin: Origin) {
-        let Some(record) = self.ledger.record(part).filter(|record| before != Some(*record)) else {
+    fn log_change(&self, subject: Subject, before: Option<&Record>, origin: Origin) {
+        let Some(record) = self.ledger.record(subject).filter(|record| before != Some(*record))
+        else {
             return;
         };
         let was_condemned = before.is_some_and(Record::is_condemned);
-        let event = if self.is_acquitted(part, before) {
-            "part_acquitted"
+        let event = if self.is_acquitted(subject, before) {
+            "quarantine_acquitted"
         } else if record.is_condemned() && !was_condemned {
-            "part_condemned"
+            "quarantine_condemned"
         } else {
-            "part_suspected"
+            "quarantine_suspected"
         };
         info!("{}", event, kv: {
-            part = format!("{part:x}"), crashes = record.crashes().len(),
+            subject: = subject, crashes = record.crashes().len(),
             moments = record.moments(), source = origin.name()
         });
     }
 
     fn state(&self) -> State {
-        let hexadecimal = |part: u64| format!("{part:x}");
+        let hexadecimal = |subject: Subject| format!("{subject}");
         let verdicts = self.ledger.verdicts();
-        let is_condemned = |part: &u64| verdicts.refused(&[*part]).is_some();
-        let condemned = self.ledger.records().map(|(part, _)| part).filter(is_condemned);
+        let is_condemned = |subject: &Subject| verdicts.refused(&[*subject]).is_some();
+        let condemned = self.ledger.records().map(|(subject, _)| subject).filter(is_condemned);
         State {
             condemned: condemned.map(hexadecimal).collect(),
             records: self.ledger.records().map(|(p, r)| (hexadecimal(p), r.clone())).collect(),
@@ -357,18 +367,18 @@
 async fn call(
     store: Arc<dyn Store>,
     mailbox: Mailbox<Message>,
-    part: u64,
+    subject: Subject,
     known: Option<u64>,
     record: Option<Record>,
 ) {
     mailbox.send(match (record, known) {
         (Some(record), _) => {
-            let result = store.write_quarantine(part, known, &record).await;
-            Message::Written { part, record, result }
+            let result = store.write_quarantine(subject, known, &record).await;
+            Message::Written { subject, record, result }
         }
         (None, Some(known)) => {
-            let result = store.delete_quarantine(part, known).await;
-            Message::Deleted { part, result }
+            let result = store.delete_quarantine(subject, known).await;
+            Message::Deleted { subject, result }
         }
         (None, None) => return,
     });
--- a/quetzaltiller/tests/quarantine.rs
+++ b/quetzaltiller/tests/quarantine.rs
@@ -1,6 +1,7 @@
 //! Complete entry VMs over stand-ins whose engines crash on one part of prompts.
 
 use quetzaltiller::clock::Clock;
+use quetzaltiller::control::Subject;
 use quetzaltiller::entry::Entry;
 use quetzaltiller::metrics::{Counter, Metrics};
 use quetzaltiller::proxy::{Part, Prompt, Request};
@@ -218,7 +219,7 @@
     site.poison(BAD);
     send(&site, 0..80).await;
 
-    site.store.remove_quarantine(BAD);
+    site.store.remove_quarantine(Subject::Part(BAD));
     sleep(TOUCH).await;
 
     for entry in &site.entries {
@@ -318,7 +319,7 @@
 async fn crash_engines(quarantines: &[Quarantine]) {
     for number in 0..2 * CRASHES {
         let quarantine = &quarantines[number % quarantines.len()];
-        quarantine.record_crash(vec![BAD], format!("engine-{number}/1"));
+        quarantine.record_crash(vec![Subject::Part(BAD)], format!("engine-{number}/1"));
         sleep(TOUCH).await;
     }
 }
@@ -345,7 +346,7 @@
     assert_eq!(store.stored_quarantines().len(), 1);
     assert!(writes <= MAX_REWRITES, "{writes} writes of {calls} calls");
     assert!(calls <= 16 * count as u64, "{calls} calls");
-    assert!(quarantines.iter().all(|quarantine| quarantine.refused(&[BAD]) == Some(BAD)));
+    assert!(quarantines.iter().all(|quarantine| quarantine.refused(&[Subject::Part(BAD)]) == Some(Subject::Part(BAD))));
 }
 
 #[rstest]
@@ -360,14 +361,14 @@
 
     for number in 0..CRASHES {
         for quarantine in &quarantines {
-            quarantine.record_crash(vec![BAD], format!("engine-{number}/1"));
+            quarantine.record_crash(vec![Subject::Part(BAD)], format!("engine-{number}/1"));
         }
         sleep(TOUCH).await;
     }
 
     let writes = store.quarantine_writes() - before;
     assert!(writes <= (2 * count * CRASHES) as u64, "{writes} writes");
-    assert!(quarantines.iter().all(|quarantine| quarantine.refused(&[BAD]) == Some(BAD)));
+    assert!(quarantines.iter().all(|quarantine| quarantine.refused(&[Subject::Part(BAD)]) == Some(Subject::Part(BAD))));
 }
 
 #[rstest]
@@ -396,12 +397,12 @@
     scope.set_frozen(true);
     let awake: Vec<_> = entries[1..].iter().map(|(_, quarantine)| quarantine.clone()).collect();
     crash_engines(&awake).await;
-    let before = suspended.refused(&[BAD]);
+    let before = suspended.refused(&[Subject::Part(BAD)]);
     scope.set_frozen(false);
     sleep(TOUCH / 3).await;
 
     assert_eq!(before, None);
-    assert_eq!(suspended.refused(&[BAD]), Some(BAD));
+    assert_eq!(suspended.refused(&[Subject::Part(BAD)]), Some(Subject::Part(BAD)));
 }
 
 /// The record of a condemned part lasts for an hour.
@@ -422,5 +423,7 @@
     let writes = store.quarantine_writes() - before;
     assert_eq!((held, store.stored_quarantines().len()), (1, 0));
     assert!(writes <= MAX_REWRITES, "{writes} writes");
-    assert!(quarantines.iter().all(|quarantine| quarantine.refused(&[BAD]).is_none()));
+    assert!(
+        quarantines.iter().all(|quarantine| quarantine.refused(&[Subject::Part(BAD)]).is_none())
+    );
 }
--- a/standin/src/control.rs
+++ b/standin/src/control.rs
@@ -8,7 +8,7 @@
 use async_trait::async_trait;
 use quetzaltiller::control::{
     Changes, Configuration, Error, Member, Quarantine, QuarantineChange, QuarantineWrite,
-    Quarantines, Record, Store, Version,
+    Quarantines, Record, Store, Subject, Version,
 };
 use quetzaltiller::fleet::{Change, Listing, Upstream};
 use quetzaltiller::routes::{Content, Table};
@@ -41,7 +41,7 @@
     changes: Vec<(u64, Change)>,
     /// Highest revision whose changes are compacted; a watch from before it fails with `Expired`.
     compacted: u64,
-    quarantines: BTreeMap<u64, Quarantine>,
+    quarantines: BTreeMap<Subject, Quarantine>,
     quarantine_changes: Vec<(u64, QuarantineChange)>,
     quarantine_writes: u64,
     era: u64,
@@ -243,11 +243,11 @@
     }
 
     /// Removes a quarantine record, as an operator does.
-    pub fn remove_quarantine(&self, part: u64) {
+    pub fn remove_quarantine(&self, subject: Subject) {
         let revision = self.next_revision();
         let mut state = self.lock();
-        state.quarantines.remove(&part);
-        state.quarantine_changes.push((revision, QuarantineChange::Removed(part)));
+        state.quarantines.remove(&subject);
+        state.quarantine_changes.push((revision, QuarantineChange::Removed(subject)));
     }
 
     /// Raises the revision and returns it.
@@ -396,31 +396,31 @@
 
     async fn write_quarantine(
         &self,
-        part: u64,
+        subject: Subject,
         known: Option<u64>,
         record: &Record,
     ) -> Result<QuarantineWrite, Error> {
         self.begin_call().await?;
         self.lock().quarantine_writes += 1;
-        let held = self.lock().quarantines.get(&part).cloned();
+        let held = self.lock().quarantines.get(&subject).cloned();
         if held.as_ref().map(|held| held.revision) != known {
             return Ok(QuarantineWrite::Conflict(held));
         }
         let revision = self.next_revision();
-        let written = Quarantine { part, revision, record: record.clone() };
+        let written = Quarantine { subject, revision, record: record.clone() };
         let mut state = self.lock();
-        state.quarantines.insert(part, written.clone());
+        state.quarantines.insert(subject, written.clone());
         state.quarantine_changes.push((revision, QuarantineChange::Set(written)));
         Ok(QuarantineWrite::Stored(Some(revision)))
     }
 
-    async fn delete_quarantine(&self, part: u64, known: u64) -> Result<(), Error> {
+    async fn delete_quarantine(&self, subject: Subject, known: u64) -> Result<(), Error> {
         self.begin_call().await?;
         self.lock().quarantine_writes += 1;
-        if self.lock().quarantines.get(&part).is_none_or(|held| held.revision != known) {
+        if self.lock().quarantines.get(&subject).is_none_or(|held| held.revision != known) {
             return Err(Error::Conflict);
         }
-        self.remove_quarantine(part);
+        self.remove_quarantine(subject);
         Ok(())
     }
 }
