Log answers of lookups and actions that broke off, with what a crash may be attributed to

Change: the upstream of an answer that broke off is checked, as that of a run was; `run_broke_early` has `upstream_ended` and the `subjects`, among them a digest of path, account and body. Nothing is decided by it: only parts of prompts reach the quarantine.

--- a/quetzaltiller/src/digest.rs
+++ b/quetzaltiller/src/digest.rs
@@ -39,16 +39,25 @@
 
 /// SHA-256 of `parts`, each prefixed with its length, as 64 hex digits.
 pub fn sha256_hex(parts: &[&[u8]]) -> String {
+    let mut hex = String::with_capacity(64);
+    for byte in sha256(parts) {
+        let _ = write!(hex, "{byte:02x}");
+    }
+    hex
+}
+
+/// First 64 bits of the SHA-256 of `parts`, each prefixed with its length.
+pub fn sha256_prefix(parts: &[&[u8]]) -> u64 {
+    sha256(parts).iter().take(8).fold(0, |prefix, byte| prefix << 8 | u64::from(*byte))
+}
+
+fn sha256(parts: &[&[u8]]) -> [u8; 32] {
     let mut hasher = Sha256::new();
     for part in parts {
         hasher.update((part.len() as u64).to_le_bytes());
         hasher.update(part);
     }
-    let mut hex = String::with_capacity(64);
-    for byte in hasher.finalize() {
-        let _ = write!(hex, "{byte:02x}");
-    }
-    hex
+    hasher.finalize().into()
 }
 
 /// Salted digest of an account key, as stored in the configuration.
--- a/quetzaltiller/src/proxy/beginning.rs
+++ b/quetzaltiller/src/proxy/beginning.rs
@@ -5,7 +5,9 @@
 //! connection may deliver the first ones long after the engine's end. Where a run breaks before,
 //! its engine is checked: only one that has ended may have been crashed by the run.
 
-use super::{CHECK_LIMIT, Context, Request};
+use super::break_off::BreakOff;
+use super::{Context, Plan, Request};
+use crate::control::Subject;
 use crate::fleet::Upstream;
 use crate::prelude::*;
 
@@ -26,13 +28,14 @@
 pub struct Beginning {
     context: Context,
     request: Arc<Request>,
+    plan: Arc<Plan>,
     unsettled: Option<Unsettled>,
 }
 
 impl Beginning {
     /// Creates the observer of the runs of `request`.
-    pub fn new(context: Context, request: Arc<Request>) -> Self {
-        Self { context, request, unsettled: None }
+    pub fn new(context: Context, request: Arc<Request>, plan: Arc<Plan>) -> Self {
+        Self { context, request, plan, unsettled: None }
     }
 
     /// Records the head of an answer on the connection `conn` to `upstream`.
@@ -50,7 +53,7 @@
         run.events += 1;
         if run.events >= SETTLING_EVENTS && now >= run.head_at + SETTLING_TIME {
             self.unsettled = None;
-            self.context.quarantine.record_settled(self.request.subjects());
+            self.context.quarantine.record_settled(self.parts());
         }
     }
 
@@ -66,24 +69,19 @@
         let Some(run) = self.unsettled.take_if(|run| run.conn == conn) else {
             return;
         };
-        let (context, request) = (self.context.clone(), self.request.clone());
-        let subjects = self.request.subjects();
-        let head_age = self.context.clock.now().saturating_sub(run.head_at);
-        self.context.scope.spawn(async move {
-            let engine_ended = !context.client.check(run.upstream.address, CHECK_LIMIT).await;
-            info!("run_broke_early", kv: {
-                request = request.id, upstream = run.upstream.id,
-                head_age_ms = head_age.as_millis() as u64, events = run.events, engine_ended,
-                subjects = subjects.len()
-            });
-            if engine_ended {
-                context.quarantine.record_crash(subjects, start_name(&run.upstream));
-            }
-        });
+        let age = self.context.clock.now().saturating_sub(run.head_at);
+        let break_off = BreakOff {
+            request: self.request.clone(),
+            subjects: self.plan.subjects(&self.request),
+            upstream: run.upstream,
+            age,
+            events: run.events,
+        };
+        break_off.investigate(&self.context);
     }
-}
 
-/// Name of an engine's start: engines mostly have a new id after each.
-fn start_name(upstream: &Upstream) -> String {
-    format!("{}/{}", upstream.id, upstream.incarnation)
+    fn parts(&self) -> Vec<Subject> {
+        let subjects = self.plan.subjects(&self.request).into_iter();
+        subjects.filter(|subject| !subject.is_request()).collect()
+    }
 }
--- /dev/null
+++ b/quetzaltiller/src/proxy/break_off.rs
@@ -0,0 +1,48 @@
+//! Answers that broke off before their upstream had shown that it survives the request.
+//!
+//! Such an upstream is checked: only one that has ended may have been crashed by the request.
+
+use super::{CHECK_LIMIT, Context, Request};
+use crate::control::Subject;
+use crate::fleet::Upstream;
+use crate::prelude::*;
+
+/// An answer that broke off early.
+pub struct BreakOff {
+    /// Request that was answered.
+    pub request: Arc<Request>,
+    /// What a crash may be attributed to.
+    pub subjects: Vec<Subject>,
+    /// Upstream that answered.
+    pub upstream: Arc<Upstream>,
+    /// Time since the answer's head, or since the request was sent where the answer is read whole.
+    pub age: Duration,
+    /// Number of events that came.
+    pub events: u32,
+}
+
+impl BreakOff {
+    /// Checks the upstream in the background.
+    pub fn investigate(self, context: &Context) {
+        let context = context.clone();
+        context.scope.clone().spawn(async move {
+            let upstream_ended = !context.client.check(self.upstream.address, CHECK_LIMIT).await;
+            self.log(upstream_ended);
+            if upstream_ended {
+                let start = format!("{}/{}", self.upstream.id, self.upstream.incarnation);
+                let subjects = self.subjects.into_iter();
+                let parts = subjects.filter(|subject| !subject.is_request()).collect();
+                context.quarantine.record_crash(parts, start);
+            }
+        });
+    }
+
+    fn log(&self, upstream_ended: bool) {
+        let subjects: Vec<_> = self.subjects.iter().map(Subject::to_string).collect();
+        info!("run_broke_early", kv: {
+            request = self.request.id, upstream = self.upstream.id,
+            age_ms = self.age.as_millis() as u64, events = self.events, upstream_ended,
+            subjects = subjects.join(",")
+        });
+    }
+}
--- a/quetzaltiller/src/proxy/call.rs
+++ b/quetzaltiller/src/proxy/call.rs
@@ -5,6 +5,7 @@
 //! the route's attempts and the retry budget. An action is sent again only if it certainly did not
 //! run.
 
+use super::break_off::BreakOff;
 use super::{Answer, Context, Plan, Reply, Request};
 use crate::metrics::{Counter, Latency};
 use crate::placement::{Demand, Placement, Unplaced};
@@ -244,7 +245,7 @@
 
 async fn attempt(
     context: &Context,
-    request: &Request,
+    request: &Arc<Request>,
     plan: &Plan,
     placement: Placement,
 ) -> AttemptOutcome {
@@ -263,7 +264,12 @@
     let response = match context.client.send(call).await {
         Ok(response) => response,
         Err(Error::Unsent | Error::Misdirected) => return AttemptOutcome::Unsent,
-        Err(Error::Broken | Error::Foreign | Error::Oversized) => return AttemptOutcome::Unknown,
+        Err(reason) => {
+            if reason == Error::Broken {
+                break_off(context, request, plan, &placement, sent_at).investigate(context);
+            }
+            return AttemptOutcome::Unknown;
+        }
     };
     if response.not_run {
         return AttemptOutcome::Rejected;
@@ -275,6 +281,9 @@
             debug!("answer_broke", kv: {
                 request = request.id, upstream = placement.upstream.id, reason:? = reason
             });
+            if reason == Error::Broken {
+                break_off(context, request, plan, &placement, sent_at).investigate(context);
+            }
             return AttemptOutcome::Unknown;
         }
     };
@@ -286,3 +295,19 @@
         AttemptOutcome::Answered(answer)
     }
 }
+
+fn break_off(
+    context: &Context,
+    request: &Arc<Request>,
+    plan: &Plan,
+    placement: &Placement,
+    sent_at: Duration,
+) -> BreakOff {
+    BreakOff {
+        request: request.clone(),
+        subjects: plan.subjects(request),
+        upstream: placement.upstream.clone(),
+        age: context.clock.now().saturating_sub(sent_at),
+        events: 0,
+    }
+}
--- a/quetzaltiller/src/proxy/mod.rs
+++ b/quetzaltiller/src/proxy/mod.rs
@@ -6,6 +6,7 @@
 //! route's timeout.
 
 mod beginning;
+mod break_off;
 mod call;
 mod caller;
 mod copies;
@@ -87,8 +88,8 @@
 
 impl Context {
     /// Whether the request crashes upstreams and must not be sent to one.
-    fn is_quarantined(&self, request: &Request) -> bool {
-        let Some(subject) = self.quarantine.refused(&request.subjects()) else {
+    fn is_quarantined(&self, request: &Request, plan: &Plan) -> bool {
+        let Some(subject) = self.quarantine.refused(&plan.subjects(request)) else {
             return false;
         };
         self.metrics.count(Counter::QuarantineRefused);
@@ -170,7 +171,7 @@
         if plan.deadline <= self.context.clock.now() {
             return Err(Refusal::not_run(Code::Overloaded, "it waited for as long as it may"));
         }
-        if self.context.is_quarantined(request) {
+        if self.context.is_quarantined(request, &plan) {
             return Err(Refusal::not_run(
                 Code::Quarantined,
                 "a part of the prompt crashes engines",
--- a/quetzaltiller/src/proxy/plan.rs
+++ b/quetzaltiller/src/proxy/plan.rs
@@ -1,6 +1,8 @@
 //! Route, service, account and deadline of a request, from the configuration in force.
 
-use super::Request;
+use super::{Prompt, Request};
+use crate::control::Subject;
+use crate::digest::sha256_prefix;
 use crate::prelude::*;
 use crate::routes::{Route, Table};
 use xxhash_rust::xxh3::xxh3_64;
@@ -56,4 +58,18 @@
             route: route.clone(),
         })
     }
+
+    /// What the crash of an upstream that serves `request` may be attributed to.
+    pub fn subjects(&self, request: &Request) -> Vec<Subject> {
+        let parts = request.prompt.as_ref().map(Prompt::shared_parts).unwrap_or_default();
+        let parts = parts.into_iter().map(Subject::Part);
+        parts.chain([self.repeatable(request)]).collect()
+    }
+
+    /// The request as it may come again: with another id, at any entry VM.
+    pub fn repeatable(&self, request: &Request) -> Subject {
+        let account = self.account.as_deref().unwrap_or_default();
+        let identity = [request.path.as_bytes(), account.as_bytes(), &request.body];
+        Subject::Request(sha256_prefix(&identity))
+    }
 }
--- a/quetzaltiller/src/proxy/request.rs
+++ b/quetzaltiller/src/proxy/request.rs
@@ -1,6 +1,5 @@
 //! Callers' requests, independent of the platform's header names.
 
-use crate::control::Subject;
 use bytes::Bytes;
 use hyper::{HeaderMap, Method};
 use std::time::Duration;
@@ -35,12 +34,6 @@
     pub fn route_path(&self) -> &str {
         self.path.split('?').next().unwrap_or_default()
     }
-
-    /// What the crash of an upstream that serves the request may be attributed to.
-    pub fn subjects(&self) -> Vec<Subject> {
-        let parts = self.prompt.as_ref().map(Prompt::shared_parts).unwrap_or_default();
-        parts.into_iter().map(Subject::Part).collect()
-    }
 }
 
 /// Model, lengths and parts of a generation's prompt.
--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -150,7 +150,7 @@
         let (copies, copy_results) = Copies::new(&request.id);
         let (notices, received) = mpsc::channel(NOTICE_QUEUE);
         let inbox = Inbox { notices: received, placements, copy_results };
-        let beginning = Beginning::new(context.clone(), request.clone());
+        let beginning = Beginning::new(context.clone(), request.clone(), plan.clone());
         let task = Self {
             context,
             request,
@@ -320,7 +320,7 @@
     /// Ends a generation whose prompt has meanwhile been found to crash engines; returns whether
     /// it has.
     fn end_if_quarantined(&mut self) -> bool {
-        let is_quarantined = self.context.is_quarantined(&self.request);
+        let is_quarantined = self.context.is_quarantined(&self.request, &self.plan);
         if is_quarantined {
             self.retry_after = Duration::from_millis(Code::Quarantined.retry_after_ms());
             self.advance(Input::Exhausted(Code::Quarantined));
