--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -16,8 +16,9 @@
 use bytes::Bytes;
 use futures::StreamExt as _;
 use hyper::{HeaderMap, StatusCode};
-use poison::Poison;
+use poison::{CALL_CRASH_DELAY, Poison};
 use quetzaltiller::fleet::Upstream;
+use quetzaltiller::proxy::Request;
 use quetzaltiller::upstream::{
     self, Availability, Call, Client, Copy, Error, Limit, Listener, Report, Response,
 };
@@ -25,7 +26,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use stream::Events;
+use stream::{Events, broken};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -120,17 +121,28 @@
     }
 
     /// Lets prompts with `part`, other than as their last one, crash each engine that begins to
-    /// answer them; returns the receiver of the engines' ids.
-    pub fn poison(&self, part: u64) -> mpsc::UnboundedReceiver<String> {
-        self.poisons().add(part)
+    /// answer them.
+    pub fn poison_part(&self, part: u64) {
+        self.poisons().add_part(part);
     }
 
-    /// Returns the times at which requests that crash engines reached one.
+    /// Lets requests with the path and body of `request` crash each upstream that begins to answer
+    /// them.
+    pub fn poison_request(&self, request: &Request) {
+        self.poisons().add_request(request);
+    }
+
+    /// Returns the receiver of the ids of upstreams that requests crash from now on.
+    pub fn watch_poisoned_crashes(&self) -> mpsc::UnboundedReceiver<String> {
+        self.poisons().watch()
+    }
+
+    /// Returns the times at which requests that crash upstreams reached one.
     pub fn poisoned_arrivals(&self) -> Vec<Instant> {
         self.poisons().arrivals()
     }
 
-    /// Returns the times at which prompts crashed engines.
+    /// Returns the times at which requests crashed upstreams.
     pub fn poisoned_crashes(&self) -> Vec<Instant> {
         self.poisons().crashes()
     }
@@ -221,6 +233,38 @@
         listeners.iter().for_each(|l| l.handle_availability(exchange, availability));
     }
 
+    /// Ends the process at `address` that a request crashes, if it is up and `runs` the request.
+    pub(crate) fn crash_poisoned(&self, address: SocketAddr, runs: impl FnOnce(&Node) -> bool) {
+        let crashed = self.lock().get_mut(&address).and_then(|node| {
+            let is_running = node.is_up() && runs(node);
+            is_running.then(|| {
+                node.crash(false);
+                node.upstream.id.clone()
+            })
+        });
+        if let Some(id) = crashed {
+            self.poisons().record_crash(id);
+        }
+    }
+
+    /// Answers a request to a replica of a plain service until the replica's process ends.
+    async fn call(&self, call: &Call<'_>) -> Result<Response, Error> {
+        let Upstream { address, id, .. } = call.upstream;
+        let state = self.lock().get(address).map(|node| node.process_state.subscribe());
+        let mut state = state.ok_or(Error::Unsent)?;
+        if self.poisons().affects(call.request) {
+            self.poisons().record_arrival();
+            sleep(CALL_CRASH_DELAY).await;
+            self.crash_poisoned(*address, |node| node.upstream.id == *id);
+            return Err(Error::Broken);
+        }
+        tokio::select! {
+            biased;
+            error = broken(&mut state) => Err(error),
+            answer = self.answer(call) => answer,
+        }
+    }
+
     /// Answers a request to a replica of a plain service, as its fault demands.
     async fn answer(&self, call: &Call<'_>) -> Result<Response, Error> {
         let fault = self.lock().get(&call.upstream.address).and_then(|node| node.fault);
@@ -284,7 +328,7 @@
         self.end_of_silence(address).await;
         self.notify_availability(&call);
         if !is_engine {
-            return self.answer(&call).await;
+            return self.call(&call).await;
         }
         Events::begin(self.clone(), &call).await
     }
--- a/standin/src/fleet/stream.rs
+++ b/standin/src/fleet/stream.rs
@@ -37,7 +37,7 @@
     pub async fn begin(fleet: Fleet, call: &Call<'_>) -> Result<Response, Error> {
         let address = call.upstream.address;
         let prompt = call.request.prompt.clone().unwrap_or_default();
-        let is_poisoned = fleet.poisons().affects(&prompt);
+        let is_poisoned = fleet.poisons().affects(call.request);
         if is_poisoned {
             fleet.poisons().record_arrival();
         }
@@ -108,7 +108,7 @@
     async fn step(mut self) -> Option<(Result<Bytes, Error>, Self)> {
         if self.is_poisoned {
             sleep(CRASH_DELAY).await;
-            self.crash_engine();
+            self.fleet.crash_poisoned(self.address, |node| node.has_run(&self.request));
             return Some((Err(Error::Broken), self));
         }
         if self.next > self.total {
@@ -139,19 +139,6 @@
         Some((Ok(Bytes::from(event)), self))
     }
 
-    fn crash_engine(&self) {
-        let crashed = self.fleet.lock().get_mut(&self.address).and_then(|node| {
-            let is_running = node.is_up() && node.has_run(&self.request);
-            is_running.then(|| {
-                node.crash(false);
-                node.upstream.id.clone()
-            })
-        });
-        if let Some(id) = crashed {
-            self.fleet.poisons().record_crash(id);
-        }
-    }
-
     fn record_progress(&mut self) {
         if let Some(node) = self.fleet.lock().get_mut(&self.address) {
             node.set_progress(&self.request, self.next);
@@ -196,7 +183,7 @@
 }
 
 /// Completes when the process ends and its connections break; never if they go silent.
-async fn broken(process_state: &mut watch::Receiver<ProcessState>) -> Error {
+pub(super) async fn broken(process_state: &mut watch::Receiver<ProcessState>) -> Error {
     match process_state
         .wait_for(|process_state| *process_state != ProcessState::Up)
         .await
--- a/standin/src/site.rs
+++ b/standin/src/site.rs
@@ -146,24 +146,42 @@
     pub fn lose_zone(&self, zone: &str, silent: bool) {
         for id in self.fleet.of_zone(zone).into_iter().filter(|id| id.starts_with("engine")) {
             self.fleet.crash(&id, silent);
-            tokio::spawn(replace_engine(self.fleet.clone(), self.store.clone(), id));
+            tokio::spawn(replace_upstream(self.fleet.clone(), self.store.clone(), id));
         }
     }
 
     /// Lets prompts with `part` crash engines; they are replaced as in [`Self::lose_zone`].
     pub fn poison(&self, part: u64) {
-        let mut crashed = self.fleet.poison(part);
+        self.fleet.poison_part(part);
+        self.replace_poisoned();
+    }
+
+    /// Lets requests with the path and body of `request` crash upstreams; they are replaced as in
+    /// [`Self::lose_zone`].
+    pub fn poison_request(&self, request: &Request) {
+        self.fleet.poison_request(request);
+        self.replace_poisoned();
+    }
+
+    /// Crashes an upstream, which is replaced as in [`Self::lose_zone`].
+    pub fn crash(&self, id: &str) {
+        self.fleet.crash(id, false);
+        tokio::spawn(replace_upstream(self.fleet.clone(), self.store.clone(), id.to_owned()));
+    }
+
+    fn replace_poisoned(&self) {
+        let mut crashed = self.fleet.watch_poisoned_crashes();
         let (fleet, store) = (self.fleet.clone(), self.store.clone());
         tokio::spawn(async move {
             while let Some(id) = crashed.recv().await {
-                tokio::spawn(replace_engine(fleet.clone(), store.clone(), id));
+                tokio::spawn(replace_upstream(fleet.clone(), store.clone(), id));
             }
         });
     }
 }
 
-/// Starts a new engine at the address of a crashed one, lists it and removes the old entry.
-async fn replace_engine(fleet: Fleet, store: ControlStore, id: String) {
+/// Starts a new upstream at the address of a crashed one, lists it and removes the old entry.
+async fn replace_upstream(fleet: Fleet, store: ControlStore, id: String) {
     sleep(Duration::from_millis(1_200)).await;
     let new_id = format!("{id}+");
     fleet.restart(&id, &new_id);
