Quarantine: requests that crash replica after replica

Change: a request is a subject of its own. It is suspected from its first crash (Verdicts::is_suspected), condemned by three crashes at two focused moments or by five at two moments of any kind, and acquitted by one answer, condemned or not, from two crashes on. It has no settlements. Outages, and the room for 1,024 records, are kept apart by kind; records of requests with one crash are dropped first. A condemned request passes if one part that it lacks, or other condemned requests, account for all of its crashes. Of requests that explain each other one with a crash of its own holds, then the one with more crashes, then a fixed order; the one that passes gets a crash of its own if it is deadly too. Requests explain no part. Record::is_condemned takes the subject, as thresholds belong to its kind.

--- a/coordination/src/quarantine/entry.rs
+++ b/coordination/src/quarantine/entry.rs
@@ -1,23 +1,24 @@
-//! Record of a part and what this member alone knows of it.
+//! Record of a subject and what this member alone knows of it.
 //!
 //! Times are local: each member counts moments and lifetimes from when it learned of a change.
 
-use super::Record;
 use super::outages::Outages;
+use super::{Record, Subject};
 use std::time::Duration;
 
 /// Time without another crash after which the next one makes a new moment.
 const MOMENT: Duration = Duration::from_millis(500);
 /// Time since its last change for which a record is kept.
 const LIFETIME: Duration = Duration::from_secs(10 * 60);
-/// The same for the record of a condemned part.
+/// The same for the record of a condemned subject.
 const CONDEMNED_LIFETIME: Duration = Duration::from_secs(60 * 60);
 /// Additional time for records that another VM changed last, so that one VM deletes each.
 const DELEGATED_LIFETIME: Duration = Duration::from_secs(60);
 
-/// Record of a part and what this VM alone knows of it.
-#[derive(Clone, Debug, Default)]
+/// Record of a subject and what this VM alone knows of it.
+#[derive(Clone, Debug)]
 pub(super) struct Entry {
+    subject: Subject,
     record: Record,
     /// Whether this VM changed the record last.
     is_own: bool,
@@ -29,8 +30,15 @@
 
 impl Entry {
     /// Entry without crashes.
-    pub(super) fn new(now: Duration) -> Self {
-        Self { changed_at: now, moment_at: now, focused_at: now, ..Self::default() }
+    pub(super) fn new(now: Duration, subject: Subject) -> Self {
+        Self {
+            subject,
+            record: Record::default(),
+            is_own: false,
+            changed_at: now,
+            moment_at: now,
+            focused_at: now,
+        }
     }
 
     /// Begins a new round without crashes.
@@ -41,9 +49,9 @@
     }
 
     /// Adds a crash; returns whether the record changed.
-    pub(super) fn add_crash(&mut self, now: Duration, engine: &str, outages: &Outages) -> bool {
+    pub(super) fn add_crash(&mut self, now: Duration, upstream: &str, outages: &Outages) -> bool {
         let before = self.record.clone();
-        if !self.record.add_crash(engine) {
+        if !self.record.add_crash(upstream) {
             return false;
         }
         if self.record.moments() == 0 || now >= self.moment_at + MOMENT {
@@ -81,12 +89,17 @@
 
     /// Whether the record is within its lifetime.
     pub(super) fn is_kept(&self, now: Duration) -> bool {
-        let lifetime = if self.record.is_condemned() { CONDEMNED_LIFETIME } else { LIFETIME };
+        let lifetime = if self.is_condemned() { CONDEMNED_LIFETIME } else { LIFETIME };
         let delegated = if self.is_own { Duration::ZERO } else { DELEGATED_LIFETIME };
         now.saturating_sub(self.changed_at) < lifetime + delegated
     }
 
-    /// Record of the part.
+    /// Whether the subject is condemned.
+    pub(super) fn is_condemned(&self) -> bool {
+        self.record.is_condemned(self.subject)
+    }
+
+    /// Record of the subject.
     pub(super) fn record(&self) -> &Record {
         &self.record
     }
--- /dev/null
+++ b/coordination/src/quarantine/explanation.rs
@@ -0,0 +1,52 @@
+//! Condemned subjects whose crashes others account for.
+//!
+//! A part that was only present shares all but one of its crashes with the part at fault. A request
+//! that was only present shares all of them, with one part or with several requests. Where requests
+//! explain each other, one that alone has some crash holds, then the one with more crashes: the
+//! other gets a crash of its own should it be at fault too.
+
+use super::{Record, Subject};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// By condemned subject that other requests don't explain, the parts that each explain it alone.
+pub(super) fn explanations(
+    condemned: &BTreeMap<Subject, &Record>,
+) -> BTreeMap<Subject, BTreeSet<Subject>> {
+    let (parts, requests) = condemned.iter().partition::<Vec<_>, _>(|(s, _)| !s.is_request());
+    let parts_by_crash = subjects_by_crash(&parts);
+    let requests_by_crash = subjects_by_crash(&requests);
+    let is_alone = |(_, record): &(&Subject, &&Record)| {
+        record.crashes().any(|crash| requests_by_crash[crash].len() == 1)
+    };
+    let alone = requests.iter().filter(|request| is_alone(request));
+    let alone = alone.map(|(request, _)| **request).collect::<BTreeSet<_>>();
+    let rank = |request: Subject| (condemned[&request].crashes().len(), Reverse(request));
+    let is_explained = |(subject, record): &(&Subject, &&Record)| {
+        let holds = |other: &Subject| alone.contains(other) || rank(*other) > rank(**subject);
+        !alone.contains(subject)
+            && record.crashes().all(|crash| requests_by_crash[crash].iter().any(holds))
+    };
+    let requests = requests.iter().copied().filter(|request| !is_explained(request));
+    let all = parts.iter().copied().chain(requests);
+    let explaining = all.map(|(subject, record)| {
+        let others = record.indicators().filter_map(|crash| parts_by_crash.get(crash)).flatten();
+        let accounts = |other: &Subject| match subject {
+            Subject::Part(_) => condemned[other].explains(record),
+            Subject::Request(_) => record.is_covered_by(condemned[other]),
+        };
+        let others = others.filter(|other| *other != subject && accounts(other));
+        (*subject, others.copied().collect())
+    });
+    explaining.collect()
+}
+
+fn subjects_by_crash<'a>(records: &[(&Subject, &&'a Record)]) -> BTreeMap<&'a str, Vec<Subject>> {
+    let mut by_crash = BTreeMap::<_, Vec<_>>::new();
+    for (subject, record) in records {
+        for crash in record.crashes() {
+            by_crash.entry(crash).or_default().push(**subject);
+        }
+    }
+    by_crash
+}
--- a/coordination/src/quarantine/record.rs
+++ b/coordination/src/quarantine/record.rs
@@ -1,7 +1,8 @@
-//! Record of one part, which members share.
+//! Record of one subject, which members share.
 //!
-//! Records of a part form a join semilattice: copies may arrive late, twice and in any order.
+//! Records of a subject form a join semilattice: copies may arrive late, twice and in any order.
 
+use super::Subject;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 
@@ -12,22 +13,28 @@
 const MIN_FOCUSED: u32 = 2;
 /// The same if others crashed as well.
 const MIN_MOMENTS: u32 = 7;
+/// Crashes of distinct upstreams at focused moments after which a request is condemned.
+const MIN_REQUEST_CRASHES: usize = 3;
+/// The same at moments of any kind.
+const MIN_UNFOCUSED_REQUEST_CRASHES: usize = 5;
+/// Distinct moments at which these upstreams crashed.
+const MIN_REQUEST_MOMENTS: u32 = 2;
 /// Crashes that a record keeps.
 const MAX_CRASHES: usize = 256;
 /// Crashes of an explained part that the explaining part has no share in.
 const MAX_UNEXPLAINED: usize = 1;
 
-/// Crashes of engines that began to answer a prompt with one part.
+/// Crashes of upstreams that began to run a request with one subject.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, rename_all = "snake_case")]
 pub struct Record {
-    /// Number of times that the part was acquitted.
+    /// Number of times that the subject was acquitted.
     round: u32,
-    /// Names of the engines that crashed in this round, one for each start of a process.
+    /// Names of the upstreams that crashed in this round, one for each start of a process.
     crashes: BTreeSet<String>,
     /// Number of moments at which they crashed.
     moments: u32,
-    /// Number of moments at which most engines that crashed did so under this part.
+    /// Number of moments at which most upstreams that crashed did so under this subject.
     focused: u32,
 }
 
@@ -48,10 +55,17 @@
         *self != before
     }
 
-    /// Whether the part is at fault, unless another part explains its crashes.
-    pub fn is_condemned(&self) -> bool {
-        self.crashes.len() >= MIN_CRASHES
-            && (self.focused >= MIN_FOCUSED || self.moments >= MIN_MOMENTS)
+    /// Whether `subject`, which the record is about, is at fault unless another explains its
+    /// crashes.
+    pub fn is_condemned(&self, subject: Subject) -> bool {
+        let crashes = self.crashes.len();
+        if subject.is_request() {
+            let is_focused = self.focused >= MIN_REQUEST_MOMENTS;
+            return (crashes >= MIN_REQUEST_CRASHES && is_focused)
+                || (crashes >= MIN_UNFOCUSED_REQUEST_CRASHES
+                    && self.moments >= MIN_REQUEST_MOMENTS);
+        }
+        crashes >= MIN_CRASHES && (self.focused >= MIN_FOCUSED || self.moments >= MIN_MOMENTS)
     }
 
     /// Number of times that the part was acquitted.
@@ -79,7 +93,8 @@
         self.crashes.contains(engine)
     }
 
-    /// Whether this part accounts for the crashes of another, which was only present at them.
+    /// Whether the part of this record accounts for the crashes of another part, which was only
+    /// present at them.
     pub(super) fn explains(&self, other: &Record) -> bool {
         let is_full = self.crashes.len() >= MAX_CRASHES;
         // Names beyond the last one of a full record may have been left out.
@@ -89,6 +104,11 @@
             && !self.crashes.is_disjoint(&other.crashes)
     }
 
+    /// Whether another record has all crashes of this one.
+    pub(super) fn is_covered_by(&self, other: &Record) -> bool {
+        self.crashes.is_subset(&other.crashes)
+    }
+
     /// Crashes of which a record that explains this one has at least one.
     pub(super) fn indicators(&self) -> impl Iterator<Item = &str> {
         self.crashes().take(MAX_UNEXPLAINED + 1)
--- a/coordination/src/quarantine/verdicts.rs
+++ b/coordination/src/quarantine/verdicts.rs
@@ -1,36 +1,48 @@
-//! Condemned parts at one time.
+//! Condemned subjects and suspected requests at one time.
 //!
 //! A snapshot of the ledger, which requests check without waiting for its owner.
 
 use super::Subject;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Condemned parts at one time, for checks without the ledger.
+/// Condemned subjects and suspected requests at one time, for checks without the ledger.
 #[derive(Clone, Debug, Default)]
 pub struct Verdicts {
-    /// By condemned part, the other condemned parts that explain its crashes.
+    /// By condemned subject, the condemned parts that explain its crashes.
     explanations: BTreeMap<Subject, BTreeSet<Subject>>,
+    /// Requests under which an upstream has crashed.
+    suspected: BTreeSet<Subject>,
 }
 
 impl Verdicts {
-    /// Verdicts by condemned part, each with the parts that explain its crashes.
-    pub(super) fn new(explanations: BTreeMap<Subject, BTreeSet<Subject>>) -> Self {
-        Self { explanations }
+    /// Verdicts by condemned subject, each with the parts that explain its crashes, and suspected
+    /// requests.
+    pub(super) fn new(
+        explanations: BTreeMap<Subject, BTreeSet<Subject>>,
+        suspected: BTreeSet<Subject>,
+    ) -> Self {
+        Self { explanations, suspected }
     }
 
-    /// The part for which a request with these parts is to be refused.
-    pub fn refused(&self, parts: &[Subject]) -> Option<Subject> {
+    /// The subject for which a request with these subjects is to be refused.
+    pub fn refused(&self, subjects: &[Subject]) -> Option<Subject> {
         // The last parts of a prompt are the most specific ones.
-        parts.iter().rev().copied().find(|part| self.is_refused(*part, parts))
+        subjects.iter().rev().copied().find(|subject| self.is_refused(*subject, subjects))
     }
 
-    /// Whether no part is condemned.
+    /// Whether upstreams have crashed under a request since it was acquitted last.
+    pub fn is_suspected(&self, subject: Subject) -> bool {
+        self.suspected.contains(&subject)
+    }
+
+    /// Whether no subject is condemned and no request suspected.
     pub fn is_empty(&self) -> bool {
-        self.explanations.is_empty()
+        self.explanations.is_empty() && self.suspected.is_empty()
     }
 
-    fn is_refused(&self, part: Subject, parts: &[Subject]) -> bool {
-        let is_present = |part: &Subject| parts.contains(part);
-        self.explanations.get(&part).is_some_and(|others| others.iter().all(is_present))
+    /// Whether a request with these subjects is to be refused for one of them.
+    pub(super) fn is_refused(&self, subject: Subject, subjects: &[Subject]) -> bool {
+        let is_present = |subject: &Subject| subjects.contains(subject);
+        self.explanations.get(&subject).is_some_and(|others| others.iter().all(is_present))
     }
 }
--- a/coordination/tests/quarantine.rs
+++ b/coordination/tests/quarantine.rs
@@ -13,6 +13,8 @@
 const MAX_LATE: usize = 3;
 /// Part that the bad part's requests share with others.
 const SHARED: Subject = Subject::Part(1);
+/// Request that crashes each upstream that begins to run it.
+const DEADLY: Subject = Subject::Request(666);
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -294,6 +296,237 @@
     assert_eq!(changed, [SHARED]);
 }
 
+/// A deadly request that comes again, or an order whose caller repeats it.
+#[test]
+fn a_request_that_crashes_three_replicas_at_two_moments_is_condemned() {
+    let ledger = crashed(Ledger::new(), 0, &[DEADLY], 3);
+
+    assert_eq!(ledger.refused(ms(2_000), &[DEADLY]), Some(DEADLY));
+    assert_eq!(ledger.verdicts().refused(&[SHARED, DEADLY]), Some(DEADLY));
+    assert_eq!(ledger.verdicts().refused(&[SHARED, Subject::Request(7)]), None);
+}
+
+/// Both attempts of a lookup and its caller's retry.
+#[test]
+fn a_request_that_crashes_replicas_at_one_moment_is_condemned_by_the_next_crash() {
+    let mut ledger = Ledger::new();
+    for n in 0..3 {
+        ledger.record_crash(ms(100 * n), &[DEADLY], &format!("replica-{n}"));
+    }
+    let is_early = ledger.verdicts().refused(&[DEADLY]).is_some();
+
+    ledger.record_crash(ms(3_300), &[DEADLY], "replica-3");
+
+    assert!(!is_early);
+    assert_eq!(ledger.verdicts().refused(&[DEADLY]), Some(DEADLY));
+}
+
+/// Other requests crash more replicas at the same moments.
+#[test]
+fn a_request_that_crashes_replicas_among_many_others_is_condemned_by_its_fifth_crash() {
+    let mut ledger = Ledger::new();
+    let mut refused_at = None;
+
+    for n in 0..8 {
+        for other in 0..5 {
+            let request = Subject::Request(100 + 10 * n + other);
+            ledger.record_crash(ms(1_000 * n), &[request], &format!("other-{n}-{other}"));
+        }
+        ledger.record_crash(ms(1_000 * n), &[DEADLY], &format!("replica-{n}"));
+        let is_refused = ledger.verdicts().refused(&[DEADLY]).is_some();
+        refused_at = refused_at.or(is_refused.then_some(n));
+    }
+
+    assert_eq!(refused_at, Some(4));
+}
+
+/// A whole service that loses its power, with a request that runs on all of its replicas.
+#[test]
+fn replicas_that_crash_at_one_moment_condemn_no_request() {
+    let mut ledger = Ledger::new();
+
+    for replica in 0..30 {
+        ledger.record_crash(ms(10 * replica), &[DEADLY], &format!("replica-{replica}"));
+    }
+
+    assert_eq!(ledger.verdicts().refused(&[DEADLY]), None);
+}
+
+/// An answer of a deadly request never comes.
+#[rstest]
+#[case::once(1, None, true)]
+#[case::repeated(2, Some(DEADLY), false)]
+#[case::condemned(3, Some(DEADLY), false)]
+fn one_answer_acquits_a_request_with_repeated_crashes(
+    #[case] crashes: u64,
+    #[case] acquitted: Option<Subject>,
+    #[case] is_suspected: bool,
+) {
+    let mut ledger = crashed(Ledger::new(), 0, &[DEADLY], crashes);
+
+    let changed = ledger.record_settled(ms(3_000), &[DEADLY]);
+
+    assert_eq!(changed, Vec::from_iter(acquitted));
+    assert_eq!(ledger.verdicts().refused(&[DEADLY]), None);
+    assert_eq!(ledger.verdicts().is_suspected(DEADLY), is_suspected);
+}
+
+/// Proxies report answers of suspected requests only, and look for none while there are none.
+#[test]
+fn requests_are_suspected_from_their_first_crash() {
+    let mut ledger = Ledger::new();
+    let is_empty_at_first = ledger.verdicts().is_empty();
+
+    ledger.record_crash(ms(0), &[SHARED, DEADLY], "replica");
+    let verdicts = ledger.verdicts();
+
+    assert!(is_empty_at_first);
+    assert!(!verdicts.is_empty());
+    assert!(verdicts.is_suspected(DEADLY));
+    assert!(!verdicts.is_suspected(Subject::Request(7)));
+    assert!(!verdicts.is_suspected(SHARED));
+}
+
+/// A popular request whose answers are many is suspected of a crash all the same.
+#[test]
+fn a_request_that_settled_is_suspected_of_the_next_crash() {
+    let mut ledger = Ledger::new();
+    ledger.record_settled(ms(0), &[DEADLY]);
+    ledger.record_settled(ms(2_000), &[DEADLY]);
+
+    let changed = ledger.record_crash(ms(2_100), &[DEADLY], "replica");
+
+    assert_eq!(changed, [DEADLY]);
+}
+
+/// Answers to many requests that never come again.
+#[test]
+fn settled_requests_push_out_no_settled_part() {
+    let mut ledger = Ledger::new();
+    ledger.record_settled(ms(0), &[SHARED]);
+
+    for request in 0..20_000 {
+        ledger.record_settled(ms(1), &[Subject::Request(request)]);
+    }
+    let changed = ledger.record_crash(ms(2), &[SHARED], "engine");
+
+    assert!(changed.is_empty());
+}
+
+/// A sound request that ran beside the deadly one.
+#[test]
+fn a_request_that_only_ran_beside_the_deadly_one_is_served() {
+    let victim = Subject::Request(7);
+    let ledger = crashed(Ledger::new(), 0, &[DEADLY], 1);
+    let mut ledger = crashed(ledger, 500, &[DEADLY], 3);
+    let beside = crashed(Ledger::new(), 500, &[victim], 3);
+    ledger.merge(ms(2_000), victim, beside.record(victim).unwrap());
+
+    let verdicts = ledger.verdicts();
+
+    assert!(ledger.record(victim).is_some_and(|record| record.is_condemned(victim)));
+    assert_eq!(verdicts.refused(&[victim]), None);
+    assert_eq!(verdicts.refused(&[DEADLY]), Some(DEADLY));
+}
+
+/// Part of a prompt that crashes engines, and a request without it that ran beside.
+#[test]
+fn a_request_that_only_ran_beside_a_bad_part_is_served() {
+    let victim = Subject::Request(7);
+    let ledger = crashed(Ledger::new(), 0, &[BAD], 4);
+    let ledger = crashed(ledger, 0, &[victim], 4);
+
+    let verdicts = ledger.verdicts();
+
+    assert!(ledger.record(victim).is_some_and(|record| record.is_condemned(victim)));
+    assert_eq!(verdicts.refused(&[SHARED, victim]), None);
+    assert_eq!(verdicts.refused(&[SHARED, BAD]), Some(BAD));
+    assert!(verdicts.refused(&[BAD, victim]).is_some());
+}
+
+/// A popular request that ran beside two deadly ones, at the crashes of both.
+#[test]
+fn a_request_that_ran_beside_several_deadly_ones_is_served_once_each_crashed_a_replica_alone() {
+    let (other, victim) = (Subject::Request(7), Subject::Request(8));
+    let ledger = crashed(Ledger::new(), 0, &[DEADLY], 3);
+    let ledger = crashed(ledger, 10_000, &[other], 3);
+    let ledger = crashed(ledger, 0, &[victim], 3);
+    let ledger = crashed(ledger, 10_000, &[victim], 3);
+    let ledger = crashed(ledger, 20_000, &[DEADLY], 1);
+    let ledger = crashed(ledger, 30_000, &[other], 1);
+
+    let verdicts = ledger.verdicts();
+
+    assert!(ledger.record(victim).is_some_and(|record| record.is_condemned(victim)));
+    assert_eq!(verdicts.refused(&[victim]), None);
+    assert_eq!(verdicts.refused(&[DEADLY]), Some(DEADLY));
+    assert_eq!(verdicts.refused(&[other]), Some(other));
+}
+
+/// Two deadly requests that run on the same replicas.
+#[test]
+fn deadly_requests_with_the_same_crashes_explain_one_of_them_until_its_next_crash() {
+    let other = Subject::Request(7);
+    let ledger = crashed(Ledger::new(), 0, &[DEADLY], 4);
+    let mut ledger = crashed(ledger, 0, &[other], 4);
+    let both = [DEADLY, other];
+    let refused = both.map(|request| ledger.verdicts().refused(&[request]).is_some());
+
+    let served = both[usize::from(refused[0])];
+    ledger.record_crash(ms(5_000), &[served], "one-more");
+
+    assert_eq!(refused.iter().filter(|is_refused| **is_refused).count(), 1);
+    assert_eq!(ledger.verdicts().refused(&[served]), Some(served));
+}
+
+/// Deadly requests, each with a crash of its own.
+#[test]
+fn deadly_requests_that_share_crashes_are_both_refused() {
+    let other = Subject::Request(7);
+    let ledger = crashed(Ledger::new(), 0, &[DEADLY], 4);
+    let ledger = crashed(ledger, 500, &[other], 1);
+    let ledger = crashed(ledger, 5_000, &[other], 3);
+
+    let verdicts = ledger.verdicts();
+
+    assert_eq!(verdicts.refused(&[DEADLY]), Some(DEADLY));
+    assert_eq!(verdicts.refused(&[other]), Some(other));
+}
+
+/// The crash of a request is one of the parts of its prompt too.
+#[rstest]
+#[case::alone(0)]
+#[case::beside_requests(9)]
+fn requests_decide_nothing_about_parts(#[case] requests: u64) {
+    let mut ledger = Ledger::new();
+
+    for n in 0..4 {
+        for request in 0..requests {
+            let upstream = format!("replica-{n}-{request}");
+            ledger.record_crash(ms(700 * n), &[Subject::Request(request)], &upstream);
+        }
+        ledger.record_crash(ms(700 * n), &[BAD, Subject::Request(100)], &format!("engine-{n}"));
+    }
+
+    assert_eq!(ledger.record(BAD).map(Record::focused), Some(4));
+    assert_eq!(ledger.verdicts().refused(&[BAD]), Some(BAD));
+}
+
+/// Many sound requests that crash once, beside what is known of parts and of repeated crashes.
+#[test]
+fn requests_with_one_crash_push_out_no_other_records() {
+    let ledger = crashed(Ledger::new(), 0, &[SHARED], 1);
+    let mut ledger = crashed(ledger, 1_000, &[DEADLY], 2);
+
+    for request in 10_000..13_000 {
+        ledger.record_crash(ms(request), &[Subject::Request(request)], &format!("r-{request}"));
+    }
+
+    assert_eq!(ledger.records().count(), 1 + 1_024);
+    assert!(ledger.record(SHARED).is_some());
+    assert!(ledger.record(DEADLY).is_some());
+}
+
 fn assert_late(plan: Plan, outcome: &Outcome) {
     let late = outcome.late();
     assert!(late <= MAX_LATE, "{late} requests with the bad part sent late, {plan:?}");
--- a/quetzaltiller/src/quarantine/task.rs
+++ b/quetzaltiller/src/quarantine/task.rs
@@ -142,7 +142,7 @@
             let before = before.get(subject);
             self.log_change(*subject, before, Origin::Own);
             // All entry VMs soon acquit a subject that sound requests share.
-            let was_condemned = before.is_some_and(Record::is_condemned);
+            let was_condemned = before.is_some_and(|record| record.is_condemned(*subject));
             let is_urgent = was_condemned || !self.is_acquitted(*subject, before);
             let delay =
                 if is_urgent { Duration::ZERO } else { self.jitter(*subject, REWRITE_SPREAD) };
@@ -336,10 +336,10 @@
         else {
             return;
         };
-        let was_condemned = before.is_some_and(Record::is_condemned);
+        let was_condemned = before.is_some_and(|record| record.is_condemned(subject));
         let event = if self.is_acquitted(subject, before) {
             "quarantine_acquitted"
-        } else if record.is_condemned() && !was_condemned {
+        } else if record.is_condemned(subject) && !was_condemned {
             "quarantine_condemned"
         } else {
             "quarantine_suspected"
