--- a/quetzaltiller/src/proxy/beginning.rs
+++ b/quetzaltiller/src/proxy/beginning.rs
@@ -7,7 +7,6 @@
 
 use super::break_off::BreakOff;
 use super::{Context, Plan, Request};
-use crate::control::Subject;
 use crate::fleet::Upstream;
 use crate::prelude::*;
 
@@ -53,7 +52,7 @@
         run.events += 1;
         if run.events >= SETTLING_EVENTS && now >= run.head_at + SETTLING_TIME {
             self.unsettled = None;
-            self.context.quarantine.record_settled(self.parts());
+            self.context.record_settled(&self.request, &self.plan);
         }
     }
 
@@ -79,9 +78,4 @@
         };
         break_off.investigate(&self.context);
     }
-
-    fn parts(&self) -> Vec<Subject> {
-        let subjects = self.plan.subjects(&self.request).into_iter();
-        subjects.filter(|subject| !subject.is_request()).collect()
-    }
 }
--- a/quetzaltiller/src/proxy/break_off.rs
+++ b/quetzaltiller/src/proxy/break_off.rs
@@ -30,9 +30,7 @@
             self.log(upstream_ended);
             if upstream_ended {
                 let start = format!("{}/{}", self.upstream.id, self.upstream.incarnation);
-                let subjects = self.subjects.into_iter();
-                let parts = subjects.filter(|subject| !subject.is_request()).collect();
-                context.quarantine.record_crash(parts, start);
+                context.quarantine.record_crash(self.subjects, start);
             }
         });
     }
--- a/quetzaltiller/src/proxy/call.rs
+++ b/quetzaltiller/src/proxy/call.rs
@@ -7,6 +7,7 @@
 
 use super::break_off::BreakOff;
 use super::{Answer, Context, Plan, Reply, Request};
+use crate::fleet::Upstream;
 use crate::metrics::{Counter, Latency};
 use crate::placement::{Demand, Placement, Unplaced};
 use crate::prelude::*;
@@ -16,6 +17,7 @@
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
 use hyper::StatusCode;
+use std::collections::BTreeMap;
 
 /// Maximum number of unreachable upstreams before a request is refused.
 const MAX_UNSENT: u32 = 3;
@@ -37,6 +39,8 @@
     Unknown,
     /// No upstream could be chosen.
     Unplaced(Unplaced),
+    /// The request has meanwhile been found to crash upstreams, and was not sent.
+    Quarantined,
 }
 
 /// Serves a lookup or an action that arrived at `arrived_at`.
@@ -57,6 +61,8 @@
         error_answer: None,
         may_have_run: false,
         unplaced: None,
+        is_quarantined: false,
+        in_progress: BTreeMap::new(),
     };
     let reply = race.run().await;
     let took = context.clock.now().saturating_sub(arrived_at);
@@ -86,6 +92,9 @@
     error_answer: Option<Answer>,
     may_have_run: bool,
     unplaced: Option<Unplaced>,
+    is_quarantined: bool,
+    /// Upstreams that have not answered, and when the request was sent to them.
+    in_progress: BTreeMap<String, (Arc<Upstream>, Duration)>,
 }
 
 impl Race<'_> {
@@ -109,6 +118,7 @@
                     let may_retry = self.sent < self.plan.route.attempts
                         && self.unsent < MAX_UNSENT
                         && self.unplaced.is_none()
+                        && !self.is_quarantined
                         && (lookup || !self.may_have_run);
                     if !may_retry || !self.may_repeat().await {
                         return self.final_reply();
@@ -147,6 +157,10 @@
                 return;
             }
         };
+        if self.sent > 0 && self.context.is_quarantined(self.request, self.plan) {
+            self.attempts.push(Box::pin(async { (None, AttemptOutcome::Quarantined) }));
+            return;
+        }
         self.sent += 1;
         if self.sent > 1 {
             self.context.metrics.count(Counter::LookupRetried);
@@ -154,11 +168,13 @@
                 request = self.request.id, upstream = placement.upstream.id, attempt = self.sent
             });
         }
-        self.avoid.push(placement.upstream.id.clone());
+        let id = placement.upstream.id.clone();
+        self.avoid.push(id.clone());
+        let sent_at = self.context.clock.now();
+        self.in_progress.insert(id.clone(), (placement.upstream.clone(), sent_at));
         let (context, request, plan) =
             (self.context.clone(), self.request.clone(), self.plan.clone());
         self.attempts.push(Box::pin(async move {
-            let id = placement.upstream.id.clone();
             (Some(id), attempt(&context, &request, &plan, placement).await)
         }));
     }
@@ -169,10 +185,14 @@
         outcome: AttemptOutcome,
     ) -> Option<Reply> {
         let id = upstream.unwrap_or_default();
+        self.in_progress.remove(&id);
         let placer = &self.context.placer;
         let cause = match outcome {
             AttemptOutcome::Answered(answer) => {
                 placer.record_success(&id);
+                if answer.status.is_success() {
+                    self.context.record_settled(self.request, self.plan);
+                }
                 self.context.metrics.count(Counter::CallAnswered);
                 return Some(Reply::Answered(answer));
             }
@@ -201,6 +221,10 @@
                 self.unplaced = Some(unplaced);
                 "unplaced"
             }
+            AttemptOutcome::Quarantined => {
+                self.is_quarantined = true;
+                "quarantined"
+            }
         };
         info!("try_failed", kv: { request = self.request.id, upstream = id, cause });
         None
@@ -212,6 +236,8 @@
         }
         let refusal = if self.may_have_run {
             Refusal::new(Code::UpstreamFailed, Ran::Unknown, "the upstream did not answer")
+        } else if self.is_quarantined {
+            Refusal::not_run(Code::Quarantined, "the request crashes upstreams")
         } else {
             let code = self.unplaced.map_or(Code::Overloaded, Unplaced::code);
             let retry_after_ms = match self.unplaced {
@@ -224,7 +250,12 @@
         self.refuse(refusal)
     }
 
-    fn handle_timeout(self) -> Reply {
+    fn handle_timeout(mut self) -> Reply {
+        // A process that has ended may leave its connections silent.
+        for (upstream, sent_at) in std::mem::take(&mut self.in_progress).into_values() {
+            break_off(self.context, self.request, self.plan, &upstream, sent_at)
+                .investigate(self.context);
+        }
         let refusal = if self.attempts.is_empty() && !self.may_have_run {
             Refusal::not_run(Code::Overloaded, "no replica took the request in time")
         } else {
@@ -266,7 +297,8 @@
         Err(Error::Unsent | Error::Misdirected) => return AttemptOutcome::Unsent,
         Err(reason) => {
             if reason == Error::Broken {
-                break_off(context, request, plan, &placement, sent_at).investigate(context);
+                break_off(context, request, plan, &placement.upstream, sent_at)
+                    .investigate(context);
             }
             return AttemptOutcome::Unknown;
         }
@@ -282,7 +314,8 @@
                 request = request.id, upstream = placement.upstream.id, reason:? = reason
             });
             if reason == Error::Broken {
-                break_off(context, request, plan, &placement, sent_at).investigate(context);
+                break_off(context, request, plan, &placement.upstream, sent_at)
+                    .investigate(context);
             }
             return AttemptOutcome::Unknown;
         }
@@ -300,13 +333,13 @@
     context: &Context,
     request: &Arc<Request>,
     plan: &Plan,
-    placement: &Placement,
+    upstream: &Arc<Upstream>,
     sent_at: Duration,
 ) -> BreakOff {
     BreakOff {
         request: request.clone(),
         subjects: plan.subjects(request),
-        upstream: placement.upstream.clone(),
+        upstream: upstream.clone(),
         age: context.clock.now().saturating_sub(sent_at),
         events: 0,
     }
--- a/quetzaltiller/src/proxy/mod.rs
+++ b/quetzaltiller/src/proxy/mod.rs
@@ -89,6 +89,9 @@
 impl Context {
     /// Whether the request crashes upstreams and must not be sent to one.
     fn is_quarantined(&self, request: &Request, plan: &Plan) -> bool {
+        if self.quarantine.is_empty() {
+            return false;
+        }
         let Some(subject) = self.quarantine.refused(&plan.subjects(request)) else {
             return false;
         };
@@ -96,6 +99,18 @@
         info!("request_quarantined", kv: { request = request.id, subject: = subject });
         true
     }
+
+    /// Records that an upstream survived the request.
+    fn record_settled(&self, request: &Request, plan: &Plan) {
+        let is_suspected = |subject| self.quarantine.is_suspected(subject);
+        let request_subject = (!self.quarantine.is_empty()).then(|| plan.repeatable(request));
+        let parts = plan.parts(request);
+        let subjects: Vec<_> =
+            parts.into_iter().chain(request_subject.filter(|s| is_suspected(*s))).collect();
+        if !subjects.is_empty() {
+            self.quarantine.record_settled(subjects);
+        }
+    }
 }
 
 /// Entry point of callers' requests.
@@ -172,10 +187,7 @@
             return Err(Refusal::not_run(Code::Overloaded, "it waited for as long as it may"));
         }
         if self.context.is_quarantined(request, &plan) {
-            return Err(Refusal::not_run(
-                Code::Quarantined,
-                "a part of the prompt crashes engines",
-            ));
+            return Err(Refusal::not_run(Code::Quarantined, "the request crashes upstreams"));
         }
         let expected = match plan.route.kind {
             Kind::Generation { .. } => EXPECTED_GENERATION,
--- a/quetzaltiller/src/proxy/plan.rs
+++ b/quetzaltiller/src/proxy/plan.rs
@@ -61,9 +61,15 @@
 
     /// What the crash of an upstream that serves `request` may be attributed to.
     pub fn subjects(&self, request: &Request) -> Vec<Subject> {
+        let mut subjects = self.parts(request);
+        subjects.push(self.repeatable(request));
+        subjects
+    }
+
+    /// Parts of the request's prompt that other requests may share.
+    pub fn parts(&self, request: &Request) -> Vec<Subject> {
         let parts = request.prompt.as_ref().map(Prompt::shared_parts).unwrap_or_default();
-        let parts = parts.into_iter().map(Subject::Part);
-        parts.chain([self.repeatable(request)]).collect()
+        parts.into_iter().map(Subject::Part).collect()
     }
 
     /// The request as it may come again: with another id, at any entry VM.
--- a/quetzaltiller/src/quarantine/mod.rs
+++ b/quetzaltiller/src/quarantine/mod.rs
@@ -1,6 +1,7 @@
-//! Quarantine of parts of prompts that crash each engine which begins to answer them.
+//! Quarantine of parts of prompts and of requests that crash each upstream which begins to answer
+//! them.
 //!
-//! Runs report whether engines survived their beginning. The task owns the
+//! Requests report whether upstreams survived them. The task owns the
 //! [`Ledger`](coordination::quarantine::Ledger) that draws the conclusions, shares its records with
 //! the other entry VMs through the store and publishes the verdicts, which requests read without
 //! waiting. Each VM writes what it knows beyond the store's record; records can be joined in any
@@ -65,6 +66,16 @@
         self.verdicts.borrow().refused(subjects)
     }
 
+    /// Whether nothing is condemned and no request is suspected.
+    pub fn is_empty(&self) -> bool {
+        self.verdicts.borrow().is_empty()
+    }
+
+    /// Whether an upstream has ended under this request.
+    pub fn is_suspected(&self, subject: Subject) -> bool {
+        self.verdicts.borrow().is_suspected(subject)
+    }
+
     /// Records that an upstream survived a request with these subjects.
     pub fn record_settled(&self, subjects: Vec<Subject>) {
         self.mailbox.send(Message::Settled(subjects));
--- a/quetzaltiller/src/quarantine/task.rs
+++ b/quetzaltiller/src/quarantine/task.rs
@@ -10,6 +10,7 @@
 use crate::prelude::*;
 use crate::scope::Scope;
 use coordination::quarantine::{Ledger, Verdicts};
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use tokio::sync::{mpsc, watch};
 use xxhash_rust::xxh3::xxh3_64;
@@ -20,6 +21,9 @@
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Maximum delay between writes to a store that can't be reached.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_000);
+/// Delay before the first crash of a request is written: a lookup that only lost its replica is
+/// answered by another meanwhile, and its record forgotten.
+const FIRST_CRASH_DELAY: Duration = Duration::from_millis(150);
 /// Time over which entry VMs spread writes of what the store was found to lack; the first write
 /// spares most of the others theirs.
 const REWRITE_SPREAD: Duration = Duration::from_millis(2_000);
@@ -116,6 +120,7 @@
                 let before = self.copy_records(&subjects);
                 let changed = self.ledger.record_settled(now, &subjects);
                 self.record_own_changes(&changed, &before);
+                self.forget_unwritten(&subjects);
             }
             Message::Crashed { subjects, upstream } => {
                 let before = self.copy_records(&subjects);
@@ -144,8 +149,13 @@
             // All entry VMs soon acquit a subject that sound requests share.
             let was_condemned = before.is_some_and(|record| record.is_condemned(*subject));
             let is_urgent = was_condemned || !self.is_acquitted(*subject, before);
-            let delay =
-                if is_urgent { Duration::ZERO } else { self.jitter(*subject, REWRITE_SPREAD) };
+            let delay = if !is_urgent {
+                self.jitter(*subject, REWRITE_SPREAD)
+            } else if subject.is_request() && before.is_none() {
+                FIRST_CRASH_DELAY
+            } else {
+                Duration::ZERO
+            };
             self.schedule(*subject, delay);
         }
         if !changed.is_empty() {
@@ -153,6 +163,20 @@
         }
     }
 
+    /// Removes records of requests that have settled before another VM could learn of them.
+    fn forget_unwritten(&mut self, subjects: &[Subject]) {
+        let is_unwritten =
+            |subject: &&Subject| subject.is_request() && !self.revisions.contains_key(subject);
+        let unwritten: Vec<Subject> = subjects.iter().filter(is_unwritten).copied().collect();
+        for subject in &unwritten {
+            self.ledger.remove(*subject);
+            self.pending.remove(subject);
+        }
+        if !unwritten.is_empty() {
+            self.publish();
+        }
+    }
+
     /// Joins a list of all records. A record that it lacks is written again, as the store may be
     /// an older copy of itself.
     fn handle_listing(&mut self, listed: Quarantines) {
@@ -203,9 +227,15 @@
         (!self.is_calling).then(|| self.next_write_at.max(*due))
     }
 
-    /// Writes the record that is due first, or deletes it if the ledger has none.
+    /// Writes the record with the most crashes of those that are due, or deletes it if the ledger
+    /// has none.
     fn start_write(&mut self) {
-        let Some((&subject, _)) = self.pending.iter().min_by_key(|(_, due)| **due) else {
+        let now = self.now();
+        let crashes = |subject| self.ledger.record(subject).map_or(0, |r| r.crashes().len());
+        let order = |(subject, due): &(&Subject, &Duration)| {
+            (**due > now, Reverse(crashes(**subject)), **due)
+        };
+        let Some((&subject, _)) = self.pending.iter().min_by_key(order) else {
             return;
         };
         self.pending.remove(&subject);
