--- a/coordination/src/quarantine/verdicts.rs
+++ b/coordination/src/quarantine/verdicts.rs
@@ -35,9 +35,19 @@
         self.suspected.contains(&subject)
     }
 
+    /// Whether a subject is condemned.
+    pub fn has_condemned(&self) -> bool {
+        !self.explanations.is_empty()
+    }
+
+    /// Whether a request is suspected.
+    pub fn has_suspected(&self) -> bool {
+        !self.suspected.is_empty()
+    }
+
     /// Whether no subject is condemned and no request suspected.
     pub fn is_empty(&self) -> bool {
-        self.explanations.is_empty() && self.suspected.is_empty()
+        !self.has_condemned() && !self.has_suspected()
     }
 
     /// Whether a request with these subjects is to be refused for one of them.
--- a/quetzaltiller/src/proxy/break_off.rs
+++ b/quetzaltiller/src/proxy/break_off.rs
@@ -1,6 +1,7 @@
 //! Answers that broke off before their upstream had shown that it survives the request.
 //!
-//! Such an upstream is checked: only one that has ended may have been crashed by the request.
+//! Such an upstream is checked: only one whose process has ended may have been crashed by the
+//! request. A path that is cut is no evidence.
 
 use super::{CHECK_LIMIT, Context, Request};
 use crate::control::Subject;
@@ -26,7 +27,7 @@
     pub fn investigate(self, context: &Context) {
         let context = context.clone();
         context.scope.clone().spawn(async move {
-            let upstream_ended = !context.client.check(self.upstream.address, CHECK_LIMIT).await;
+            let upstream_ended = context.client.has_ended(self.upstream.address, CHECK_LIMIT).await;
             self.log(upstream_ended);
             if upstream_ended {
                 let start = format!("{}/{}", self.upstream.id, self.upstream.incarnation);
--- a/quetzaltiller/src/proxy/call.rs
+++ b/quetzaltiller/src/proxy/call.rs
@@ -7,7 +7,6 @@
 
 use super::break_off::BreakOff;
 use super::{Answer, Context, Plan, Reply, Request};
-use crate::fleet::Upstream;
 use crate::metrics::{Counter, Latency};
 use crate::placement::{Demand, Placement, Unplaced};
 use crate::prelude::*;
@@ -17,7 +16,6 @@
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
 use hyper::StatusCode;
-use std::collections::BTreeMap;
 
 /// Maximum number of unreachable upstreams before a request is refused.
 const MAX_UNSENT: u32 = 3;
@@ -62,7 +60,6 @@
         may_have_run: false,
         unplaced: None,
         is_quarantined: false,
-        in_progress: BTreeMap::new(),
     };
     let reply = race.run().await;
     let took = context.clock.now().saturating_sub(arrived_at);
@@ -93,8 +90,6 @@
     may_have_run: bool,
     unplaced: Option<Unplaced>,
     is_quarantined: bool,
-    /// Upstreams that have not answered, and when the request was sent to them.
-    in_progress: BTreeMap<String, (Arc<Upstream>, Duration)>,
 }
 
 impl Race<'_> {
@@ -105,7 +100,7 @@
         self.start_attempt().await;
         let mut hedge_at = context.clock.now() + delay;
         loop {
-            let may_hedge = self.sent < self.plan.route.attempts;
+            let may_hedge = self.sent < self.plan.route.attempts && !self.is_quarantined;
             tokio::select! {
                 biased;
                 Some((upstream, outcome)) = self.attempts.next() => {
@@ -157,7 +152,7 @@
                 return;
             }
         };
-        if self.sent > 0 && self.context.is_quarantined(self.request, self.plan) {
+        if self.context.is_quarantined(self.request, self.plan) {
             self.attempts.push(Box::pin(async { (None, AttemptOutcome::Quarantined) }));
             return;
         }
@@ -170,8 +165,6 @@
         }
         let id = placement.upstream.id.clone();
         self.avoid.push(id.clone());
-        let sent_at = self.context.clock.now();
-        self.in_progress.insert(id.clone(), (placement.upstream.clone(), sent_at));
         let (context, request, plan) =
             (self.context.clone(), self.request.clone(), self.plan.clone());
         self.attempts.push(Box::pin(async move {
@@ -185,14 +178,11 @@
         outcome: AttemptOutcome,
     ) -> Option<Reply> {
         let id = upstream.unwrap_or_default();
-        self.in_progress.remove(&id);
         let placer = &self.context.placer;
         let cause = match outcome {
             AttemptOutcome::Answered(answer) => {
                 placer.record_success(&id);
-                if answer.status.is_success() {
-                    self.context.record_settled(self.request, self.plan);
-                }
+                self.context.record_answered(self.request, self.plan);
                 self.context.metrics.count(Counter::CallAnswered);
                 return Some(Reply::Answered(answer));
             }
@@ -250,12 +240,7 @@
         self.refuse(refusal)
     }
 
-    fn handle_timeout(mut self) -> Reply {
-        // A process that has ended may leave its connections silent.
-        for (upstream, sent_at) in std::mem::take(&mut self.in_progress).into_values() {
-            break_off(self.context, self.request, self.plan, &upstream, sent_at)
-                .investigate(self.context);
-        }
+    fn handle_timeout(self) -> Reply {
         let refusal = if self.attempts.is_empty() && !self.may_have_run {
             Refusal::not_run(Code::Overloaded, "no replica took the request in time")
         } else {
@@ -297,8 +282,7 @@
         Err(Error::Unsent | Error::Misdirected) => return AttemptOutcome::Unsent,
         Err(reason) => {
             if reason == Error::Broken {
-                break_off(context, request, plan, &placement.upstream, sent_at)
-                    .investigate(context);
+                break_off(context, request, plan, &placement, sent_at).investigate(context);
             }
             return AttemptOutcome::Unknown;
         }
@@ -314,8 +298,7 @@
                 request = request.id, upstream = placement.upstream.id, reason:? = reason
             });
             if reason == Error::Broken {
-                break_off(context, request, plan, &placement.upstream, sent_at)
-                    .investigate(context);
+                break_off(context, request, plan, &placement, sent_at).investigate(context);
             }
             return AttemptOutcome::Unknown;
         }
@@ -333,13 +316,13 @@
     context: &Context,
     request: &Arc<Request>,
     plan: &Plan,
-    upstream: &Arc<Upstream>,
+    placement: &Placement,
     sent_at: Duration,
 ) -> BreakOff {
     BreakOff {
         request: request.clone(),
         subjects: plan.subjects(request),
-        upstream: upstream.clone(),
+        upstream: placement.upstream.clone(),
         age: context.clock.now().saturating_sub(sent_at),
         events: 0,
     }
--- a/quetzaltiller/src/proxy/mod.rs
+++ b/quetzaltiller/src/proxy/mod.rs
@@ -89,7 +89,7 @@
 impl Context {
     /// Whether the request crashes upstreams and must not be sent to one.
     fn is_quarantined(&self, request: &Request, plan: &Plan) -> bool {
-        if self.quarantine.is_empty() {
+        if !self.quarantine.has_condemned() {
             return false;
         }
         let Some(subject) = self.quarantine.refused(&plan.subjects(request)) else {
@@ -101,14 +101,13 @@
     }
 
     /// Records that an upstream survived the request.
-    fn record_settled(&self, request: &Request, plan: &Plan) {
-        let is_suspected = |subject| self.quarantine.is_suspected(subject);
-        let request_subject = (!self.quarantine.is_empty()).then(|| plan.repeatable(request));
-        let parts = plan.parts(request);
-        let subjects: Vec<_> =
-            parts.into_iter().chain(request_subject.filter(|s| is_suspected(*s))).collect();
-        if !subjects.is_empty() {
-            self.quarantine.record_settled(subjects);
+    fn record_answered(&self, request: &Request, plan: &Plan) {
+        if !self.quarantine.has_suspected() {
+            return;
+        }
+        let subject = plan.repeatable(request);
+        if self.quarantine.is_suspected(subject) {
+            self.quarantine.record_settled(vec![subject]);
         }
     }
 }
--- a/quetzaltiller/src/proxy/plan.rs
+++ b/quetzaltiller/src/proxy/plan.rs
@@ -5,6 +5,7 @@
 use crate::digest::sha256_prefix;
 use crate::prelude::*;
 use crate::routes::{Route, Table};
+use std::sync::OnceLock;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Patience of callers whose request names none; the route's timeout may be shorter.
@@ -25,6 +26,8 @@
     pub arrived_at: Duration,
     /// Time at which the caller's patience or the route's timeout ends, whichever is first.
     pub deadline: Duration,
+    /// Digest of what is the same when the request comes again, once it was needed.
+    digest: OnceLock<u64>,
 }
 
 impl Plan {
@@ -56,6 +59,7 @@
             arrived_at,
             deadline: arrived_at + patience,
             route: route.clone(),
+            digest: OnceLock::new(),
         })
     }
 
@@ -72,10 +76,14 @@
         parts.into_iter().map(Subject::Part).collect()
     }
 
-    /// The request as it may come again: with another id, at any entry VM.
+    /// The request as it may come again: with another id, at any entry VM. Its method, path, account
+    /// and body are the same.
     pub fn repeatable(&self, request: &Request) -> Subject {
         let account = self.account.as_deref().unwrap_or_default();
-        let identity = [request.path.as_bytes(), account.as_bytes(), &request.body];
-        Subject::Request(sha256_prefix(&identity))
+        let method = request.method.as_str();
+        let texts = [method, &request.path, account].map(str::as_bytes);
+        let [method, path, account] = texts;
+        let digest = || sha256_prefix(&[method, path, account, &request.body]);
+        Subject::Request(*self.digest.get_or_init(digest))
     }
 }
--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -14,6 +14,7 @@
 use super::reader::{Notice, Reader};
 use super::reply::{Chunk, Reply};
 use super::{Answer, CHECK_LIMIT, Context, Plan, Request};
+use crate::control::Subject;
 use crate::engine;
 use crate::fleet::Upstream;
 use crate::generation::{
@@ -183,6 +184,8 @@
     async fn run(mut self, effects: Vec<Effect>, mut inbox: Inbox) {
         let mut withdrawn = self.context.placer.withdrawn();
         withdrawn.mark_unchanged();
+        let mut verdicts = self.context.quarantine.verdicts();
+        verdicts.mark_unchanged();
         self.perform(effects);
         while self.outcome.is_none() {
             let clock = self.context.clock;
@@ -198,6 +201,7 @@
                     let withdrawn = withdrawn.borrow_and_update().clone();
                     withdrawn.iter().for_each(|id| self.advance(Input::EngineLost(id.clone())));
                 }
+                Ok(()) = verdicts.changed() => self.handle_verdicts(),
                 () = self.caller.disconnected() => self.handle_disconnect(),
                 () = clock.sleep_until(deadline) => self.handle_timeout(),
                 () = clock.sleep_until(renewal.unwrap_or_default()), if renewal.is_some() => {
@@ -328,6 +332,20 @@
         is_quarantined
     }
 
+    /// Ends a run without an event once its request is condemned, before it crashes its engine.
+    fn handle_verdicts(&mut self) {
+        let may_crash = self.events == 0 && self.context.quarantine.has_condemned();
+        let subjects = || self.plan.subjects(&self.request);
+        if may_crash
+            && self.context.quarantine.refused(&subjects()).is_some_and(Subject::is_request)
+        {
+            info!("run_quarantined", kv: { request = self.request.id, sent = self.sent });
+            self.retry_after = Duration::from_millis(Code::Quarantined.retry_after_ms());
+            self.abort_readers();
+            self.outcome = Some(Outcome::Failed(Code::Quarantined));
+        }
+    }
+
     fn handle_placement(&mut self, result: PlacementResult) {
         if result.is_ok() && self.end_if_quarantined() {
             return;
@@ -615,6 +633,7 @@
             longest_pause_ms = pauses.longest().as_millis() as u64
         });
         if outcome == Outcome::Whole {
+            self.context.record_answered(&self.request, &self.plan);
             if let (Some(took), None) = (pauses.generating(), self.request.last_event) {
                 self.context.placer.record_run(took);
             }
--- a/quetzaltiller/src/quarantine/mod.rs
+++ b/quetzaltiller/src/quarantine/mod.rs
@@ -66,9 +66,19 @@
         self.verdicts.borrow().refused(subjects)
     }
 
-    /// Whether nothing is condemned and no request is suspected.
-    pub fn is_empty(&self) -> bool {
-        self.verdicts.borrow().is_empty()
+    /// Verdicts as they change.
+    pub fn verdicts(&self) -> watch::Receiver<Verdicts> {
+        self.verdicts.clone()
+    }
+
+    /// Whether a subject is condemned.
+    pub fn has_condemned(&self) -> bool {
+        self.verdicts.borrow().has_condemned()
+    }
+
+    /// Whether a request is suspected.
+    pub fn has_suspected(&self) -> bool {
+        self.verdicts.borrow().has_suspected()
     }
 
     /// Whether an upstream has ended under this request.
--- a/quetzaltiller/src/quarantine/task.rs
+++ b/quetzaltiller/src/quarantine/task.rs
@@ -374,21 +374,23 @@
         } else {
             "quarantine_suspected"
         };
-        info!("{}", event, kv: {
-            subject: = subject, crashes = record.crashes().len(),
-            moments = record.moments(), source = origin.name()
-        });
+        let (crashes, moments) = (record.crashes().len(), record.moments());
+        // Each victim of a crash is suspected, so other entry VMs' suspicions are many.
+        if matches!(origin, Origin::Store) && event == "quarantine_suspected" {
+            debug!("{}", event, kv: { subject: = subject, crashes, moments, source = "store" });
+            return;
+        }
+        info!("{}", event, kv: { subject: = subject, crashes, moments, source = origin.name() });
     }
 
     fn state(&self) -> State {
-        let hexadecimal = |subject: Subject| format!("{subject}");
         let verdicts = self.ledger.verdicts();
         let is_condemned = |subject: &Subject| verdicts.refused(&[*subject]).is_some();
         let condemned = self.ledger.records().map(|(subject, _)| subject).filter(is_condemned);
         State {
-            condemned: condemned.map(hexadecimal).collect(),
-            records: self.ledger.records().map(|(p, r)| (hexadecimal(p), r.clone())).collect(),
-            pending: self.pending.keys().copied().map(hexadecimal).collect(),
+            condemned: condemned.map(|subject| subject.to_string()).collect(),
+            records: self.ledger.records().map(|(p, r)| (p.to_string(), r.clone())).collect(),
+            pending: self.pending.keys().map(Subject::to_string).collect(),
         }
     }
 }
--- a/quetzaltiller/src/refusal.rs
+++ b/quetzaltiller/src/refusal.rs
@@ -40,7 +40,7 @@
     OutcomeUnknown,
     /// The expected wait exceeds what the caller accepts.
     Overloaded,
-    /// A part of the prompt has crashed engines, so no engine gets it for a while.
+    /// The request, or a part of its prompt, has crashed upstreams, so none gets it for a while.
     Quarantined,
     /// The platform's store is unreachable, so no action is run.
     StoreUnavailable,
--- a/quetzaltiller/src/upstream.rs
+++ b/quetzaltiller/src/upstream.rs
@@ -193,6 +193,9 @@
     /// Whether an upstream accepts a connection within `limit`.
     async fn check(&self, address: SocketAddr, limit: Duration) -> bool;
 
+    /// Whether an address refuses connections within `limit`, as no process listens there.
+    async fn has_ended(&self, address: SocketAddr, limit: Duration) -> bool;
+
     /// Copies the memory of a run from one engine to another while the run continues; a later call
     /// copies only what is new. `None` if the copy did not complete within `limit`.
     async fn copy_run(
--- a/quetzaltiller/tests/prompts.rs
+++ b/quetzaltiller/tests/prompts.rs
@@ -31,6 +31,10 @@
         Err(Error::Unsent)
     }
 
+    async fn has_ended(&self, _address: SocketAddr, _limit: Duration) -> bool {
+        false
+    }
+
     async fn check(&self, _address: SocketAddr, _limit: Duration) -> bool {
         true
     }
--- a/quetzaltiller/tests/quarantine_requests.rs
+++ b/quetzaltiller/tests/quarantine_requests.rs
@@ -22,6 +22,8 @@
 const TOUCH: Duration = Duration::from_secs(3);
 /// Retries that may reach upstreams from then on.
 const ALLOWED: usize = 3;
+/// Time in which all entry VMs learn of a third crash.
+const SPREAD: Duration = Duration::from_secs(1);
 /// Lookup that many callers send alike.
 const POPULAR: &str = "/status/popular";
 
@@ -162,6 +164,23 @@
     assert_contained(&site, sounds, began).await;
 }
 
+/// Prompts take a second to prefill, so more drafts are under way when the first ones crash engines.
+#[tokio::test(start_paused = true)]
+async fn drafts_that_wait_crash_no_engine_once_their_request_is_condemned() {
+    let site = start(&[Kind::Draft]).await;
+
+    for number in 0..20 {
+        let entry = site.entries[number % site.entries.len()].clone();
+        tokio::spawn(send(entry, deadly(Kind::Draft, number)));
+        sleep(GAP).await;
+    }
+    sleep(4 * TOUCH).await;
+
+    let crashes = site.fleet.poisoned_crashes();
+    let late = crashes.iter().filter(|at| **at > crashes[CRASHES - 1] + SPREAD).count();
+    assert_eq!(late, 0, "of {} crashes", crashes.len());
+}
+
 #[tokio::test(start_paused = true)]
 async fn each_of_two_deadly_requests_is_found() {
     let kinds = [Kind::Order, Kind::Lookup];
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -338,6 +338,13 @@
         matches!(tokio::time::timeout(limit, self.connect(address)).await, Ok(Ok(())))
     }
 
+    async fn has_ended(&self, address: SocketAddr, limit: Duration) -> bool {
+        self.count().checks += 1;
+        let is_silent = self.lock().get(&address).is_some_and(Node::is_silent);
+        let connected = tokio::time::timeout(limit, self.connect(address)).await;
+        !is_silent && matches!(connected, Ok(Err(_)))
+    }
+
     async fn identify(&self, address: SocketAddr, _path: &str, limit: Duration) -> Option<String> {
         tokio::time::timeout(limit, self.connect(address)).await.ok()?.ok()?;
         self.lock().get(&address).map(|node| node.upstream.id.clone())
