Quarantine: a part that one request alone brings is not condemned

What callers saw: none yet; a test shows it. Cause: each crash of a deadly draft counts against the parts of its prompt too. In a quiet service the first part, which other prompts share, had its four crashes from that one request and was condemned for all. Change: a part's record keeps up to two digests of the requests that brought it; with one alone the part is not condemned. Records without digests, of an earlier version, count as before.

--- a/coordination/src/quarantine.rs
+++ b/coordination/src/quarantine.rs
@@ -8,7 +8,7 @@
 //!
 //! A part is condemned once several engines have crashed under it at distinct moments and most
 //! engines that crashed then did so under this part. Where others crash as well, as when a zone is
-//! lost, it takes more moments. Parts that only accompany the one at fault share its crashes: a
+//! lost, it takes more moments; and a part that one request alone brings is not at fault. Parts that only accompany the one at fault share its crashes: a
 //! condemned part does not cause a refusal where a part that the request lacks explains its crashes.
 //!
 //! A request is condemned by fewer crashes, as most requests that only were present never come again.
--- a/coordination/src/quarantine/entry.rs
+++ b/coordination/src/quarantine/entry.rs
@@ -49,11 +49,20 @@
     }
 
     /// Adds a crash; returns whether the record changed.
-    pub(super) fn add_crash(&mut self, now: Duration, upstream: &str, outages: &Outages) -> bool {
+    pub(super) fn add_crash(
+        &mut self,
+        now: Duration,
+        upstream: &str,
+        request: Option<u64>,
+        outages: &Outages,
+    ) -> bool {
         let before = self.record.clone();
         if !self.record.add_crash(upstream) {
             return false;
         }
+        if let Some(request) = request.filter(|_| !self.subject.is_request()) {
+            self.record.add_request(request);
+        }
         if self.record.moments() == 0 || now >= self.moment_at + MOMENT {
             self.record.add_moment();
             self.moment_at = now;
--- a/coordination/src/quarantine/ledger.rs
+++ b/coordination/src/quarantine/ledger.rs
@@ -78,12 +78,13 @@
         for subject in &suspects {
             self.outages_mut(*subject).record(now, upstream);
         }
+        let request = subjects.iter().find_map(|subject| subject.request());
         for subject in suspects {
             self.make_room(subject);
             let outages =
                 if subject.is_request() { &self.request_outages } else { &self.part_outages };
             let entry = self.entries.entry(subject).or_insert_with(|| Entry::new(now, subject));
-            if entry.add_crash(now, upstream, outages) {
+            if entry.add_crash(now, upstream, request, outages) {
                 changed.push(subject);
             }
         }
--- a/coordination/src/quarantine/record.rs
+++ b/coordination/src/quarantine/record.rs
@@ -19,6 +19,8 @@
 const MIN_UNFOCUSED_REQUEST_CRASHES: usize = 5;
 /// Distinct moments at which these upstreams crashed.
 const MIN_REQUEST_MOMENTS: u32 = 2;
+/// Requests that a record keeps.
+const MAX_REQUESTS: usize = 2;
 /// Crashes that a record keeps.
 const MAX_CRASHES: usize = 256;
 /// Crashes of an explained part that the explaining part has no share in.
@@ -36,6 +38,8 @@
     moments: u32,
     /// Number of moments at which most upstreams that crashed did so under this subject.
     focused: u32,
+    /// Digests of requests that brought a part to these crashes, as far as they are needed.
+    requests: BTreeSet<u64>,
 }
 
 impl Record {
@@ -49,6 +53,7 @@
             *self = Self { round: other.round, ..Self::default() };
         }
         self.crashes.extend(other.crashes.iter().cloned());
+        self.requests.extend(&other.requests);
         self.truncate();
         self.moments = self.moments.max(other.moments);
         self.focused = self.focused.max(other.focused);
@@ -65,7 +70,10 @@
                 || (crashes >= MIN_UNFOCUSED_REQUEST_CRASHES
                     && self.moments >= MIN_REQUEST_MOMENTS);
         }
-        crashes >= MIN_CRASHES && (self.focused >= MIN_FOCUSED || self.moments >= MIN_MOMENTS)
+        // A part that one request alone brings may be sound, and that request at fault.
+        crashes >= MIN_CRASHES
+            && self.requests.len() != 1
+            && (self.focused >= MIN_FOCUSED || self.moments >= MIN_MOMENTS)
     }
 
     /// Number of times that the part was acquitted.
@@ -121,6 +129,12 @@
         is_new
     }
 
+    /// Adds a request that brought the part to a crash.
+    pub(super) fn add_request(&mut self, digest: u64) {
+        self.requests.insert(digest);
+        self.truncate();
+    }
+
     /// Adds a moment at which an engine crashed.
     pub(super) fn add_moment(&mut self) {
         self.moments = self.moments.saturating_add(1);
@@ -136,8 +150,11 @@
         *self = Self { round: self.round.saturating_add(1), ..Self::default() };
     }
 
-    /// Keeps the same crashes at each VM: those whose names come first.
+    /// Keeps the same crashes and requests at each VM: those whose names come first.
     fn truncate(&mut self) {
+        while self.requests.len() > MAX_REQUESTS {
+            self.requests.pop_last();
+        }
         while self.crashes.len() > MAX_CRASHES {
             self.crashes.pop_last();
         }
--- a/coordination/src/quarantine/subject.rs
+++ b/coordination/src/quarantine/subject.rs
@@ -19,7 +19,15 @@
 impl Subject {
     /// Whether this is a request.
     pub fn is_request(self) -> bool {
-        matches!(self, Self::Request(_))
+        self.request().is_some()
+    }
+
+    /// Digest of a request.
+    pub fn request(self) -> Option<u64> {
+        match self {
+            Self::Request(digest) => Some(digest),
+            Self::Part(_) => None,
+        }
     }
 }
 
--- a/quetzaltiller/tests/quarantine_requests.rs
+++ b/quetzaltiller/tests/quarantine_requests.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use quetzaltiller::entry::Entry;
-use quetzaltiller::proxy::{Reply, Request};
+use quetzaltiller::proxy::{Part, Reply, Request};
 use quetzaltiller::refusal::{Code, Ran, Refusal};
 use rstest::rstest;
 use standin::site::{self, Site, ZONES, draft, generate};
@@ -181,6 +181,32 @@
     assert_eq!(late, 0, "of {} crashes", crashes.len());
 }
 
+/// Other prompts may share the first part of the deadly one, which no sound run has settled yet.
+#[tokio::test(start_paused = true)]
+async fn a_part_that_a_deadly_request_brings_is_not_condemned_for_others() {
+    let first = Part { id: 0xf1, tokens: 200 };
+    let with_first = |request: Request| {
+        let prompt = request.prompt.map(|mut prompt| {
+            prompt.parts[0] = first;
+            prompt
+        });
+        Request { prompt, ..request }
+    };
+    let site = start(&[Kind::Draft]).await;
+    for number in 0..20 {
+        let entry = site.entries[number % site.entries.len()].clone();
+        tokio::spawn(send(entry, with_first(deadly(Kind::Draft, number))));
+        sleep(GAP).await;
+    }
+    sleep(4 * TOUCH).await;
+
+    for (number, entry) in site.entries.iter().enumerate() {
+        let seen = send(entry.clone(), with_first(sound(3 * number + 1))).await;
+
+        assert!(matches!(seen, Seen::Served), "{seen:?}");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn each_of_two_deadly_requests_is_found() {
     let kinds = [Kind::Order, Kind::Lookup];
--- a/standin/src/site.rs
+++ b/standin/src/site.rs
@@ -297,7 +297,7 @@
     }
 }
 
-/// Returns a generation whose prompt differs from all others but for its first 200 tokens.
+/// Returns a generation whose body, and prompt but for its first 200 tokens, differ from all others.
 pub fn draft(id: &str) -> Request {
     let own = u64::from_str_radix(&sha256_hex(&[id.as_bytes()])[..15], 16).unwrap_or(1);
     let prompt = Prompt {
@@ -306,7 +306,8 @@
         max_output: 900,
         parts: vec![Part { id: 1, tokens: 200 }, Part { id: own, tokens: 7_800 }],
     };
-    Request { prompt: Some(prompt), ..request(id, "/draft/1") }
+    let body = Bytes::from(id.to_owned());
+    Request { prompt: Some(prompt), body, ..request(id, "/draft/1") }
 }
 
 /// Sends a generation to an entry VM and reads its answer to the end.
