Answer what is open before a leaving entry VM ends

Callers got a closed connection and no answer, orders among them, when their request was still open at the end of the grace period: an order or lookup is admitted while 1 s is left, but its own deadline may lie later, and then it waits for a slow replica until the process ends. What was admitted before the signal with a longer deadline was cut as well.

A new phase, Finishing, begins 100 ms before the process exits (250 ms before the kill). Lookups, orders and generations without an event then end with a refusal: 504, ran unknown, if one was sent; 503, not run, if none was. The margin is for writing the answers.

The test asks a leaving entry VM each 0.25 s of its grace of 8 s, with replicas that take 0.03 s, 1.1 s and never answer, and engines that are sound, slow, silent or don't run anything, for routes of 1.2, 2.5 and 25 s, beside a request from before the signal. On the old code 30 of 30 cases fail: the one from before the signal got nothing (Nothing, expected Refusal(OutcomeUnknown, Unknown)), and of the later ones those at 6.75 s where the route has 1.2 s, at 5.5 to 6.75 s where it has 2.5 s and the replica never answers, and from 0 s on where it has 25 s. With the change 30 of 30 pass.

--- a/quetzaltiller/src/drain.rs
+++ b/quetzaltiller/src/drain.rs
@@ -3,7 +3,8 @@
 //! Callers keep the address of an entry VM for a while, and their connections for longer. So the VM
 //! first announces that it is leaving and continues to serve, then refuses new connections and
 //! closes idle ones, and ends when no request is open. From the start it refuses requests that
-//! can't finish before the process is killed.
+//! can't finish before the process is killed; those that are open shortly before get a final
+//! answer, as a connection that is cut tells a caller nothing.
 
 use crate::clock::Clock;
 use crate::local_member::LocalMember;
@@ -23,6 +24,8 @@
     Leaving,
     /// Accepts no new connections; open requests continue.
     Closing,
+    /// The grace period is nearly over: requests whose answer has not begun get a refusal.
+    Finishing,
     /// No request is open, or the grace period is nearly over.
     Ended,
 }
@@ -31,6 +34,8 @@
 const OPEN_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// Time reserved before the process is killed, so that it can exit by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(150);
+/// Time reserved before the process exits, in which the last answers are written to callers.
+const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 
 /// Durations of the shutdown.
 #[derive(Clone, Copy, Debug)]
@@ -91,8 +96,9 @@
         self.clock.sleep_until(leaving_since + timing.announce).await;
         self.enter(Phase::Closing, local);
         let end = (leaving_since + timing.grace).saturating_sub(EXIT_MARGIN);
-        while local.open() > 0 && self.clock.now() < end {
-            tokio::time::sleep(OPEN_CHECK_INTERVAL).await;
+        if !self.all_end_by(end.saturating_sub(ANSWER_MARGIN), local).await {
+            self.enter(Phase::Finishing, local);
+            self.all_end_by(end, local).await;
         }
         for request in local.open_requests() {
             warn!("request_cut", kv: { request, reason = "the process ends" });
@@ -100,6 +106,14 @@
         self.enter(Phase::Ended, local);
     }
 
+    /// Waits until no request is open, at most until `end`; returns whether none is.
+    async fn all_end_by(&self, end: Duration, local: &LocalMember) -> bool {
+        while local.open() > 0 && self.clock.now() < end {
+            tokio::time::sleep(OPEN_CHECK_INTERVAL).await;
+        }
+        local.open() == 0
+    }
+
     fn enter(&self, phase: Phase, local: &LocalMember) {
         info!("leaving", kv: { phase:? = phase, open = local.open() });
         self.phase.send_replace(phase);
--- a/quetzaltiller/src/proxy/call.rs
+++ b/quetzaltiller/src/proxy/call.rs
@@ -6,6 +6,7 @@
 //! run.
 
 use super::{Answer, Context, Plan, Reply, Request};
+use crate::drain::Phase;
 use crate::metrics::{Counter, Latency};
 use crate::placement::{Demand, Placement, Unplaced};
 use crate::prelude::*;
@@ -108,6 +109,7 @@
                     let may_retry = self.sent < self.plan.route.attempts
                         && self.unsent < MAX_UNSENT
                         && self.unplaced.is_none()
+                        && context.drain.phase() < Phase::Finishing
                         && (lookup || !self.may_have_run);
                     if !may_retry || !self.may_repeat().await {
                         return self.final_reply();
@@ -120,6 +122,7 @@
                     }
                 }
                 () = context.clock.sleep_until(self.plan.deadline) => return self.handle_timeout(),
+                () = context.drain.wait_for_phase(Phase::Finishing) => return self.handle_exit(),
             }
             self.start_attempt().await;
         }
@@ -232,6 +235,16 @@
         self.refuse(refusal)
     }
 
+    /// Ends the request because the process ends.
+    fn handle_exit(self) -> Reply {
+        let refusal = if self.attempts.is_empty() && !self.may_have_run {
+            Refusal::not_run(Code::Leaving, "this entry VM is leaving; use another")
+        } else {
+            Refusal::new(Code::OutcomeUnknown, Ran::Unknown, "no answer before this entry VM ends")
+        };
+        self.refuse(refusal)
+    }
+
     fn refuse(&self, refusal: Refusal) -> Reply {
         self.context.metrics.count(Counter::Refused);
         info!("request_refused", kv: {
--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -14,6 +14,7 @@
 use super::reader::{Notice, Reader};
 use super::reply::{Chunk, Reply};
 use super::{Answer, CHECK_LIMIT, Context, Plan, Request};
+use crate::drain::Phase;
 use crate::engine;
 use crate::fleet::Upstream;
 use crate::generation::{
@@ -183,6 +184,7 @@
     async fn run(mut self, effects: Vec<Effect>, mut inbox: Inbox) {
         let mut withdrawn = self.context.placer.withdrawn();
         withdrawn.mark_unchanged();
+        let drain = self.context.drain.clone();
         self.perform(effects);
         while self.outcome.is_none() {
             let clock = self.context.clock;
@@ -200,6 +202,9 @@
                 }
                 () = self.caller.disconnected() => self.handle_disconnect(),
                 () = clock.sleep_until(deadline) => self.handle_timeout(),
+                () = drain.wait_for_phase(Phase::Finishing), if self.events == 0 => {
+                    self.handle_exit();
+                }
                 () = clock.sleep_until(renewal.unwrap_or_default()), if renewal.is_some() => {
                     self.renew_copy();
                 }
@@ -587,6 +592,14 @@
         self.outcome = Some(Outcome::Failed(Code::OutcomeUnknown));
     }
 
+    /// Ends a generation that has not begun because the process ends.
+    fn handle_exit(&mut self) {
+        self.abort_readers();
+        let code = if self.sent > 0 { Code::OutcomeUnknown } else { Code::Leaving };
+        self.retry_after = Duration::from_millis(Code::Leaving.retry_after_ms());
+        self.outcome = Some(Outcome::Failed(code));
+    }
+
     fn abort_readers(&mut self) {
         for reader in std::mem::take(&mut self.readers).into_values() {
             reader.abort();
