Refuse orders that may outlast a leaving entry VM

A leaving entry VM took an order while 1 s of the grace was left, whatever the order's own deadline was. If its replica was slow, the process ended first, and the caller was left in doubt about a request that it may not repeat, though another entry VM could have waited to its deadline.

An order is now admitted only if its whole deadline, the caller's patience or the route's timeout, ends before the last answers are given; otherwise it is refused at once, not run, with the usual 0.1 s to come again elsewhere. Lookups keep the expected time: their callers may repeat them after any failure, and with a deadline that is longer than the grace a VM would refuse them all from the signal on. Generations and lookups are measured against the time of the last answers too, 0.1 s earlier than before.

a_leaving_vm_takes_no_order_that_may_outlast_its_process fails on the old code for orders: answered with 200 from 0 to 2 s after the signal with a route of 25 s and a grace of 8 s, expected Refusal(Leaving, No). Orders of 1.2 s that come 6.5 s after the signal are still served (a_leaving_vm_serves_what_can_end_before_its_process, both codes).

--- a/quetzaltiller/src/drain.rs
+++ b/quetzaltiller/src/drain.rs
@@ -82,7 +82,8 @@
     pub fn admits(&self, expected: Duration) -> bool {
         let leaving_since = *self.leaving_since.borrow();
         leaving_since.is_none_or(|leaving_since| {
-            self.clock.now() + expected + EXIT_MARGIN < leaving_since + self.timing.borrow().grace
+            let end = leaving_since + self.timing.borrow().grace;
+            self.clock.now() + expected + ANSWER_MARGIN + EXIT_MARGIN <= end
         })
     }
 
--- a/quetzaltiller/src/proxy/mod.rs
+++ b/quetzaltiller/src/proxy/mod.rs
@@ -41,8 +41,9 @@
 /// Expected time of a generation whose prompt need not wait; a process that is leaving begins none
 /// that would take longer than it has left.
 const EXPECTED_GENERATION: Duration = Duration::from_millis(6_000);
-/// Expected time of a call of a plain service, for the same check.
-const EXPECTED_CALL: Duration = Duration::from_millis(1_000);
+/// Expected time of a lookup, for the same check. An action may need all of its time, as its caller
+/// can't repeat one that was sent.
+const EXPECTED_LOOKUP: Duration = Duration::from_millis(1_000);
 
 /// Timeout of a check of an engine; many times a round trip between zones.
 const CHECK_LIMIT: Duration = Duration::from_millis(100);
@@ -179,7 +180,8 @@
         }
         let expected = match plan.route.kind {
             Kind::Generation { .. } => EXPECTED_GENERATION,
-            Kind::Lookup | Kind::Action => EXPECTED_CALL,
+            Kind::Lookup => EXPECTED_LOOKUP,
+            Kind::Action => plan.deadline.saturating_sub(self.context.clock.now()),
         };
         if self.context.drain.admits(expected) {
             return Ok(plan);
--- a/quetzaltiller/tests/leaving.rs
+++ b/quetzaltiller/tests/leaving.rs
@@ -32,7 +32,9 @@
     Nothing,
 }
 
+const OK: Got = Got::Answer(200);
 const IN_DOUBT: Got = Got::Refusal(Code::OutcomeUnknown, Ran::Unknown);
+const LEAVING: Got = Got::Refusal(Code::Leaving, Ran::No);
 
 /// Request that arrived some time after the signal.
 #[derive(Debug)]
@@ -159,3 +161,38 @@
         assert!(path != "/order/1" || run <= 1, "{asked:?} ran {run} times");
     }
 }
+
+#[rstest]
+#[case::order("/order/1")]
+#[case::lookup("/status/1")]
+#[tokio::test(start_paused = true)]
+async fn a_leaving_vm_serves_what_can_end_before_its_process(#[case] path: &str) {
+    let timeout = Duration::from_millis(1_200);
+    let site = start((path, timeout), Some(Fault::LoseAnswer), None).await;
+
+    let (_, asked) = leave_while_asked(&site, "/draft/1", path).await;
+
+    let (early, late): (Vec<_>, Vec<_>) =
+        asked.iter().partition(|asked| asked.after + timeout + GAP < GRACE);
+    assert!(early.iter().all(|asked| asked.got == OK), "{early:?}");
+    let last = late.last().expect("the process is still open");
+    assert_eq!(last.got, LEAVING);
+}
+
+/// Guards against orders that are left in doubt before their caller's deadline; lookups may be
+/// repeated.
+#[rstest]
+#[case::order("/order/1", LEAVING)]
+#[case::lookup("/status/1", OK)]
+#[tokio::test(start_paused = true)]
+async fn a_leaving_vm_takes_no_order_that_may_outlast_its_process(
+    #[case] path: &str,
+    #[case] expected: Got,
+) {
+    let site = start((path, LONG), Some(Fault::LoseAnswer), None).await;
+
+    let (_, asked) = leave_while_asked(&site, "/draft/1", path).await;
+
+    let announced: Vec<_> = asked.iter().filter(|asked| asked.after <= GRACE / 4).collect();
+    assert!(announced.iter().all(|asked| asked.got == expected), "{announced:?}");
+}
