Refuse requests that come after a leaving entry VM's last one

An entry VM leaves as soon as no request is open, long before the end of its grace. A request that it read in that moment was still admitted and passed on, and cut when the process exited.

Once the last answers are given, nothing is admitted: the caller gets a refusal, not run.

--- a/quetzaltiller/src/drain.rs
+++ b/quetzaltiller/src/drain.rs
@@ -79,11 +79,13 @@
     }
 
     /// Whether a request that is expected to take `expected` can end before the process is killed.
+    /// None can once the process ends.
     pub fn admits(&self, expected: Duration) -> bool {
         let leaving_since = *self.leaving_since.borrow();
         leaving_since.is_none_or(|leaving_since| {
             let end = leaving_since + self.timing.borrow().grace;
-            self.clock.now() + expected + ANSWER_MARGIN + EXIT_MARGIN <= end
+            self.phase() < Phase::Finishing
+                && self.clock.now() + expected + ANSWER_MARGIN + EXIT_MARGIN <= end
         })
     }
 
--- a/quetzaltiller/tests/leaving.rs
+++ b/quetzaltiller/tests/leaving.rs
@@ -196,3 +196,15 @@
     let announced: Vec<_> = asked.iter().filter(|asked| asked.after <= GRACE / 4).collect();
     assert!(announced.iter().all(|asked| asked.got == expected), "{announced:?}");
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_request_after_the_last_open_one_is_refused() {
+    let site = Site::start(2).await;
+    let entry = site.entries[0].clone();
+
+    entry.leave().await;
+    let got = ask(entry.clone(), request("late", "/order/1")).await;
+
+    assert_eq!(got, LEAVING);
+    assert!(!site.fleet.counts().runs.contains_key("late"));
+}
