End before the kill where the grace period is short

A leaving entry VM announces itself for 2 s before it closes idle connections and watches for the end of its grace. With bounds.grace_s of 2 or less it was killed while it still announced: everything open was cut and no request_cut named it.

--- a/quetzaltiller/src/drain.rs
+++ b/quetzaltiller/src/drain.rs
@@ -96,10 +96,11 @@
         self.leaving_since.send_replace(Some(leaving_since));
         local.leave();
         self.enter(Phase::Leaving, local);
-        self.clock.sleep_until(leaving_since + timing.announce).await;
-        self.enter(Phase::Closing, local);
         let end = (leaving_since + timing.grace).saturating_sub(EXIT_MARGIN);
-        if !self.all_end_by(end.saturating_sub(ANSWER_MARGIN), local).await {
+        let finish_at = end.saturating_sub(ANSWER_MARGIN);
+        self.clock.sleep_until((leaving_since + timing.announce).min(finish_at)).await;
+        self.enter(Phase::Closing, local);
+        if !self.all_end_by(finish_at, local).await {
             self.enter(Phase::Finishing, local);
             self.all_end_by(end, local).await;
         }
--- a/quetzaltiller/tests/leaving.rs
+++ b/quetzaltiller/tests/leaving.rs
@@ -1,7 +1,7 @@
 //! Requests that an entry VM gets while it leaves, up to the end of its process: each gets an
 //! answer or a refusal, and a refusal that says "not run" is true.
 
-use quetzaltiller::entry::Entry;
+use quetzaltiller::entry::{Entry, Tunables};
 use quetzaltiller::proxy::{Reply, Request};
 use quetzaltiller::refusal::{Code, Ran};
 use rstest::rstest;
@@ -197,6 +197,24 @@
     assert!(announced.iter().all(|asked| asked.got == expected), "{announced:?}");
 }
 
+/// The grace period may be shorter than the time for which a VM usually announces that it leaves.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn a_short_grace_period_ends_before_the_kill(#[values(500, 1_000, 2_000, 2_500)] ms: u64) {
+    let site = start(("/order/1", LONG), None, Some(SILENT)).await;
+    let entry = site.entries[0].clone();
+    let grace = Duration::from_millis(ms);
+    entry.configure(Tunables { grace, entries_lifetime: Duration::from_secs(5) });
+    let open = tokio::spawn(ask(entry.clone(), request("open", "/order/1")));
+    sleep(Duration::from_millis(10)).await;
+
+    let signal = Instant::now();
+    entry.leave().await;
+
+    assert!(signal.elapsed() < grace, "ended after {:?} of {grace:?}", signal.elapsed());
+    assert_eq!(got(open).await, IN_DOUBT);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_request_after_the_last_open_one_is_refused() {
     let site = Site::start(2).await;
