Wait for callers' connections before a leaving entry VM ends

A leaving entry VM ended as soon as no request was open. A request counted as open from the end of its body to the end of its handling, so a caller whose request was still being read, or whose answer was still being written, got a closed connection: with the head sent before the VM closed its idle connections and the rest later in the grace, no answer at all; with an answer of 1 MB that its caller reads slowly, the first 175 kB of it.

The shutdown waits for open connections too, at most to the end of the grace as for requests. hyper closes a connection after its last answer is written, so idle ones don't hold the process: it still ends right after its announcement (the_process_ends_early_although_callers_keep_idle_connections). A request whose end comes after the last answers are due is refused, not run. 'leaving' logs the number of connections.

What follows on a connection behind an answer that says 'close' is not run on either code.

--- a/quetzaltiller/src/drain.rs
+++ b/quetzaltiller/src/drain.rs
@@ -2,15 +2,17 @@
 //!
 //! Callers keep the address of an entry VM for a while, and their connections for longer. So the VM
 //! first announces that it is leaving and continues to serve, then refuses new connections and
-//! closes idle ones, and ends when no request is open. From the start it refuses requests that
-//! can't finish before the process is killed; those that are open shortly before get a final
-//! answer, as a connection that is cut tells a caller nothing.
+//! closes idle ones, and ends when no request and no connection is open. From the start it refuses
+//! requests that can't finish before the process is killed; those that are open shortly before get a
+//! final answer, as a connection that is cut tells a caller nothing.
 
 use crate::clock::Clock;
 use crate::local_member::LocalMember;
 use crate::prelude::*;
 use serde::Serialize;
 use tokio::sync::watch;
+use tokio_util::task::TaskTracker;
+use tokio_util::task::task_tracker::TaskTrackerToken;
 
 /// Phases of the shutdown, in order.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Serialize)]
@@ -26,7 +28,7 @@
     Closing,
     /// The grace period is nearly over: requests whose answer has not begun get a refusal.
     Finishing,
-    /// No request is open, or the grace period is nearly over.
+    /// No request and no connection is open, or the grace period is over but for the exit.
     Ended,
 }
 
@@ -54,13 +56,16 @@
     timing: watch::Sender<Timing>,
     phase: watch::Sender<Phase>,
     leaving_since: watch::Sender<Option<Duration>>,
+    /// Callers' connections, on which a request may be read or an answer written.
+    connections: TaskTracker,
 }
 
 impl Drain {
     /// Creates the state of an entry VM that is serving.
     pub fn new(clock: Clock, timing: Timing) -> Self {
         let (phase, leaving_since) = (watch::Sender::default(), watch::Sender::default());
-        Self { clock, timing: watch::Sender::new(timing), phase, leaving_since }
+        let (timing, connections) = (watch::Sender::new(timing), TaskTracker::new());
+        Self { clock, timing, phase, leaving_since, connections }
     }
 
     /// Changes the time from the signal until the process is killed.
@@ -78,6 +83,11 @@
         let _ = self.phase.subscribe().wait_for(|phase| *phase >= wanted).await;
     }
 
+    /// Registers a caller's connection as open until the result is dropped.
+    pub fn open_connection(&self) -> TaskTrackerToken {
+        self.connections.token()
+    }
+
     /// Whether a request that is expected to take `expected` can end before the process is killed.
     /// None can once the process ends.
     pub fn admits(&self, expected: Duration) -> bool {
@@ -89,7 +99,8 @@
         })
     }
 
-    /// Shuts down; returns when no request is open or the grace period is nearly over.
+    /// Shuts down; returns when no request and no connection is open or the grace period is nearly
+    /// over.
     pub async fn run(&self, local: &LocalMember) {
         let leaving_since = self.clock.now();
         let timing = *self.timing.borrow();
@@ -110,16 +121,19 @@
         self.enter(Phase::Ended, local);
     }
 
-    /// Waits until no request is open, at most until `end`; returns whether none is.
+    /// Waits until no request and no connection is open, at most until `end`; returns whether none
+    /// is.
     async fn all_end_by(&self, end: Duration, local: &LocalMember) -> bool {
-        while local.open() > 0 && self.clock.now() < end {
+        let is_idle = || local.open() == 0 && self.connections.is_empty();
+        while !is_idle() && self.clock.now() < end {
             tokio::time::sleep(OPEN_CHECK_INTERVAL).await;
         }
-        local.open() == 0
+        is_idle()
     }
 
     fn enter(&self, phase: Phase, local: &LocalMember) {
-        info!("leaving", kv: { phase:? = phase, open = local.open() });
+        let connections = self.connections.len();
+        info!("leaving", kv: { phase:? = phase, open = local.open(), connections });
         self.phase.send_replace(phase);
     }
 }
--- a/quetzaltiller/src/entry/mod.rs
+++ b/quetzaltiller/src/entry/mod.rs
@@ -38,6 +38,7 @@
 use builder::Builder;
 use pull::encode_newer;
 use tokio::sync::watch;
+use tokio_util::task::task_tracker::TaskTrackerToken;
 
 /// Lifetime of a list of entry VMs at callers; shorter than the allowed maximum, so that callers
 /// soon drop a VM that leaves.
@@ -149,6 +150,11 @@
         self.drain.wait_for_phase(phase).await;
     }
 
+    /// Registers a caller's connection as open until the result is dropped; a shutdown waits for it.
+    pub fn open_connection(&self) -> TaskTrackerToken {
+        self.drain.open_connection()
+    }
+
     /// Whether callers should send requests to this entry VM.
     pub fn is_ready(&self) -> bool {
         self.follower.is_ready() && !self.local.is_leaving()
@@ -189,7 +195,8 @@
         self.tunables.send_replace(tunables);
     }
 
-    /// Shuts down gracefully; returns when no request is open or the grace period is over.
+    /// Shuts down gracefully; returns when no request and no connection is open or the grace period
+    /// is over.
     pub async fn leave(&self) {
         self.drain.run(&self.local).await;
     }
