soak: bind the proxies' addresses with the reservation of their network

Cause: a run reserved a network by one listener and bound its proxies' addresses there later. If anybody without that reservation listened on one of them, the run waited 5 s and ended with "Address already in use (os error 98)", after one process, the store, had started.

Evidence: a process of ours that listens on 127.N.2.1:8090 in 237 of 250 networks for 80 s, the release build before: 6 of 6 runs of qt-soak end so after 5.1 to 5.3 s. While it ran, 2 runs of stopped.rs on the debug build before failed in this way, too. Ephemeral ports are not it: the range is 32768 to 60999, ports of a run are below it, and connections to 127.x have the source 127.0.0.1.

Change: soak::reservation::Reservation binds the listeners of all proxies with the network's own listener and takes the next network if any of them is in use; Proxy::start is given its open listener. Looked for the same pattern (an address asked for, released and bound later) in soak, platform/tests, platform/standin, standin, quetzaltiller/tests/daemons.rs and bench/src/sockets.rs, by reading: none; listeners on port 0 are kept, unused addresses are held by bound sockets. Processes of a soak still bind their own addresses when they start, in the network that the run has reserved.

--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -5,10 +5,10 @@
 use crate::plan::Size;
 use crate::process::Process;
 use crate::proxy::Proxy;
+use crate::reservation::Reservation;
 use serde_json::json;
-use socket2::SockRef;
 use std::io;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 
 /// Names of the availability zones.
@@ -38,19 +38,15 @@
 }
 
 impl Layout {
-    /// Reserves a loopback network that no other run uses, for as long as the returned listener
-    /// exists; fails with `AddrInUse` if there is none.
-    pub fn reserve() -> io::Result<(Self, TcpListener)> {
+    /// All networks, in an order that differs between processes.
+    pub fn all() -> impl Iterator<Item = Self> {
         let first = std::process::id() % 250;
-        let layouts = (0..250).map(|n| Self { network: 1 + ((first + n) % 250) as u8 });
-        let reserve = |layout: Self| {
-            let reservation = TcpListener::bind(layout.address(0, 0, RESERVATION_PORT)).ok()?;
-            // Processes of the run inherit it, so that it lasts until all of them have ended.
-            SockRef::from(&reservation).set_cloexec(false).ok()?;
-            let has_store = TcpStream::connect(layout.store()).is_ok();
-            (!has_store).then_some((layout, reservation))
-        };
-        layouts.filter_map(reserve).next().ok_or_else(|| io::ErrorKind::AddrInUse.into())
+        (0..250).map(move |n| Self { network: 1 + ((first + n) % 250) as u8 })
+    }
+
+    /// Address whose listener reserves the network.
+    pub fn reservation(self) -> SocketAddr {
+        self.address(0, 0, RESERVATION_PORT)
     }
 
     /// Address of the store.
@@ -150,13 +146,9 @@
 
 impl Deployment {
     /// Starts the store, all upstreams and all entry VMs; logs and settings go to `folder`.
-    pub async fn start(
-        programs: &Programs,
-        folder: &Path,
-        size: Size,
-        seed: u64,
-    ) -> io::Result<Self> {
-        let (layout, reservation) = Layout::reserve()?;
+    pub fn start(programs: &Programs, folder: &Path, size: Size, seed: u64) -> io::Result<Self> {
+        let reservation = Reservation::new(size)?;
+        let layout = reservation.layout;
         let arguments = ["store", "--listen", &layout.store().to_string(), "--seed"];
         let arguments = arguments.into_iter().map(str::to_owned).chain([seed.to_string()]);
         let mut store = Process::new(&programs.platform, folder, "store", arguments.collect());
@@ -167,22 +159,21 @@
             store,
             upstreams: Vec::new(),
             entries: Vec::new(),
-            _reservation: reservation,
+            _reservation: reservation.listener,
         };
-        for number in 0..size.engines + size.replicas {
+        for (number, listener) in reservation.upstream_proxies.into_iter().enumerate() {
             let process =
                 Process::new(&programs.platform, folder, &format!("u{number}"), Vec::new());
-            let proxy =
-                Proxy::start(layout.upstream_proxy(number), layout.upstream(number)).await?;
+            let proxy = Proxy::start(listener, layout.upstream(number))?;
             deployment.upstreams.push(Upstream { process, proxy, starts: 0 });
             deployment.start_upstream(number)?;
         }
-        for number in 0..size.entries {
+        for (number, listener) in reservation.store_proxies.into_iter().enumerate() {
             let settings = folder.join(format!("entry-{number}.json"));
             let arguments = vec!["--settings".to_owned(), settings.display().to_string()];
             let name = format!("entry-{number}");
             let process = Process::new(&programs.entry, folder, &name, arguments);
-            let store = Proxy::start(layout.store_proxy(number), layout.store()).await?;
+            let store = Proxy::start(listener, layout.store())?;
             deployment.entries.push(Entry { process, store, settings });
             deployment.write_settings(number, 8)?;
             deployment.entries[number].process.start()?;
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod proxy;
 pub mod record;
 pub mod report;
+pub mod reservation;
 pub mod run;
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -9,14 +9,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep};
 
 /// Size of the buffer for forwarded data, in bytes.
 const CHUNK: usize = 16 << 10;
-/// Longest wait for an address that an earlier run closes.
-const CLOSE_LIMIT: Duration = Duration::from_secs(5);
-/// Pause between attempts to bind such an address.
-const CLOSE_CHECK_PAUSE: Duration = Duration::from_millis(10);
 
 /// Faults of the connections through a proxy.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -49,9 +44,10 @@
 }
 
 impl Proxy {
-    /// Listens on `listen` and forwards each connection to `target`.
-    pub async fn start(listen: SocketAddr, target: SocketAddr) -> io::Result<Self> {
-        let listener = bind(listen).await?;
+    /// Accepts connections on `listener` and forwards each to `target`.
+    pub fn start(listener: std::net::TcpListener, target: SocketAddr) -> io::Result<Self> {
+        listener.set_nonblocking(true)?;
+        let listener = TcpListener::from_std(listener)?;
         let (impairment, impairments) = watch::channel(Impairment::default());
         let (opened, _) = watch::channel(0);
         let counter = opened.clone();
@@ -90,19 +86,6 @@
     }
 }
 
-/// Listens on an address of a reserved network; waits while an earlier run still closes it.
-async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    let deadline = Instant::now() + CLOSE_LIMIT;
-    loop {
-        match TcpListener::bind(address).await {
-            Err(error) if error.kind() == io::ErrorKind::AddrInUse && Instant::now() < deadline => {
-                sleep(CLOSE_CHECK_PAUSE).await;
-            }
-            result => return result,
-        }
-    }
-}
-
 /// Connects to `target` and forwards data both ways, with the faults set for connection `number`.
 async fn relay(
     client: TcpStream,
