Quarantine: requests in the simulation, and what it showed

Evidence: a fleet of three replicas, or two a VM, beside the engines (coordination/tests/fleet/service.rs): deadly orders, lookups and drafts at 0.2, 1 and 5 a second, six sound requests on each replica that crashes, and a popular lookup.

Change: a request that was answered whole in the last 3 s is not suspected, and acquitted when its condemned record arrives; answers are kept apart from settled parts. A request that was ever acquitted needs four crashes, ranks behind others as the culprit, and may have one crash that they don't explain. Four crashes at two moments of any kind condemn. Verdicts::is_repeatable: a request with three crashes is sent to one replica at a time. Only a whole answer settles a request.

--- a/coordination/src/quarantine/explanation.rs
+++ b/coordination/src/quarantine/explanation.rs
@@ -1,12 +1,13 @@
 //! Condemned subjects whose crashes others account for.
 //!
 //! A part that was only present shares all but one of its crashes with the part at fault. A request
-//! that was only present shares all of them, with one part or with several requests. Where requests
-//! explain each other, one that alone has some crash holds, then the one with more crashes: the
-//! other gets a crash of its own should it be at fault too.
+//! that was only present shares all of them, with one part or with several requests; all but one if
+//! it was acquitted before. Where requests explain each other, one that alone has some crash holds,
+//! then one that was acquitted less often, then the one with more crashes: the other gets a crash of
+//! its own should it be at fault too.
 
 use super::{Record, Subject};
-use std::cmp::Reverse;
+use std::cmp::{Ordering, Reverse};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// By condemned subject that other requests don't explain, the parts that each explain it alone.
@@ -21,11 +22,17 @@
     };
     let alone = requests.iter().filter(|request| is_alone(request));
     let alone = alone.map(|(request, _)| **request).collect::<BTreeSet<_>>();
-    let rank = |request: Subject| (condemned[&request].crashes().len(), Reverse(request));
+    let rank = |record: &Record| (Reverse(record.round()), record.crashes().len());
     let is_explained = |(subject, record): &(&Subject, &&Record)| {
-        let holds = |other: &Subject| alone.contains(other) || rank(*other) > rank(**subject);
-        !alone.contains(subject)
-            && record.crashes().all(|crash| requests_by_crash[crash].iter().any(holds))
+        let was_acquitted = record.round() > 0;
+        let holds = |other: &Subject| match rank(condemned[other]).cmp(&rank(record)) {
+            Ordering::Greater => true,
+            Ordering::Equal => other < *subject,
+            Ordering::Less => alone.contains(other) && condemned[other].round() == record.round(),
+        };
+        let unexplained =
+            record.crashes().filter(|crash| !requests_by_crash[crash].iter().any(holds));
+        unexplained.count() <= usize::from(was_acquitted)
     };
     let requests = requests.iter().copied().filter(|request| !is_explained(request));
     let all = parts.iter().copied().chain(requests);
--- a/coordination/src/quarantine/ledger.rs
+++ b/coordination/src/quarantine/ledger.rs
@@ -13,6 +13,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+/// Time for which the answer to a request speaks for it.
+const ANSWER_LIFETIME: Duration = Duration::from_secs(3);
 /// Crashes of a record that is worth a write to the store to clear.
 const MIN_ACQUITTED: usize = 2;
 /// Records of parts that are kept, and records of requests.
@@ -23,6 +25,8 @@
 pub struct Ledger {
     entries: BTreeMap<Subject, Entry>,
     settlements: Settlements,
+    /// Requests whose answers were whole.
+    answers: Settlements,
     part_outages: Outages,
     request_outages: Outages,
     /// Subjects whose records this VM changed last and has dropped for lack of room.
@@ -37,10 +41,14 @@
 
     /// Records that a run with these subjects settled; returns those that were acquitted.
     ///
-    /// An answer speaks for a condemned request too: one that crashes its upstreams has none.
+    /// A request settles once its answer is whole. This speaks for a condemned request too: one that
+    /// crashes its upstreams has no whole answer.
     pub fn record_settled(&mut self, now: Duration, subjects: &[Subject]) -> Vec<Subject> {
-        for part in subjects.iter().filter(|subject| !subject.is_request()) {
-            self.settlements.record(now, *part);
+        for subject in subjects {
+            match subject {
+                Subject::Part(_) => self.settlements.record(now, *subject),
+                Subject::Request(_) => self.answers.record(now, *subject),
+            }
         }
         let settlements = &self.settlements;
         let mut acquitted = Vec::new();
@@ -93,7 +101,7 @@
     /// Joins a copy of a record from the store or a peer; returns whether this ledger then knows
     /// more than the copy.
     pub fn merge(&mut self, now: Duration, subject: Subject, record: &Record) -> bool {
-        let is_proven = self.settlements.is_proven(now, subject);
+        let is_proven = self.settlements.is_proven(now, subject) || self.is_answered(now, subject);
         for upstream in record.crashes() {
             self.outages_mut(subject).record(now, upstream);
         }
@@ -138,7 +146,7 @@
         let suspected = suspected.filter(|(_, entry)| entry.record().crashes().len() > 0);
         Verdicts::new(
             explanation::explanations(&self.condemned().collect()),
-            suspected.map(|(subject, _)| *subject).collect(),
+            suspected.map(|(subject, entry)| (*subject, entry.record().is_repeatable())).collect(),
         )
     }
 
@@ -171,15 +179,22 @@
         !others.any(|(_, other)| other.explains(entry.record()))
     }
 
-    /// The subjects to which a crash is attributed: the request, and parts that have not settled
-    /// lately or that are condemned all the same.
+    /// Whether a request was answered so lately that a crash tells nothing about it.
+    fn is_answered(&self, now: Duration, subject: Subject) -> bool {
+        let answered_at = self.answers.last(now, subject);
+        answered_at.is_some_and(|at| now.saturating_sub(at) < ANSWER_LIFETIME)
+    }
+
+    /// The subjects to which a crash is attributed: those that have not settled lately, and parts
+    /// that are condemned all the same.
     ///
     /// A part that only accompanies the one at fault thus has no crash that this one lacks.
     fn suspects(&self, now: Duration, subjects: &[Subject]) -> BTreeSet<Subject> {
         let is_suspect = |subject: &Subject| {
-            subject.is_request()
-                || !self.settlements.contains(now, *subject)
-                || self.is_refused(*subject, subjects)
+            if subject.is_request() {
+                return !self.is_answered(now, *subject);
+            }
+            !self.settlements.contains(now, *subject) || self.is_refused(*subject, subjects)
         };
         subjects.iter().copied().filter(is_suspect).collect()
     }
--- a/coordination/src/quarantine/record.rs
+++ b/coordination/src/quarantine/record.rs
@@ -13,10 +13,11 @@
 const MIN_FOCUSED: u32 = 2;
 /// The same if others crashed as well.
 const MIN_MOMENTS: u32 = 7;
-/// Crashes of distinct upstreams at focused moments after which a request is condemned.
+/// Crashes of distinct upstreams at focused moments after which a request is condemned that was
+/// never acquitted.
 const MIN_REQUEST_CRASHES: usize = 3;
 /// The same at moments of any kind.
-const MIN_UNFOCUSED_REQUEST_CRASHES: usize = 5;
+const MIN_UNFOCUSED_REQUEST_CRASHES: usize = 4;
 /// Distinct moments at which these upstreams crashed.
 const MIN_REQUEST_MOMENTS: u32 = 2;
 /// Crashes that a record keeps.
@@ -60,7 +61,7 @@
     pub fn is_condemned(&self, subject: Subject) -> bool {
         let crashes = self.crashes.len();
         if subject.is_request() {
-            let is_focused = self.focused >= MIN_REQUEST_MOMENTS;
+            let is_focused = self.focused >= MIN_REQUEST_MOMENTS && self.round == 0;
             return (crashes >= MIN_REQUEST_CRASHES && is_focused)
                 || (crashes >= MIN_UNFOCUSED_REQUEST_CRASHES
                     && self.moments >= MIN_REQUEST_MOMENTS);
@@ -68,7 +69,12 @@
         crashes >= MIN_CRASHES && (self.focused >= MIN_FOCUSED || self.moments >= MIN_MOMENTS)
     }
 
-    /// Number of times that the part was acquitted.
+    /// Whether a request has crashed so few upstreams that it may be sent to several at a time.
+    pub(super) fn is_repeatable(&self) -> bool {
+        self.crashes.len() < MIN_REQUEST_CRASHES
+    }
+
+    /// Number of times that the subject was acquitted.
     pub fn round(&self) -> u32 {
         self.round
     }
--- a/coordination/src/quarantine/settlements.rs
+++ b/coordination/src/quarantine/settlements.rs
@@ -67,6 +67,11 @@
         self.span(now, part).is_some()
     }
 
+    /// Time at which a run with the part settled last.
+    pub(super) fn last(&self, now: Duration, part: Subject) -> Option<Duration> {
+        self.span(now, part).map(|span| span.last)
+    }
+
     /// Whether runs with the part have settled at distinct times.
     pub(super) fn is_proven(&self, now: Duration, part: Subject) -> bool {
         self.span(now, part).is_some_and(|span| span.is_proof())
--- a/coordination/src/quarantine/verdicts.rs
+++ b/coordination/src/quarantine/verdicts.rs
@@ -10,8 +10,8 @@
 pub struct Verdicts {
     /// By condemned subject, the condemned parts that explain its crashes.
     explanations: BTreeMap<Subject, BTreeSet<Subject>>,
-    /// Requests under which an upstream has crashed.
-    suspected: BTreeSet<Subject>,
+    /// Requests under which an upstream has crashed, and whether each may be repeated.
+    suspected: BTreeMap<Subject, bool>,
 }
 
 impl Verdicts {
@@ -19,7 +19,7 @@
     /// requests.
     pub(super) fn new(
         explanations: BTreeMap<Subject, BTreeSet<Subject>>,
-        suspected: BTreeSet<Subject>,
+        suspected: BTreeMap<Subject, bool>,
     ) -> Self {
         Self { explanations, suspected }
     }
@@ -32,7 +32,13 @@
 
     /// Whether upstreams have crashed under a request since it was acquitted last.
     pub fn is_suspected(&self, subject: Subject) -> bool {
-        self.suspected.contains(&subject)
+        self.suspected.contains_key(&subject)
+    }
+
+    /// Whether an attempt of a request may be followed by another before its caller sends it again.
+    /// A request that has crashed several upstreams is sent to one at a time.
+    pub fn is_repeatable(&self, subject: Subject) -> bool {
+        self.suspected.get(&subject).is_none_or(|is_repeatable| *is_repeatable)
     }
 
     /// Whether no subject is condemned and no request suspected.
--- a/coordination/tests/fleet/store.rs
+++ b/coordination/tests/fleet/store.rs
@@ -40,6 +40,10 @@
         if current.map(|object| object.revision) != known {
             return Err(current.cloned());
         }
+        // Earlier copies are too old for any restoration that may come.
+        let time = now.saturating_sub(COPY_AGE_MS);
+        let old = self.copies.partition_point(|(changed_at, ..)| *changed_at <= time);
+        self.copies.drain(..old);
         self.copies.push((now, self.revision, self.objects.clone()));
         self.revision += 1;
         let object = Object { revision: self.revision, record: record.clone() };
--- a/coordination/tests/fleet/vm.rs
+++ b/coordination/tests/fleet/vm.rs
@@ -17,6 +17,9 @@
     pub verdicts: Verdicts,
     pub is_notified: bool,
     pub synced_at: Option<u64>,
+    /// Time before which it writes no more, and whether it waits for it.
+    pub next_write_at: u64,
+    pub is_flush_due: bool,
     /// Offset of its steady clock.
     clock: u64,
     cursor: usize,
@@ -110,6 +113,20 @@
         writes
     }
 
+    /// The record that is to be written first, unless a write is under way.
+    pub fn take_write(&mut self) -> Option<Write> {
+        if !self.written.is_empty() {
+            return None;
+        }
+        while let Some(part) = self.dirty.pop_first() {
+            if let Some(record) = self.ledger.record(part).cloned() {
+                self.written.insert(part);
+                return Some(Write { part, known: self.revisions.get(&part).copied(), record });
+            }
+        }
+        None
+    }
+
     /// Takes the answer to a write; none if there was none.
     pub fn finish(&mut self, now: u64, part: Subject, answer: Option<Result<u64, Option<Object>>>) {
         self.written.remove(&part);
