BUDGET: answers speak for a request before it is suspected, and a deadly one is sent to one replica at a time

Cause: the ledger condemns at three crashes of one moment since, as lookups crash all replicas within 0.3 s; what protects a popular request that runs at all replicas when they lose their power is that it was answered lately. Only answers of suspected requests were recorded. A request that has crashed three upstreams is neither hedged nor repeated within one arrival.

--- a/quetzaltiller/src/proxy/beginning.rs
+++ b/quetzaltiller/src/proxy/beginning.rs
@@ -52,8 +52,7 @@
         run.events += 1;
         if run.events >= SETTLING_EVENTS && now >= run.head_at + SETTLING_TIME {
             self.unsettled = None;
-            self.context.quarantine.record_settled(self.plan.parts(&self.request));
-            self.context.record_answered(&self.request, &self.plan);
+            self.context.quarantine.record_settled(self.plan.subjects(&self.request));
         }
     }
 
--- a/quetzaltiller/src/proxy/call.rs
+++ b/quetzaltiller/src/proxy/call.rs
@@ -101,7 +101,7 @@
         self.start_attempt().await;
         let mut hedge_at = context.clock.now() + delay;
         loop {
-            let may_hedge = self.sent < self.plan.route.attempts && !self.is_quarantined;
+            let may_hedge = self.sent < self.plan.route.attempts && !self.is_deadly();
             tokio::select! {
                 biased;
                 Some((upstream, outcome)) = self.attempts.next() => {
@@ -114,7 +114,7 @@
                     let may_retry = self.sent < self.plan.route.attempts
                         && self.unsent < MAX_UNSENT
                         && self.unplaced.is_none()
-                        && !self.is_quarantined
+                        && !self.is_deadly()
                         && context.drain.phase() < Phase::Finishing
                         && (lookup || !self.may_have_run);
                     if !may_retry || !self.may_repeat().await {
@@ -140,6 +140,15 @@
         self.sent == 0 || self.context.pacer.may_repeat(&self.plan.service).await
     }
 
+    /// Whether the request is quarantined, or has crashed so many upstreams that it is sent to one
+    /// at a time.
+    fn is_deadly(&self) -> bool {
+        let quarantine = &self.context.quarantine;
+        self.is_quarantined
+            || quarantine.has_suspected()
+                && !quarantine.is_repeatable(self.plan.repeatable(self.request))
+    }
+
     async fn start_attempt(&mut self) {
         let demand = Demand {
             service: self.plan.service.clone(),
--- a/quetzaltiller/src/proxy/mod.rs
+++ b/quetzaltiller/src/proxy/mod.rs
@@ -103,13 +103,7 @@
 
     /// Records that an upstream survived the request.
     fn record_answered(&self, request: &Request, plan: &Plan) {
-        if !self.quarantine.has_suspected() {
-            return;
-        }
-        let subject = plan.repeatable(request);
-        if self.quarantine.is_suspected(subject) {
-            self.quarantine.record_settled(vec![subject]);
-        }
+        self.quarantine.record_settled(vec![plan.repeatable(request)]);
     }
 }
 
--- a/quetzaltiller/src/quarantine/mod.rs
+++ b/quetzaltiller/src/quarantine/mod.rs
@@ -76,16 +76,17 @@
         self.verdicts.borrow().has_condemned()
     }
 
+    /// Whether an attempt of this request may be followed by another before its caller sends it
+    /// again.
+    pub fn is_repeatable(&self, subject: Subject) -> bool {
+        self.verdicts.borrow().is_repeatable(subject)
+    }
+
     /// Whether a request is suspected.
     pub fn has_suspected(&self) -> bool {
         self.verdicts.borrow().has_suspected()
     }
 
-    /// Whether an upstream has ended under this request.
-    pub fn is_suspected(&self, subject: Subject) -> bool {
-        self.verdicts.borrow().is_suspected(subject)
-    }
-
     /// Records that an upstream survived a request with these subjects.
     pub fn record_settled(&self, subjects: Vec<Subject>) {
         self.mailbox.send(Message::Settled(subjects));
--- a/quetzaltiller/src/quarantine/task.rs
+++ b/quetzaltiller/src/quarantine/task.rs
@@ -165,8 +165,11 @@
 
     /// Removes records of requests that have settled before another VM could learn of them.
     fn forget_unwritten(&mut self, subjects: &[Subject]) {
-        let is_unwritten =
-            |subject: &&Subject| subject.is_request() && !self.revisions.contains_key(subject);
+        let is_unwritten = |subject: &&Subject| {
+            subject.is_request()
+                && self.ledger.record(**subject).is_some()
+                && !self.revisions.contains_key(subject)
+        };
         let unwritten: Vec<Subject> = subjects.iter().filter(is_unwritten).copied().collect();
         for subject in &unwritten {
             self.ledger.remove(*subject);
--- a/quetzaltiller/tests/quarantine_requests.rs
+++ b/quetzaltiller/tests/quarantine_requests.rs
@@ -354,6 +354,44 @@
     }
 }
 
+/// All replicas lose their power while alike requests run at each.
+#[rstest]
+#[case::lookups(POPULAR)]
+#[case::orders("/order/popular")]
+#[tokio::test(start_paused = true)]
+async fn the_loss_of_all_replicas_quarantines_no_popular_request(#[case] path: &str) {
+    let site = Site::start(6).await;
+    let mut sounds = Vec::new();
+
+    for turn in 0..3 {
+        for number in 0..400 {
+            let entry = site.entries[number % site.entries.len()].clone();
+            let request = site::request(&format!("{turn}-{number}"), path);
+            sounds
+                .push(Sound { sent_at: Instant::now(), seen: tokio::spawn(send(entry, request)) });
+            sleep(GAP / 25).await;
+        }
+        for zone in ZONES {
+            let desks = site.fleet.of_zone(zone).into_iter().filter(|id| id.contains("desk"));
+            desks.for_each(|id| site.crash(&id));
+        }
+        sleep(2 * TOUCH).await;
+    }
+    let last = Instant::now();
+    for number in 0..20 {
+        let entry = site.entries[number % site.entries.len()].clone();
+        let request = site::request(&format!("last-{number}"), path);
+        sounds.push(Sound { sent_at: Instant::now(), seen: tokio::spawn(send(entry, request)) });
+        sleep(GAP).await;
+    }
+
+    let (sent, unserved) = unserved(sounds, last - GAP).await;
+    assert!(sent >= 20 && unserved == 0, "{unserved} of {sent} sound requests unserved");
+    for entry in &site.entries {
+        assert!(condemned(entry).await.is_empty());
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_quarantine_of_a_request_that_an_operator_lifts_ends_everywhere() {
     let site = start(&[Kind::Order]).await;
