Quarantine: bounds of the store's calls for a deadly request

The same bounds as for a part, with the six requests that a replica runs when it crashes, each with a record of one crash.

--- a/coordination/src/quarantine.rs
+++ b/coordination/src/quarantine.rs
@@ -11,8 +11,9 @@
 //! lost, it takes more moments. Parts that only accompany the one at fault share its crashes: a
 //! condemned part does not cause a refusal where a part that the request lacks explains its crashes.
 //!
-//! A request is condemned by fewer crashes, as most requests that only were present never come again.
-//! It is refused unless other condemned subjects account for all of its crashes.
+//! A request is condemned by three crashes, as it would be too late once it has crashed replicas at
+//! several moments, or by four where others crash as well. It is suspected only if it was not
+//! answered lately, and refused unless other condemned subjects account for all of its crashes.
 //!
 //! A part whose answers settle is acquitted, which begins a new round of its record: of two copies
 //! the one of the later round holds, and crashes of one round add up. So copies may come late, twice
--- a/coordination/tests/quarantine.rs
+++ b/coordination/tests/quarantine.rs
@@ -762,6 +762,28 @@
     }
 }
 
+/// Calls of the store and its contents, with the requests that a replica runs when it crashes.
+#[rstest]
+#[case(4, 200, 40, 4_000)]
+#[case(27, 1_500, 60, 6_000)]
+#[case(118, 5_000, 80, 8_000)]
+fn store_calls_and_state_of_a_deadly_request_are_bounded(
+    #[case] vms: usize,
+    #[case] max_calls: u64,
+    #[case] max_records: usize,
+    #[case] max_bytes: usize,
+) {
+    for kind in [Kind::Order, Kind::Lookup, Kind::Draft] {
+        for plan in service_plans(vms, Trouble::Calm, kind, &[0.2, 5.0], 1, Cause::None) {
+            let outcome = play(plan);
+
+            assert!(outcome.calls <= max_calls, "{} calls, {plan:?}", outcome.calls);
+            assert!(outcome.store_records <= max_records, "{plan:?}");
+            assert!(outcome.store_bytes <= max_bytes, "{plan:?}");
+        }
+    }
+}
+
 /// Engines that crash again and again from overload, without a bad part.
 #[test]
 fn overload_condemns_no_sound_part() {
