Quarantine: a popular request beside two deadly ones is not refused for good

Cause: a request with a crash of its own explained another only if it had fewer crashes, not with as many; the order of names then decided against the popular one, which nobody acquits any more once it is refused.

Evidence: few_of_each_of_two_deadly_requests_reach_replicas with SEEDS=10, 4 VMs, three replicas, 5 a second each: 1,171 of 1,812 sound requests refused (killed, orders, seed 5), 982 of 1,662 (frozen, lookups, seed 7); 139 of 141 cases passed.

Change: a request with a crash of its own explains others of the same round whatever their number of crashes.

Tested: the unit test failed before ("left: Some(Request(500)), right: None") and passes. The two seeds pass and are played by name. coordination/tests/quarantine.rs, 2 seeds, 282 passed in 48 s; the 9 cases of 4 VMs with SEEDS=10 passed.

--- a/coordination/src/quarantine/explanation.rs
+++ b/coordination/src/quarantine/explanation.rs
@@ -25,10 +25,11 @@
     let rank = |record: &Record| (Reverse(record.round()), record.crashes().len());
     let is_explained = |(subject, record): &(&Subject, &&Record)| {
         let was_acquitted = record.round() > 0;
-        let holds = |other: &Subject| match rank(condemned[other]).cmp(&rank(record)) {
-            Ordering::Greater => true,
-            Ordering::Equal => other < *subject,
-            Ordering::Less => alone.contains(other) && condemned[other].round() == record.round(),
+        let holds = |other: &Subject| {
+            let order = rank(condemned[other]).cmp(&rank(record));
+            let is_alone = alone.contains(other) && condemned[other].round() == record.round();
+            let is_before = order == Ordering::Equal && other < *subject;
+            order == Ordering::Greater || (other != *subject && (is_alone || is_before))
         };
         let unexplained =
             record.crashes().filter(|crash| !requests_by_crash[crash].iter().any(holds));
--- a/coordination/tests/quarantine.rs
+++ b/coordination/tests/quarantine.rs
@@ -491,6 +491,23 @@
     assert_eq!(verdicts.refused(&[other]), Some(other));
 }
 
+/// Deadly requests that have as many crashes as the popular one, which lost replicas to each.
+#[test]
+fn a_request_beside_two_deadly_ones_with_as_many_crashes_is_not_refused_for_good() {
+    let (other, victim) = (Subject::Request(667), Subject::Request(500));
+    let ledger = crashed(Ledger::new(), 0, &[DEADLY], 4);
+    let ledger = crashed(ledger, 10_000, &[other], 4);
+    let ledger = crashed(ledger, 2, &[victim], 2);
+    let ledger = crashed(ledger, 10_002, &[victim], 2);
+
+    let verdicts = ledger.verdicts();
+
+    assert!(ledger.record(victim).is_some_and(|record| record.is_condemned(victim)));
+    assert_eq!(verdicts.refused(&[victim]), None);
+    assert_eq!(verdicts.refused(&[DEADLY]), Some(DEADLY));
+    assert_eq!(verdicts.refused(&[other]), Some(other));
+}
+
 /// Two deadly requests that run on the same replicas.
 #[test]
 fn deadly_requests_with_the_same_crashes_explain_one_of_them_until_its_next_crash() {
@@ -687,6 +704,24 @@
     }
 }
 
+/// Seeds with which the popular request was refused for good.
+#[rstest]
+#[case(Trouble::Killed, Kind::Order, 5)]
+#[case(Trouble::Frozen, Kind::Lookup, 7)]
+fn two_deadly_requests_condemn_no_popular_one_for_good(
+    #[case] trouble: Trouble,
+    #[case] kind: Kind,
+    #[case] seed: u64,
+) {
+    let service = Some(Service { size: Size::Three, kind, deadly: 2, rate: 5.0 });
+    let (shape, cause) = (Shape::Known, Cause::None);
+    let plan = Plan { vms: 4, seed, trouble, bad_rate: 0.0, shape, cause, service };
+
+    let outcome = play(plan);
+
+    assert_each_deadly(plan, &outcome);
+}
+
 /// Replicas that crash of other causes, with and without a deadly request.
 #[rstest]
 #[case::rack(&[4, 27, 118], Cause::Rack)]
