Quarantine: a request settles with its whole answer; a bounded log line

Change: parts settle at eight events and 300 ms, the request at the end of its whole answer; the line names four subjects at most. Evidence: quarantine 20, quarantine_requests 22, eras 28, follower 38 passed on this tree.

--- a/quetzaltiller/src/proxy/beginning.rs
+++ b/quetzaltiller/src/proxy/beginning.rs
@@ -52,7 +52,7 @@
         run.events += 1;
         if run.events >= SETTLING_EVENTS && now >= run.head_at + SETTLING_TIME {
             self.unsettled = None;
-            self.context.quarantine.record_settled(self.plan.subjects(&self.request));
+            self.context.quarantine.record_settled(self.plan.parts(&self.request));
         }
     }
 
--- a/quetzaltiller/src/proxy/break_off.rs
+++ b/quetzaltiller/src/proxy/break_off.rs
@@ -8,6 +8,9 @@
 use crate::fleet::Upstream;
 use crate::prelude::*;
 
+/// Maximum number of subjects in a log line.
+const MAX_LOGGED: usize = 4;
+
 /// An answer that broke off early.
 pub struct BreakOff {
     /// Request that was answered.
@@ -37,7 +40,9 @@
     }
 
     fn log(&self, upstream_ended: bool) {
-        let subjects: Vec<_> = self.subjects.iter().map(Subject::to_string).collect();
+        // The request and the most specific parts of its prompt come last.
+        let logged = self.subjects.iter().rev().take(MAX_LOGGED);
+        let subjects: Vec<_> = logged.map(Subject::to_string).collect();
         info!("run_broke_early", kv: {
             request = self.request.id, upstream = self.upstream.id,
             age_ms = self.age.as_millis() as u64, events = self.events, upstream_ended,
