BUDGET: a suspected request that no replica received is tried at another

Cause: reading the diff: a request under which three replicas had ended got no second attempt even when its first found the replica unreachable and was not sent. A sound one that others explain was then refused. Change: only an attempt that was sent counts. Evidence: quarantine_requests 22, entry and limits pass on this tree; no test shows the case itself.

--- a/quetzaltiller/src/proxy/call.rs
+++ b/quetzaltiller/src/proxy/call.rs
@@ -140,13 +140,13 @@
         self.sent == 0 || self.context.pacer.may_repeat(&self.plan.service).await
     }
 
-    /// Whether the request is quarantined, or has crashed so many upstreams that it is sent to one
-    /// at a time.
+    /// Whether the request is quarantined, or was sent and has crashed so many upstreams that its
+    /// caller gets no second attempt.
     fn is_deadly(&self) -> bool {
         let quarantine = &self.context.quarantine;
+        let is_suspected = self.sent > 0 && quarantine.has_suspected();
         self.is_quarantined
-            || quarantine.has_suspected()
-                && !quarantine.is_repeatable(self.plan.repeatable(self.request))
+            || is_suspected && !quarantine.is_repeatable(self.plan.repeatable(self.request))
     }
 
     async fn start_attempt(&mut self) {
