--- a/coordination/src/quarantine/ledger.rs
+++ b/coordination/src/quarantine/ledger.rs
@@ -2,8 +2,8 @@
 //!
 //! A crash is attributed to the request and to its parts that have not settled lately. A condemned
 //! part refuses requests unless another condemned part, which the request lacks, explains its
-//! crashes. A condemned request is refused unless others explain its crashes. What is known of
-//! requests decides nothing about parts.
+//! crashes. A condemned request is refused unless others explain its crashes. A part that
+//! one request alone brings is not condemned; otherwise requests decide nothing about parts.
 
 use super::entry::Entry;
 use super::explanation;
--- a/coordination/src/quarantine/record.rs
+++ b/coordination/src/quarantine/record.rs
@@ -87,7 +87,7 @@
         self.round
     }
 
-    /// Names of the engines that crashed in this round.
+    /// Names of the upstreams that crashed in this round.
     pub fn crashes(&self) -> impl ExactSizeIterator<Item = &str> {
         self.crashes.iter().map(String::as_str)
     }
@@ -97,14 +97,14 @@
         self.moments
     }
 
-    /// Number of moments at which most engines that crashed did so under this part.
+    /// Number of moments at which most upstreams that crashed did so under this subject.
     pub fn focused(&self) -> u32 {
         self.focused
     }
 
-    /// Whether an engine crashed in this round.
-    pub(super) fn has_crash(&self, engine: &str) -> bool {
-        self.crashes.contains(engine)
+    /// Whether an upstream crashed in this round.
+    pub(super) fn has_crash(&self, upstream: &str) -> bool {
+        self.crashes.contains(upstream)
     }
 
     /// Whether the part of this record accounts for the crashes of another part, which was only
