review: an order that has run is answered 503 (case 4)

Cause: a replica's 503 without X-Not-Executed is passed on, and clients take it for a promise. Ruled out: 503 with X-Not-Executed, and 500. Nothing is fixed.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and cases of the independent review (issue 41); standard library only.
 
 mod common;
+mod failed;
 mod reuse;
 mod server;
 mod site;
@@ -11,6 +12,7 @@
     match std::env::args().nth(1).as_deref() {
         Some("store") => store::run(),
         Some("server") => server::run(),
+        Some("failed") => failed::run(),
         Some("reuse") => reuse::run(),
         Some("unframed") => unframed::run(),
         _ => common::unable("unknown case"),
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 struct Server {
     id: String,
@@ -15,6 +15,11 @@
     work: Duration,
     /// Answers have neither a length nor chunks and end with their channel.
     unframed: bool,
+    /// Percentage of the requests that fail with 503 after they have run, while the status check is
+    /// good, and for how long.
+    failing: u64,
+    failing_for: Duration,
+    started: Instant,
     born: u128,
     active: AtomicU32,
     record: Record,
@@ -31,6 +36,9 @@
         gap: millis("gap-ms", 60),
         work: millis("work-ms", 30),
         unframed: option("unframed").is_some(),
+        failing: u64::from(number("failing", 0)),
+        failing_for: millis("failing-ms", 0),
+        started: Instant::now(),
         born: now_ms(),
         active: AtomicU32::new(0),
         record: Record::open(&option("record").expect("--record")),
@@ -112,6 +120,11 @@
     server.active.fetch_add(1, Ordering::Relaxed);
     let kept = if server.events == 0 {
         std::thread::sleep(server.work);
+        if server.started.elapsed() < server.failing_for && draw(&id) % 100 < server.failing {
+            server.active.fetch_sub(1, Ordering::Relaxed);
+            server.record.line(&format!("{} fails {id} with 503 after it has run", server.id));
+            return output.write_all(whole(503, &format!("{ids}{seal}"), "").as_bytes()).is_ok();
+        }
         let body = format!("done {id}");
         output.write_all(whole(200, &format!("{ids}{seal}"), &body).as_bytes()).is_ok()
     } else {
@@ -138,3 +151,11 @@
     }
     !server.unframed && output.write_all(b"0\r\n\r\n").is_ok()
 }
+
+/// Number that depends on a text alone.
+fn draw(text: &str) -> u64 {
+    let hash = text.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    hash >> 20
+}
