review: a script for the stale configuration (case 2)

Cause and ruled out: as in case 2; the watch has no sign of life but TCP's, and a limit of 21 s. Nothing is fixed.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 mod failed;
 mod reuse;
 mod server;
+mod silent;
 mod site;
 mod store;
 mod unframed;
@@ -14,6 +15,7 @@
         Some("server") => server::run(),
         Some("failed") => failed::run(),
         Some("reuse") => reuse::run(),
+        Some("silent") => silent::run(),
         Some("unframed") => unframed::run(),
         _ => common::unable("unknown case"),
     }
