--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -5,6 +5,7 @@
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -159,10 +160,22 @@
     }
 }
 
-/// Free loopback address.
+/// Free loopback address, in a network that depends on this process, so that cases that run at the
+/// same time and the local ports of connections don't get in the way.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("free port");
-    listener.local_addr().expect("address")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let process = std::process::id();
+    loop {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let octets = [127, 1 + (process % 250) as u8, (process / 250 % 250) as u8, 1 + (number % 250) as u8];
+        let address = SocketAddr::from((octets, 18_080));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+        if number > 1_000 {
+            unable("no free address");
+        }
+    }
 }
 
 /// Processes that are ended when this is dropped.
--- a/review/standin/silent.rs
+++ b/review/standin/silent.rs
@@ -66,7 +66,7 @@
 }
 
 fn ask(record: &Record, to: SocketAddr, route: &str, round: u32) -> u16 {
-    let id = format!("{route}-{round}-{}", to.port());
+    let id = format!("{route}-{round}-{}", to.ip());
     record.line(&format!("client sends {id} /{route}/a"));
     let headers = format!("X-Attempt-Id: {id}\r\nX-Deadline-Ms: 2500\r\n");
     let answer = call(to, "GET", &format!("/{route}/a"), &headers, "", 5 * SECOND);
@@ -78,8 +78,8 @@
 /// Starts a proxy before `target`. Connections that are open when `silenced` is set carry nothing
 /// from then on, and stay open; later ones work.
 fn proxy(target: SocketAddr, silenced: Arc<AtomicBool>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("listen");
-    let address = listener.local_addr().expect("address");
+    let address = free_address();
+    let listener = TcpListener::bind(address).expect("listen");
     std::thread::spawn(move || {
         for near in listener.incoming().flatten() {
             let Ok(far) = TcpStream::connect(target) else { continue };
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+const ZONES: [&str; 3] = ["a", "b", "c"];
 pub const SECOND: Duration = Duration::from_secs(1);
 
 pub struct Entry {
@@ -44,13 +45,14 @@
         site
     }
 
-    /// Starts a replica; `more` holds further options.
+    /// Starts a replica in the zone of its number; `more` holds further options.
     pub fn server(&mut self, id: &str, service: &str, address: SocketAddr, more: &[&str]) -> u32 {
+        let number = id.rsplit('-').next().and_then(|text| text.parse().ok()).unwrap_or(0);
         let (store, record) = (self.store.to_string(), self.record_path.clone());
         let address = address.to_string();
         let fixed = [
             "server", "--id", id, "--service", service, "--listen", &address, "--store", &store,
-            "--record", &record,
+            "--record", &record, "--zone", ZONES[number % 3],
         ];
         let arguments: Vec<_> = fixed.iter().chain(more).map(|text| (*text).to_owned()).collect();
         let log = format!("{}/server-{id}.log", self.folder);
@@ -65,7 +67,7 @@
             let (callers, ready) = (free_address(), free_address());
             let settings = format!(
                 "{{\"name\":\"edge-{number}\",\"zone\":\"{zone}\",\"caller_address\":\"{callers}\",\"ready_address\":\"{ready}\",\"entries_address\":\"{entries}\",\"operator_address\":\"{operator}\",\"peer_address\":\"{peer}\",\"store_address\":\"{store}\",\"peer_seeds\":[{seeds}],\"bounds\":{{\"grace_s\":8,\"entries_lifetime_s\":5,\"reuse_after_s\":2,\"retry_ratio\":0.8,\"retry_slack\":150}}}}",
-                zone = ["a", "b", "c"][number % 3], peer = peers[number],
+                zone = ZONES[number % 3], peer = peers[number],
                 entries = free_address(), operator = free_address(),
             );
             let path = format!("{}/settings-{number}.json", self.folder);
--- a/review/standin/unframed.rs
+++ b/review/standin/unframed.rs
@@ -11,8 +11,8 @@
 pub fn run() {
     let mut site = Site::start();
     let engine = ["--events", "100", "--gap-ms", "50", "--unframed", "1"];
-    let crashing = site.server("draft-1", "drafts", free_address(), &engine);
-    for number in 2..=REPLICAS {
+    let crashing = site.server("draft-0", "drafts", free_address(), &engine);
+    for number in 1..REPLICAS {
         site.server(&format!("draft-{number}"), "drafts", free_address(), &engine);
     }
     site.server("desk-1", "desk", free_address(), &[]);
@@ -23,16 +23,16 @@
     let addresses: Vec<_> = site.entries.iter().map(|entry| entry.callers).collect();
     let start = Instant::now();
     let mut clients = Vec::new();
-    for number in 0..48_u64 {
+    for number in 0..72_u64 {
         let (record, address) = (site.record.clone(), addresses[number as usize % addresses.len()]);
         clients.push(std::thread::spawn(move || {
-            at(start, number * 40);
+            at(start, number * 30);
             (number, draft(&record, address, &format!("draft-request-{number}")))
         }));
     }
     at(start, 2_500);
     if trouble() {
-        site.record.line("draft-1 crashes");
+        site.record.line("draft-0 crashes");
         site.processes.kill(crashing);
     }
     let mut broken = Vec::new();
