--- a/review/standin/reuse.rs
+++ b/review/standin/reuse.rs
@@ -50,7 +50,7 @@
         // The address may be assigned again 2 s after the replica's end.
         at(crashed, 2_050);
         site.record.line(&format!("desk-new starts at {lost}, the address of draft-0"));
-        site.server("desk-new", "desk", lost, &["--first-beat-ms", "1000"]);
+        site.server("desk-new", "desk", lost, &["--first-beat-ms", "400"]);
     }
     for client in clients {
         let _ = client.join();
