Placement: upstream_lost says when and by what the process was last proven

upstream_lost now names the age of the last proof and its kind (answer, event, report, check). Nothing else changes.

--- a/quetzaltiller/src/placement/message.rs
+++ b/quetzaltiller/src/placement/message.rs
@@ -7,6 +7,7 @@
 use super::limit::Statement;
 use super::place::{Copy, Placement, Unplaced};
 use super::shares::Peer;
+use super::sign::Sign;
 use super::state::{Load, State};
 use crate::control::Member;
 use crate::fleet::{Directory, Upstream};
@@ -138,7 +139,7 @@
     /// The upstream answered a request.
     Answered,
     /// The upstream's own process gave a sign of life.
-    Proven,
+    Proven(Sign),
     /// Some process accepts connections at the upstream's address.
     Reachable,
     /// The upstream failed a request and is still reachable.
--- a/quetzaltiller/src/placement/mod.rs
+++ b/quetzaltiller/src/placement/mod.rs
@@ -18,6 +18,7 @@
 mod place;
 mod placer;
 mod shares;
+mod sign;
 mod speed;
 mod state;
 mod succession;
--- a/quetzaltiller/src/placement/placer.rs
+++ b/quetzaltiller/src/placement/placer.rs
@@ -9,6 +9,7 @@
 use super::message::{Message, Outcome, PlaceReply};
 use super::place::{Copy, Placement, Unplaced};
 use super::shares::Peer;
+use super::sign::Sign;
 use super::state::{Load, State};
 use super::succession::Successor;
 use super::table::Table;
@@ -191,7 +192,7 @@
 
     /// Records that an upstream sent a part of an answer.
     pub fn record_activity(&self, id: &str) {
-        self.send_outcome(id, Outcome::Proven);
+        self.send_outcome(id, Outcome::Proven(Sign::Event));
     }
 
     /// Records that a peer reported an upstream as lost; the task checks the upstream or avoids it.
--- a/quetzaltiller/src/placement/state.rs
+++ b/quetzaltiller/src/placement/state.rs
@@ -2,6 +2,7 @@
 //! reports of the upstream, and from other entry VMs. The table keeps one [`State`] per upstream.
 
 use super::limit::Limit;
+use super::sign::Sign;
 use super::speed::Speed;
 use crate::fleet::Upstream;
 use serde::Serialize;
@@ -88,6 +89,8 @@
     pub alive_at: Duration,
     /// When the upstream's own process, not just its address, last gave a sign of life.
     pub proven_at: Duration,
+    /// What that sign of life was.
+    pub proven_by: Option<Sign>,
     /// The upstream has announced that it takes no new work.
     departing: bool,
     /// Until this time, the upstream accepts no requests from this entry VM.
@@ -123,6 +126,7 @@
             suspect_until: Duration::ZERO,
             alive_at: Duration::ZERO,
             proven_at: Duration::ZERO,
+            proven_by: None,
             departing: false,
             closed_until: Duration::ZERO,
             limit: Limit::default(),
@@ -220,9 +224,10 @@
     }
 
     /// Records a sign of life of the upstream's own process; ends a suspicion or loss.
-    pub fn record_activity(&mut self, now: Duration) {
+    pub fn record_activity(&mut self, now: Duration, sign: Sign) {
         self.alive_at = now;
         self.proven_at = now;
+        self.proven_by = Some(sign);
         self.lost_at = None;
         self.suspect_until = Duration::ZERO;
     }
@@ -236,7 +241,7 @@
     /// Records an answered request.
     pub fn record_success(&mut self, now: Duration) {
         self.failures = 0;
-        self.record_activity(now);
+        self.record_activity(now, Sign::Answer);
         self.update_failure_rate(now, 0.0);
     }
 
@@ -327,7 +332,7 @@
     /// Records a report that the upstream sent of itself.
     pub fn record_report(&mut self, now: Duration, reported: Reported) {
         self.reported = Some((reported, now, self.own_memory()));
-        self.record_activity(now);
+        self.record_activity(now, Sign::Report);
     }
 
     /// Whether the upstream has a free slot for another request.
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -12,6 +12,7 @@
 use super::message::{Message, Outcome, PlaceReply};
 use super::place::{Copy, Permit, Placement, Unplaced};
 use super::placer::Dependencies;
+use super::sign::Sign;
 use super::state::{Load, Reported};
 use super::succession::{ProbeResult, Successor, SuccessorProbe};
 use super::table::Table;
@@ -200,7 +201,7 @@
         let was_lost = state.is_lost(now);
         match outcome {
             Outcome::Answered => state.record_success(now),
-            Outcome::Proven => state.record_activity(now),
+            Outcome::Proven(sign) => state.record_activity(now, sign),
             Outcome::Reachable => state.record_reachable(now),
             Outcome::Failed => state.record_failure(now),
             Outcome::Disconnected => {
@@ -224,7 +225,9 @@
                     let upstream = state.upstream.clone();
                     info!("upstream_lost", kv: {
                         upstream = upstream.id, zone = upstream.zone,
-                        alive_ago_ms = now.saturating_sub(state.alive_at).as_millis() as u64
+                        alive_ago_ms = now.saturating_sub(state.alive_at).as_millis() as u64,
+                        proven_ago_ms = now.saturating_sub(state.proven_at).as_millis() as u64,
+                        proven_by:? = state.proven_by
                     });
                     let service = upstream.service.clone();
                     if !closed && self.table.watches(&upstream) {
@@ -376,7 +379,7 @@
         self.scope.spawn(async move {
             match probe.run().await {
                 Some(ProbeResult::SameProcess) => {
-                    mailbox.send(Message::Outcome { id, outcome: Outcome::Proven });
+                    mailbox.send(Message::Outcome { id, outcome: Outcome::Proven(Sign::Check) });
                 }
                 Some(ProbeResult::Succeeded(successor)) => {
                     let _ = successors.send(successor);
