Placement: signs of life are dated by their questions, not by their handling

An entry VM froze for 3 s while an engine crashed and its address went to the desk; the entry VM then took the desk's process for the engine's successor and sent it drafts with that process's own id, which made the guard against it void.

Cause: State::record_activity dated each sign of life by the moment of its handling. Events, first events, answers and reports that waited in a socket meanwhile renewed proven_at, and with it the time in which the address can only be the same service's (reuse_after). The same cause in two more places: proven_at began as 0, the start of the process, so an entry VM that had just started took any process for a successor for 2 s; and an answer without an id was attributed to whoever is listed at the address when it is handled.

Change: a Sign says what was answered and when the question was sent, on a clock that includes suspensions of the VM (so the periodic check for suspensions goes). The process ran after that moment, whatever waited where. Events of a stream answer nothing: they end a suspicion, and lead to a check where the upstream counts as lost. A report proves only a known incarnation. A loss ends only by an answer to a later question. A process is an engine of the same service only if its report came within reuse_after of the question for its id. Departures, pauses and limits count only if their upstream was listed when the question was sent.

--- a/quetzaltiller/src/clock.rs
+++ b/quetzaltiller/src/clock.rs
@@ -1,13 +1,12 @@
-//! Time since the start of the process, on tokio's clock so that tests can pause it, and the time
-//! for which the VM was suspended.
+//! Time since the start of the process, on tokio's clock so that tests can pause it, with and without
+//! the time for which the VM was suspended.
 
 use nix::time::{ClockId, clock_gettime};
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Shortest suspension that is detected; a smaller difference can come from reading the two clocks
-/// at different moments.
-const MIN_SUSPENSION: Duration = Duration::from_millis(20);
+/// Resolution of suspensions.
+const RESOLUTION: Duration = Duration::from_millis(1);
 
 /// Clock for state machines, which use times since its origin.
 #[derive(Clone, Copy, Debug)]
@@ -27,16 +26,10 @@
         self.epoch.elapsed()
     }
 
-    /// Total time for which the VM was suspended since it booted. The monotonic clock excludes it.
-    pub fn suspended(&self) -> Duration {
-        let read = |clock| clock_gettime(clock).map(Duration::from).unwrap_or_default();
-        let boot = read(ClockId::CLOCK_BOOTTIME);
-        boot.saturating_sub(read(ClockId::CLOCK_MONOTONIC))
-    }
-
-    /// Whether this VM was suspended after an earlier reading of [`Self::suspended`].
-    pub fn slept_since(&self, reading: Duration) -> bool {
-        self.suspended().saturating_sub(reading) >= MIN_SUSPENSION
+    /// Time that includes suspensions of the VM, which [`Self::now`] does not. Only differences have a
+    /// meaning.
+    pub fn uptime(&self) -> Duration {
+        self.now() + suspended()
     }
 
     /// Sleeps until the time `at`, counted from the origin.
@@ -44,3 +37,19 @@
         tokio::time::sleep_until(self.epoch + at).await;
     }
 }
+
+/// Total time for which the VM was suspended since it booted, in whole milliseconds.
+fn suspended() -> Duration {
+    let read = |clock| clock_gettime(clock).map(Duration::from).unwrap_or_default();
+    let difference = || {
+        let monotonic = read(ClockId::CLOCK_MONOTONIC);
+        // Read last, so that a pause between the two never hides a suspension.
+        read(ClockId::CLOCK_BOOTTIME).saturating_sub(monotonic)
+    };
+    let mut suspended = difference();
+    if suspended >= RESOLUTION {
+        // Such a pause, as of a preempted thread, adds to the difference: the shortest counts.
+        suspended = suspended.min(difference()).min(difference());
+    }
+    Duration::from_millis(suspended.as_millis() as u64)
+}
--- a/quetzaltiller/src/entry/delegate.rs
+++ b/quetzaltiller/src/entry/delegate.rs
@@ -93,7 +93,7 @@
     /// Limits of upstreams to send: those that changed recently, and for near members one of the
     /// others in turn, for entry VMs that have started since.
     fn limits(&self, near: bool) -> Vec<wire::Limit> {
-        let now = self.clock.now();
+        let now = self.clock.uptime();
         let statements = self.placer.statements();
         let is_news = |statement: &Statement| now < statement.learned_at + NEWS_DURATION;
         let (news, old): (Vec<_>, Vec<_>) =
--- a/quetzaltiller/src/placement/message.rs
+++ b/quetzaltiller/src/placement/message.rs
@@ -66,12 +66,12 @@
         id: String,
         outcome: Outcome,
     },
-    /// An upstream announced its availability in an answer that took `took`; without an `id`, it is
-    /// the one at `address`.
+    /// An upstream announced its availability in the answer to a question sent at `asked_at`; without
+    /// an `id`, it is the one that was at `address` then.
     AvailabilityChanged {
         address: SocketAddr,
         id: Option<String>,
-        took: Duration,
+        asked_at: Duration,
         availability: Availability,
     },
     /// A peer reported the limit that an upstream states.
@@ -102,10 +102,11 @@
     },
     /// The store has listed the entry VMs.
     MembersListed,
-    /// An engine answered a poll for its report.
+    /// An engine answered a poll for its report, which was sent at `asked_at`.
     EngineReport {
         id: String,
         report: Report,
+        asked_at: Duration,
     },
     /// Another entry VM sent the loads that it has placed on upstreams.
     PeerLoads {
@@ -137,9 +138,11 @@
 #[derive(Clone, Copy, Debug)]
 pub enum Outcome {
     /// The upstream answered a request.
-    Answered,
-    /// The upstream's own process gave a sign of life.
+    Answered(Sign),
+    /// The upstream's own process showed that it ran.
     Proven(Sign),
+    /// A stream delivered an event, which its upstream may have sent long ago.
+    Delivered,
     /// Some process accepts connections at the upstream's address.
     Reachable,
     /// The upstream failed a request and is still reachable.
--- a/quetzaltiller/src/placement/mod.rs
+++ b/quetzaltiller/src/placement/mod.rs
@@ -34,6 +34,7 @@
 pub use place::{Copy, Permit, Placement, Unplaced};
 pub use placer::{Dependencies, Placer};
 pub use shares::Peer;
+pub use sign::{Question, Sign};
 pub use speed::Speed;
 pub use state::{Load, Reported, State};
 pub use succession::Successor;
--- a/quetzaltiller/src/placement/placer.rs
+++ b/quetzaltiller/src/placement/placer.rs
@@ -9,7 +9,7 @@
 use super::message::{Message, Outcome, PlaceReply};
 use super::place::{Copy, Placement, Unplaced};
 use super::shares::Peer;
-use super::sign::Sign;
+use super::sign::{Question, Sign};
 use super::state::{Load, State};
 use super::succession::Successor;
 use super::table::Table;
@@ -70,11 +70,12 @@
         let statements = watch::Sender::default();
         let statements_receiver = statements.subscribe();
         let registrar = dependencies.registrar.clone();
-        let client = dependencies.client.clone();
+        let (client, clock) = (dependencies.client.clone(), dependencies.clock);
         let published = Published { lost, withdrawn, departing, loads, statements };
         let task = Task::new(dependencies, published, scope.clone(), mailbox.clone());
         scope.spawn(task.run(messages));
-        client.set_listener(Arc::new(AvailabilityListener(mailbox.clone())));
+        let listener = AvailabilityListener { clock, mailbox: mailbox.clone() };
+        client.set_listener(Arc::new(listener));
         Self {
             mailbox,
             registrar,
@@ -160,9 +161,11 @@
         self.mailbox.request(|reply| Message::PlaceCopy { demand, primary, reply }).await?
     }
 
-    /// Records an answered request.
-    pub fn record_success(&self, id: &str) {
-        self.send_outcome(id, Outcome::Answered);
+    /// Records an answer to a request that was sent at `asked_at`, on the clock that includes
+    /// suspensions.
+    pub fn record_success(&self, id: &str, asked_at: Duration) {
+        let sign = Sign { answered: Question::Request, asked_at };
+        self.send_outcome(id, Outcome::Answered(sign));
     }
 
     /// Records the prefill time of a prompt that did not wait for others.
@@ -190,9 +193,9 @@
         self.send_outcome(id, Outcome::Unreachable);
     }
 
-    /// Records that an upstream sent a part of an answer.
-    pub fn record_activity(&self, id: &str) {
-        self.send_outcome(id, Outcome::Proven(Sign::Event));
+    /// Records that a stream delivered an event.
+    pub fn record_event(&self, id: &str) {
+        self.send_outcome(id, Outcome::Delivered);
     }
 
     /// Records that a peer reported an upstream as lost; the task checks the upstream or avoids it.
@@ -290,12 +293,16 @@
 }
 
 /// Forwards the availability that upstreams announce to the task.
-struct AvailabilityListener(Mailbox<Message>);
+struct AvailabilityListener {
+    clock: Clock,
+    mailbox: Mailbox<Message>,
+}
 
 impl Listener for AvailabilityListener {
     fn handle_availability(&self, exchange: Exchange<'_>, availability: Availability) {
         let Exchange { address, upstream, took } = exchange;
         let id = upstream.map(str::to_owned);
-        self.0.send(Message::AvailabilityChanged { address, id, took, availability });
+        let asked_at = self.clock.uptime().saturating_sub(took);
+        self.mailbox.send(Message::AvailabilityChanged { address, id, asked_at, availability });
     }
 }
--- a/quetzaltiller/src/placement/state.rs
+++ b/quetzaltiller/src/placement/state.rs
@@ -69,6 +69,8 @@
     /// Upstream as the directory lists it.
     #[serde(skip)]
     pub upstream: Arc<Upstream>,
+    /// When the directory listed this incarnation at its address.
+    pub listed_at: Duration,
     /// Requests of this entry VM in flight at the upstream.
     pub in_flight: u32,
     /// Tokens that this entry VM's requests hold there, or will hold.
@@ -87,10 +89,8 @@
     pub suspect_until: Duration,
     /// When the upstream's address last accepted a connection or sent something.
     pub alive_at: Duration,
-    /// When the upstream's own process, not just its address, last gave a sign of life.
-    pub proven_at: Duration,
-    /// What that sign of life was.
-    pub proven_by: Option<Sign>,
+    /// Latest sign that the upstream's own process ran, not just another one at its address.
+    pub proof: Option<Sign>,
     /// The upstream has announced that it takes no new work.
     departing: bool,
     /// Until this time, the upstream accepts no requests from this entry VM.
@@ -112,10 +112,11 @@
 }
 
 impl State {
-    /// State of an upstream of which nothing is known but its listing.
-    pub fn new(upstream: Arc<Upstream>) -> Self {
+    /// State of an upstream of which nothing is known but its listing at `listed_at`.
+    pub fn new(listed_at: Duration, upstream: Arc<Upstream>) -> Self {
         Self {
             upstream,
+            listed_at,
             in_flight: 0,
             held_tokens: 0,
             copied_tokens: 0,
@@ -125,8 +126,7 @@
             corrected: None,
             suspect_until: Duration::ZERO,
             alive_at: Duration::ZERO,
-            proven_at: Duration::ZERO,
-            proven_by: None,
+            proof: None,
             departing: false,
             closed_until: Duration::ZERO,
             limit: Limit::default(),
@@ -208,6 +208,12 @@
         is_new
     }
 
+    /// Whether an entry is that of the same process at the same address.
+    pub fn is_same_process(&self, entry: &Upstream) -> bool {
+        let Upstream { incarnation, address, .. } = &*self.upstream;
+        entry.incarnation == *incarnation && entry.address == *address
+    }
+
     /// Whether `incarnation` may be the listed one; 0 stands for unknown.
     pub fn matches_incarnation(&self, incarnation: u64) -> bool {
         let listed = self.upstream.incarnation;
@@ -223,13 +229,14 @@
         }
     }
 
-    /// Records a sign of life of the upstream's own process; ends a suspicion or loss.
-    pub fn record_activity(&mut self, now: Duration, sign: Sign) {
-        self.alive_at = now;
-        self.proven_at = now;
-        self.proven_by = Some(sign);
-        self.lost_at = None;
-        self.suspect_until = Duration::ZERO;
+    /// Records a sign of the upstream's own process. It ends a suspicion, and a loss that was found
+    /// before the question was sent.
+    pub fn record_proof(&mut self, now: Duration, sign: Sign) {
+        if self.proof.is_none_or(|proof| proof.asked_at < sign.asked_at) {
+            self.proof = Some(sign);
+        }
+        self.lost_at = self.lost_at.filter(|lost_at| sign.asked_at < *lost_at);
+        self.record_reachable(now);
     }
 
     /// Moving average of the share of failed requests, from 0 to 1; decays with time.
@@ -239,9 +246,9 @@
     }
 
     /// Records an answered request.
-    pub fn record_success(&mut self, now: Duration) {
+    pub fn record_success(&mut self, now: Duration, sign: Sign) {
         self.failures = 0;
-        self.record_activity(now, Sign::Answer);
+        self.record_proof(now, sign);
         self.update_failure_rate(now, 0.0);
     }
 
@@ -329,10 +336,10 @@
         placed.max(by_report).max(corrected.map_or(0, |(_, memory)| memory))
     }
 
-    /// Records a report that the upstream sent of itself.
+    /// Records a report that the process at the upstream's address sent of itself.
     pub fn record_report(&mut self, now: Duration, reported: Reported) {
         self.reported = Some((reported, now, self.own_memory()));
-        self.record_activity(now, Sign::Report);
+        self.record_reachable(now);
     }
 
     /// Whether the upstream has a free slot for another request.
--- a/quetzaltiller/src/placement/table.rs
+++ b/quetzaltiller/src/placement/table.rs
@@ -246,17 +246,17 @@
     }
 
     /// Replaces the upstreams by those of `directory`; returns the ids that are no longer listed.
-    /// An upstream with a new incarnation starts with an empty state.
-    pub fn set_upstreams(&mut self, directory: &Directory) -> Vec<String> {
+    /// An upstream with a new incarnation or address starts with an empty state.
+    pub fn set_upstreams(&mut self, now: Duration, directory: &Directory) -> Vec<String> {
         let removed = self.states.keys().filter(|id| directory.upstream(id).is_none());
         let removed = removed.cloned().collect();
         for upstream in directory.upstreams() {
             match self.states.get_mut(&upstream.id) {
-                Some(state) if state.upstream.incarnation == upstream.incarnation => {
+                Some(state) if state.is_same_process(upstream) => {
                     state.upstream = upstream.clone();
                 }
                 _ => {
-                    self.states.insert(upstream.id.clone(), State::new(upstream.clone()));
+                    self.states.insert(upstream.id.clone(), State::new(now, upstream.clone()));
                 }
             }
         }
@@ -277,12 +277,6 @@
         engines.next().is_some_and(|first| first.name == service) && engines.next().is_none()
     }
 
-    /// Clears the times at which upstreams last gave a sign of life. Called after a suspension of
-    /// this VM, during which their addresses may have changed hands.
-    pub fn reset_proven_at(&mut self) {
-        self.states.values_mut().for_each(|state| state.proven_at = Duration::ZERO);
-    }
-
     /// States by upstream id.
     pub fn states(&self) -> &BTreeMap<String, State> {
         &self.states
@@ -295,6 +289,12 @@
         states.find(|state| !state.is_unproven()).map(|state| state.upstream.id.clone())
     }
 
+    /// Whether a question sent at `asked_at` was sent to this incarnation of an upstream, and not
+    /// to an earlier process with its id or address.
+    pub fn was_listed(&self, id: &str, asked_at: Duration) -> bool {
+        self.states.get(id).is_some_and(|state| state.listed_at <= asked_at)
+    }
+
     /// Incarnations by id of upstreams that have announced that they leave and are not listed as
     /// leaving yet.
     pub fn departing(&self) -> BTreeMap<String, u64> {
--- a/quetzaltiller/src/placement/task.rs
+++ b/quetzaltiller/src/placement/task.rs
@@ -12,7 +12,7 @@
 use super::message::{Message, Outcome, PlaceReply};
 use super::place::{Copy, Permit, Placement, Unplaced};
 use super::placer::Dependencies;
-use super::sign::Sign;
+use super::sign::{Question, Sign};
 use super::state::{Load, Reported};
 use super::succession::{ProbeResult, Successor, SuccessorProbe};
 use super::table::Table;
@@ -23,7 +23,6 @@
 use crate::scope::Scope;
 use crate::upstream::{Availability, Client, Limit, Report};
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use tokio::sync::{mpsc, watch};
 use tokio::time::MissedTickBehavior;
 
@@ -69,9 +68,10 @@
     removed: Vec<String>,
     /// Ids of upstreams in suspect zones that are being checked.
     checking: BTreeSet<String>,
+    /// Ids of lost upstreams of which an old sign of life came and that were asked for a new one,
+    /// once for each loss.
+    asking: BTreeSet<String>,
     published: Published,
-    /// Total time for which this VM was suspended, as of the last check.
-    suspended: Duration,
     scope: Scope,
     mailbox: Mailbox<Message>,
 }
@@ -93,8 +93,8 @@
             successors: dependencies.successors,
             removed: Vec::new(),
             checking: BTreeSet::new(),
+            asking: BTreeSet::new(),
             published,
-            suspended: dependencies.clock.suspended(),
             scope,
             mailbox,
         }
@@ -114,11 +114,10 @@
                     None => return,
                 },
                 _ = publishing.tick() => {
-                    self.detect_suspension();
-                    self.publish_lost(self.clock.now());
-                    let loads = self.table.loads(self.clock.now());
-                    self.published.loads.send_replace(Arc::new(loads));
-                    publish(&self.published.statements, self.table.statements(self.clock.now()));
+                    let now = self.clock.uptime();
+                    self.publish_lost(now);
+                    self.published.loads.send_replace(Arc::new(self.table.loads(now)));
+                    publish(&self.published.statements, self.table.statements(now));
                 }
                 _ = reporting.tick() => self.poll_reports(),
             }
@@ -126,7 +125,7 @@
     }
 
     fn handle_message(&mut self, message: Message) {
-        let now = self.clock.now();
+        let now = self.clock.uptime();
         match message {
             Message::Place { demand, books, reply } => {
                 let _ = reply.send(self.place(now, &demand, books));
@@ -155,9 +154,16 @@
             Message::Outcome { id, outcome } => {
                 self.handle_outcome(now, &id, outcome);
             }
-            Message::AvailabilityChanged { address, id, took, availability } => {
-                self.record_limit(now, (address, id.as_deref()), took, availability.limit);
-                self.record_availability(now, address, id, availability)
+            Message::AvailabilityChanged { address, id, asked_at, availability } => {
+                let is_named = id.is_some();
+                let id = id.or_else(|| self.table.upstream_at(address));
+                if let Some(id) = id.filter(|id| self.table.was_listed(id, asked_at)) {
+                    // Answers to other calls than requests may lack the statement of a limit.
+                    let limit = availability.limit;
+                    let limit = limit.filter(|limit| is_named || *limit != Limit::Unlimited);
+                    self.record_limit(now, &id, asked_at, limit);
+                    self.record_availability(now, &id, availability);
+                }
             }
             Message::PeerStatement { id, statement } => {
                 if self.table.apply_statement(now, &id, &statement) {
@@ -171,7 +177,8 @@
             Message::RunMeasured { took } => self.table.observe_run(took),
             Message::Configure(routes) => self.table.configure(routes),
             Message::Upstreams(directory) => {
-                self.removed = self.table.set_upstreams(&directory);
+                self.removed = self.table.set_upstreams(now, &directory);
+                self.removed.iter().for_each(|id| _ = self.asking.remove(id));
                 self.publish_lost(now);
             }
             Message::Members { alive, known } => {
@@ -179,7 +186,9 @@
                 self.table.set_known(now, known);
             }
             Message::MembersListed => self.table.mark_members_listed(now),
-            Message::EngineReport { id, report } => self.record_report(now, &id, &report),
+            Message::EngineReport { id, report, asked_at } => {
+                self.record_report(now, &id, &report, asked_at);
+            }
             Message::PeerLoads { member, loads } => self.table.record_loads(now, &member, &loads),
             Message::Engines { service, reply } => {
                 let _ = reply.send(self.table.engines(now, &service));
@@ -195,13 +204,17 @@
 
     fn handle_outcome(&mut self, now: Duration, id: &str, outcome: Outcome) {
         self.checking.remove(id);
+        if matches!(outcome, Outcome::Proven(_)) {
+            self.asking.remove(id);
+        }
         let Some(state) = self.table.state_mut(id) else {
             return;
         };
         let was_lost = state.is_lost(now);
         match outcome {
-            Outcome::Answered => state.record_success(now),
-            Outcome::Proven(sign) => state.record_activity(now, sign),
+            Outcome::Answered(sign) => state.record_success(now, sign),
+            Outcome::Proven(sign) => state.record_proof(now, sign),
+            Outcome::Delivered => state.record_reachable(now),
             Outcome::Reachable => state.record_reachable(now),
             Outcome::Failed => state.record_failure(now),
             Outcome::Disconnected => {
@@ -221,71 +234,72 @@
             }
             Outcome::Unreachable => {
                 if state.mark_lost(now) {
-                    let (proven_at, closed) = (state.proven_at, state.is_closed(now));
+                    self.asking.remove(id);
+                    let (proof, closed) = (state.proof, state.is_closed(now));
                     let upstream = state.upstream.clone();
+                    let age_ms = |at| now.saturating_sub(at).as_millis() as u64;
                     info!("upstream_lost", kv: {
                         upstream = upstream.id, zone = upstream.zone,
-                        alive_ago_ms = now.saturating_sub(state.alive_at).as_millis() as u64,
-                        proven_ago_ms = now.saturating_sub(state.proven_at).as_millis() as u64,
-                        proven_by:? = state.proven_by
+                        alive_ago_ms = age_ms(state.alive_at),
+                        proven_ago_ms:? = proof.map(|proof| age_ms(proof.asked_at)),
+                        proven_by:? = proof.map(|proof| proof.answered)
                     });
                     let service = upstream.service.clone();
                     if !closed && self.table.watches(&upstream) {
-                        self.probe_successor(upstream, proven_at);
+                        self.probe_successor(upstream, proof);
                     }
                     self.check_zone(now, &service);
                 }
             }
         }
-        if self.table.states().get(id).is_some_and(|state| state.is_lost(now) != was_lost) {
+        let Some(state) = self.table.states().get(id) else {
+            return;
+        };
+        if state.is_lost(now) != was_lost {
             self.publish_lost(now);
+        } else if was_lost && matches!(outcome, Outcome::Answered(_) | Outcome::Delivered) {
+            self.ask(state.upstream.clone());
         }
     }
 
-    /// Records the availability that an upstream announced; without an `id`, it is found by
-    /// `address`.
-    fn record_availability(
-        &mut self,
-        now: Duration,
-        address: SocketAddr,
-        id: Option<String>,
-        availability: Availability,
-    ) {
-        if !availability.leaving && availability.closed_for.is_none() {
+    /// Asks a lost upstream of which an old sign of life came for a new one, in the background.
+    fn ask(&mut self, upstream: Arc<Upstream>) {
+        if !self.asking.insert(upstream.id.clone()) {
             return;
         }
-        let Some(id) = id.or_else(|| self.table.upstream_at(address)) else {
-            return;
-        };
+        let path = self.table.check_path(&upstream.service);
+        let (clock, client, mailbox) = (self.clock, self.client.clone(), self.mailbox.clone());
+        self.scope.spawn(async move {
+            let asked_at = clock.uptime();
+            let found = client.identify(upstream.address, &path, CHECK_TIMEOUT).await;
+            let id = upstream.id.clone();
+            if found.as_ref() == Some(&id) {
+                let sign = Sign { answered: Question::Check, asked_at };
+                mailbox.send(Message::Outcome { id, outcome: Outcome::Proven(sign) });
+            }
+        });
+    }
+
+    /// Records the availability that the upstream `id` announced.
+    fn record_availability(&mut self, now: Duration, id: &str, availability: Availability) {
         if let Some(pause) = availability.closed_for
-            && let Some(state) = self.table.state_mut(&id)
+            && let Some(state) = self.table.state_mut(id)
         {
             state.close(now + pause);
             let pause_ms = pause.as_millis() as u64;
             info!("upstream_closed", kv: { upstream = id, pause_ms });
         }
         if availability.leaving {
-            self.record_departure(now, &id, "upstream");
+            self.record_departure(now, id, "upstream");
         }
     }
 
-    /// Records the limit in an answer that took `took`. Answers to other calls than requests of
-    /// callers may come without the statement, so they don't end a limit.
-    fn record_limit(
-        &mut self,
-        now: Duration,
-        (address, id): (SocketAddr, Option<&str>),
-        took: Duration,
-        limit: Option<Limit>,
-    ) {
-        let found = match (limit, id) {
-            (Some(Limit::PerSecond(_)), None) => self.table.upstream_at(address),
-            (_, id) => id.map(str::to_owned),
-        };
-        if let (Some(limit), Some(id)) = (limit, found)
-            && self.table.record_limit(now, &id, now.saturating_sub(took), limit)
+    /// Records the limit in the answer of the upstream `id` to a question sent at `asked_at`.
+    fn record_limit(&mut self, now: Duration, id: &str, asked_at: Duration, limit: Option<Limit>) {
+        if let Some(limit) = limit
+            && self.table.record_limit(now, id, asked_at, limit)
         {
-            self.report_limit(now, &id, "upstream");
+            self.report_limit(now, id, "upstream");
         }
     }
 
@@ -321,7 +335,7 @@
         }
     }
 
-    fn record_report(&mut self, now: Duration, id: &str, report: &Report) {
+    fn record_report(&mut self, now: Duration, id: &str, report: &Report, asked_at: Duration) {
         let Some(state) = self.table.state_mut(id) else {
             return;
         };
@@ -334,16 +348,20 @@
             unread: report.unread,
         };
         state.record_report(now, reported);
+        // Without both incarnations, a later process at the address can't be told apart.
+        if report.incarnation != 0 && state.upstream.incarnation != 0 {
+            state.record_proof(now, Sign { answered: Question::Report, asked_at });
+        }
     }
 
     /// Polls the reports of the engines that this entry VM owns, for itself and for peers.
     fn poll_reports(&self) {
-        for upstream in self.table.engines_to_poll(self.clock.now()) {
-            let (client, mailbox) = (self.client.clone(), self.mailbox.clone());
+        for upstream in self.table.engines_to_poll(self.clock.uptime()) {
+            let (clock, client, mailbox) = (self.clock, self.client.clone(), self.mailbox.clone());
             self.scope.spawn(async move {
-                let id = upstream.id.clone();
+                let (id, asked_at) = (upstream.id.clone(), clock.uptime());
                 let message = match client.report(upstream.address, REPORT_TIMEOUT).await {
-                    Some(report) => Message::EngineReport { id, report },
+                    Some(report) => Message::EngineReport { id, report, asked_at },
                     None => Message::Outcome { id, outcome: Outcome::Disconnected },
                 };
                 mailbox.send(message);
@@ -361,25 +379,25 @@
         });
     }
 
-    /// Finds out in the background which process has the address of a lost upstream, whose own
-    /// process was last active at `proven_at`.
-    fn probe_successor(&mut self, lost: Arc<Upstream>, proven_at: Duration) {
-        let was_suspended = self.detect_suspension();
-        let own_until = if was_suspended { Duration::ZERO } else { proven_at + self.reuse_after };
+    /// Finds out in the background which process has the address of a lost upstream, of whose own
+    /// process `proof` is the latest sign.
+    fn probe_successor(&self, lost: Arc<Upstream>, proof: Option<Sign>) {
         let id = lost.id.clone();
         let probe = SuccessorProbe {
             clock: self.clock,
             client: self.client.clone(),
             path: self.table.check_path(&lost.service),
-            own_until,
+            own_until: proof.map(|proof| proof.asked_at + self.reuse_after),
+            reuse_after: self.reuse_after,
             only_engines: self.table.is_only_engine_service(&lost.service),
             lost,
         };
         let (mailbox, successors) = (self.mailbox.clone(), self.successors.clone());
         self.scope.spawn(async move {
             match probe.run().await {
-                Some(ProbeResult::SameProcess) => {
-                    mailbox.send(Message::Outcome { id, outcome: Outcome::Proven(Sign::Check) });
+                Some(ProbeResult::SameProcess { asked_at }) => {
+                    let sign = Sign { answered: Question::Check, asked_at };
+                    mailbox.send(Message::Outcome { id, outcome: Outcome::Proven(sign) });
                 }
                 Some(ProbeResult::Succeeded(successor)) => {
                     let _ = successors.send(successor);
@@ -389,19 +407,6 @@
         });
     }
 
-    /// Whether this VM was suspended since the last check. If so, signs of life from before the
-    /// suspension are too old to rely on and are cleared.
-    fn detect_suspension(&mut self) -> bool {
-        let was_suspended = self.clock.slept_since(self.suspended);
-        let suspended = self.clock.suspended();
-        self.suspended = suspended;
-        if was_suspended {
-            info!("suspension_noticed", kv: { total_ms = suspended.as_millis() as u64 });
-            self.table.reset_proven_at();
-        }
-        was_suspended
-    }
-
     /// Checks the inactive engines of suspect zones that hold work of this entry VM or are watched
     /// by it.
     fn check_zone(&mut self, now: Duration, service: &str) {
--- a/quetzaltiller/src/proxy/call.rs
+++ b/quetzaltiller/src/proxy/call.rs
@@ -26,8 +26,8 @@
 
 /// Outcome of one attempt at an upstream.
 enum AttemptOutcome {
-    /// The upstream sent an answer for the caller.
-    Answered(Answer),
+    /// The upstream sent an answer for the caller to a request that was sent after `asked_at`.
+    Answered { answer: Answer, asked_at: Duration },
     /// The upstream answered with a server error: the request ran.
     Failed(Answer),
     /// The upstream received the request and did not run it.
@@ -192,8 +192,8 @@
         let id = upstream.unwrap_or_default();
         let placer = &self.context.placer;
         let cause = match outcome {
-            AttemptOutcome::Answered(answer) => {
-                placer.record_success(&id);
+            AttemptOutcome::Answered { answer, asked_at } => {
+                placer.record_success(&id, asked_at);
                 self.context.record_answered(self.request, self.plan);
                 self.context.metrics.count(Counter::CallAnswered);
                 return Some(Reply::Answered(answer));
@@ -287,7 +287,7 @@
     plan: &Plan,
     placement: Placement,
 ) -> AttemptOutcome {
-    let sent_at = context.clock.now();
+    let (sent_at, asked_at) = (context.clock.now(), context.clock.uptime());
     let call = Call {
         upstream: &placement.upstream,
         request,
@@ -330,7 +330,7 @@
     if status >= StatusCode::INTERNAL_SERVER_ERROR {
         AttemptOutcome::Failed(answer)
     } else {
-        AttemptOutcome::Answered(answer)
+        AttemptOutcome::Answered { answer, asked_at }
     }
 }
 
--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -47,7 +47,7 @@
 /// Default retry delay in refusals, where placement gives no estimate: about half the prefill of
 /// a prompt.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Minimum interval between reports to the placer that a stream's engine is active.
+/// Minimum interval between reports to the placer that a stream delivers events.
 const ACTIVITY_PERIOD: Duration = Duration::from_millis(100);
 /// Urgency of resumed runs; lower values go first.
 const RESUMED_URGENCY: u8 = 1;
@@ -97,6 +97,13 @@
     }
 }
 
+/// An open connection to an engine.
+struct OpenReader {
+    task: AbortHandle,
+    /// Time before the request was sent, on the clock that includes suspensions.
+    asked_at: Duration,
+}
+
 /// Serves one generation.
 struct Task {
     context: Context,
@@ -111,8 +118,8 @@
     /// Placements of the current run, by upstream.
     placements: BTreeMap<String, Placement>,
     copies: Copies,
-    /// Tasks that read open connections, by number.
-    readers: BTreeMap<u32, AbortHandle>,
+    /// Open connections by number.
+    readers: BTreeMap<u32, OpenReader>,
     /// Number of requests that engines received or may have received.
     sent: u32,
     /// Engines to which these requests were sent and that did not turn them away.
@@ -247,7 +254,7 @@
                 Effect::Open { conn, opening, upstream } => self.open(conn, opening, &upstream),
                 Effect::Close(conn) => {
                     if let Some(reader) = self.readers.remove(&conn) {
-                        reader.abort();
+                        reader.task.abort();
                     }
                 }
                 Effect::Copy => self.copy(),
@@ -447,7 +454,9 @@
                 _ => reader.run().await,
             }
         };
-        self.readers.insert(conn, tokio::spawn(task).abort_handle());
+        let asked_at = self.context.clock.uptime();
+        let task = tokio::spawn(task).abort_handle();
+        self.readers.insert(conn, OpenReader { task, asked_at });
     }
 
     fn last_event(&self) -> Option<u64> {
@@ -557,7 +566,7 @@
         self.events += 1;
         self.record_pause();
         if !has_begun {
-            self.record_first_event();
+            self.record_first_event(conn);
         }
         self.send(Chunk::Events(event.bytes)).await;
         if self.caller.is_closed() && self.outcome.is_none() {
@@ -565,11 +574,12 @@
         }
     }
 
-    fn record_first_event(&self) {
-        let Some(upstream) = self.machine.upstream() else {
+    fn record_first_event(&self, conn: u32) {
+        let (Some(upstream), Some(reader)) = (self.machine.upstream(), self.readers.get(&conn))
+        else {
             return;
         };
-        self.context.placer.record_success(upstream);
+        self.context.placer.record_success(upstream, reader.asked_at);
         let uncontended =
             self.placements.get(upstream).is_some_and(|p| p.uncontended && !p.has_copy);
         if uncontended && let Some(prompt) = &self.request.prompt {
@@ -587,7 +597,7 @@
             && let Some(upstream) = self.machine.upstream()
         {
             self.activity_reported_at = now;
-            self.context.placer.record_activity(upstream);
+            self.context.placer.record_event(upstream);
         }
     }
 
@@ -620,7 +630,7 @@
 
     fn abort_readers(&mut self) {
         for reader in std::mem::take(&mut self.readers).into_values() {
-            reader.abort();
+            reader.task.abort();
         }
     }
 
--- a/quetzaltiller/tests/entry.rs
+++ b/quetzaltiller/tests/entry.rs
@@ -317,6 +317,34 @@
     }
 }
 
+/// The former owner of an address, or of an id, said that it leaves, and its answer is handled after
+/// the next process was listed. Guards against taking that one for leaving.
+#[rstest]
+#[case::report_without_an_id(false, Duration::from_millis(700), false)]
+#[case::answer_to_a_request(true, Duration::from_millis(700), false)]
+#[case::report_of_the_listed_process(false, Duration::from_millis(100), true)]
+#[case::answer_of_the_listed_process(true, Duration::from_millis(100), true)]
+#[tokio::test(start_paused = true)]
+async fn a_departure_is_that_of_the_process_that_was_asked(
+    #[case] named: bool,
+    #[case] took: Duration,
+    #[case] expected: bool,
+) {
+    let site = Site::start(2).await;
+    let desk = site.fleet.listing().into_iter().find(|known| known.id == "desk-a").unwrap();
+    let next = Upstream { incarnation: 2, ..desk };
+
+    site.store.list(next.clone());
+    sleep(Duration::from_millis(500)).await;
+    site.fleet.announce_departure(&next, named, took);
+    sleep(Duration::from_millis(50)).await;
+
+    for entry in &site.entries {
+        let leaves = entry.dump().await.upstreams["desk-a"].is_leaving();
+        assert_eq!(leaves, expected);
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_caller_that_leaves_ends_its_run() {
     let site = Site::start(2).await;
--- a/quetzaltiller/tests/limits.rs
+++ b/quetzaltiller/tests/limits.rs
@@ -34,7 +34,7 @@
 fn table(name: &str, zone: &str) -> Table {
     let mut table = Table::new(name, zone);
     table.configure(Arc::new(routes::Table::from(configuration(1))));
-    table.set_upstreams(&directory());
+    table.set_upstreams(START, &directory());
     table
 }
 
--- a/quetzaltiller/tests/placement.rs
+++ b/quetzaltiller/tests/placement.rs
@@ -19,7 +19,7 @@
 fn table(engines: usize) -> Table {
     let mut table = Table::new("entry-a", "a");
     table.configure(Arc::new(routes::Table::from(configuration(1))));
-    table.set_upstreams(&directory(engines));
+    table.set_upstreams(NOW, &directory(engines));
     table
 }
 
@@ -137,7 +137,7 @@
     let table = |own: Peer| {
         let mut table = Table::new(&own.name, &own.zone);
         table.configure(Arc::new(routes::Table::from(configuration(1))));
-        table.set_upstreams(&directory(engines));
+        table.set_upstreams(NOW, &directory(engines));
         table.set_members(NOW, peers().filter(|peer| peer.name != own.name).collect());
         table
     };
@@ -377,7 +377,7 @@
         Change::Set(standin::site::replica(&format!("desk-{zone}"), zone, 200 + z as u8))
     };
     directory.apply(Version { era: 0, revision: 1 }, listed.map(replica).collect());
-    table.set_upstreams(&directory);
+    table.set_upstreams(NOW, &directory);
     table
 }
 
@@ -441,10 +441,10 @@
     let ready = |incarnation| Change::Set(Upstream { incarnation, ..(*listed).clone() });
 
     directory.apply(Version { era: 0, revision: 2 }, vec![ready(listed.incarnation)]);
-    table.set_upstreams(&directory);
+    table.set_upstreams(NOW, &directory);
     let same = table.states()["desk-a"].is_leaving();
     directory.apply(Version { era: 0, revision: 3 }, vec![ready(listed.incarnation + 1)]);
-    table.set_upstreams(&directory);
+    table.set_upstreams(NOW, &directory);
     let restarted = table.states()["desk-a"].is_leaving();
 
     assert!(same && !restarted, "{same} {restarted}");
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -51,6 +51,8 @@
     transport: Option<Arc<dyn CopyTransport>>,
     listeners: Arc<Mutex<Vec<Arc<dyn Listener>>>>,
     poison: Arc<Mutex<Poison>>,
+    /// Times by request until which its connection delivers nothing.
+    delays: Arc<Mutex<BTreeMap<String, Instant>>>,
 }
 
 /// Counts of what the upstreams did.
@@ -112,6 +114,19 @@
         self.change(id, |node| node.silence = Some(silence));
     }
 
+    /// Delivers nothing on the connection of a request for `length` from now on. What its upstream
+    /// sends meanwhile is delivered afterwards, also if the upstream has ended by then.
+    pub fn delay(&self, request: &str, length: Duration) {
+        let mut delays = self.delays.lock().unwrap_or_else(PoisonError::into_inner);
+        delays.insert(request.to_owned(), Instant::now() + length);
+    }
+
+    /// Time until which the connection of a request delivers nothing, if that is not over.
+    pub(crate) fn delayed_until(&self, request: &str) -> Option<Instant> {
+        let delays = self.delays.lock().unwrap_or_else(PoisonError::into_inner);
+        delays.get(request).copied().filter(|until| Instant::now() < *until)
+    }
+
     /// Waits until the upstream at `address` is not silent.
     pub(crate) async fn end_of_silence(&self, address: SocketAddr) {
         let silent_until = || self.lock().get(&address).and_then(Node::silent_until);
@@ -210,6 +225,16 @@
         if listens { Ok(()) } else { Err(Error::Unsent) }
     }
 
+    /// Tells all entry VMs of this process that `upstream`, or the process at its address if not
+    /// `named`, has said in the answer to a question `took` ago that it accepts no new work.
+    pub fn announce_departure(&self, upstream: &Upstream, named: bool, took: Duration) {
+        let availability = Availability { leaving: true, ..Availability::default() };
+        let id = named.then_some(upstream.id.as_str());
+        let exchange = upstream::Exchange { address: upstream.address, upstream: id, took };
+        let listeners = self.listeners.lock().unwrap_or_else(PoisonError::into_inner);
+        listeners.iter().for_each(|l| l.handle_availability(exchange, availability));
+    }
+
     /// Counts a request that reached its upstream and notifies the listeners of all entry VMs of
     /// this process if the upstream is leaving or closed for a while.
     fn notify_availability(&self, call: &Call<'_>) {
@@ -258,11 +283,15 @@
             self.crash_poisoned(*address, |node| node.upstream.id == *id);
             return Err(Error::Broken);
         }
-        tokio::select! {
+        let answer = tokio::select! {
             biased;
             error = broken(&mut state) => Err(error),
             answer = self.answer(call) => answer,
+        };
+        if let Some(until) = self.delayed_until(&call.request.id) {
+            sleep_until(until).await;
         }
+        answer
     }
 
     /// Answers a request to a replica of a plain service, as its fault demands.
--- a/standin/src/fleet/stream.rs
+++ b/standin/src/fleet/stream.rs
@@ -7,6 +7,7 @@
 use futures::StreamExt as _;
 use hyper::{HeaderMap, StatusCode};
 use quetzaltiller::upstream::{Call, Error, Response};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -29,6 +30,8 @@
     copied_at: Instant,
     /// Whether the run crashes its engine.
     is_poisoned: bool,
+    /// What was sent and is not delivered yet.
+    undelivered: VecDeque<Option<Result<Bytes, Error>>>,
 }
 
 impl Events {
@@ -73,6 +76,7 @@
             total,
             copied_at: Instant::now(),
             is_poisoned,
+            undelivered: VecDeque::new(),
         };
         run.record_concurrency();
         let ready = if restored.is_some() { Instant::now() + RESTORE_TIME } else { ready };
@@ -95,7 +99,7 @@
             node.cache_prompt(prompt.own_part());
         }
         run.copied_at = Instant::now();
-        let body = futures::stream::unfold(run, Self::step).boxed();
+        let body = futures::stream::unfold(run, Self::deliver).boxed();
         Ok(Response {
             status: StatusCode::OK,
             headers: HeaderMap::new(),
@@ -105,11 +109,30 @@
         })
     }
 
-    async fn step(mut self) -> Option<(Result<Bytes, Error>, Self)> {
+    /// Delivers the next event, after the delay of the connection if it has one.
+    async fn deliver(mut self) -> Option<(Result<Bytes, Error>, Self)> {
+        if let Some(item) = self.undelivered.pop_front() {
+            return item.map(|item| (item, self));
+        }
+        loop {
+            let item = self.step().await;
+            let is_last = !matches!(item, Some(Ok(_)));
+            self.undelivered.push_back(item);
+            match self.fleet.delayed_until(&self.request) {
+                Some(until) if is_last => sleep_until(until).await,
+                Some(_) => continue,
+                None => {}
+            }
+            return self.undelivered.pop_front().flatten().map(|first| (first, self));
+        }
+    }
+
+    /// Sends the next event; none at the end of the stream.
+    async fn step(&mut self) -> Option<Result<Bytes, Error>> {
         if self.is_poisoned {
             sleep(CRASH_DELAY).await;
             self.fleet.crash_poisoned(self.address, |node| node.has_run(&self.request));
-            return Some((Err(Error::Broken), self));
+            return Some(Err(Error::Broken));
         }
         if self.next > self.total {
             self.drop_backup();
@@ -123,7 +146,7 @@
         let mut process_state = self.process_state.clone();
         tokio::select! {
             biased;
-            error = broken(&mut process_state) => return Some((Err(error), self)),
+            error = broken(&mut process_state) => return Some(Err(error)),
             () = sleep(interval) => {}
         }
         self.fleet.end_of_silence(self.address).await;
@@ -131,12 +154,12 @@
             return std::future::pending().await;
         }
         if !self.fleet.lock().get(&self.address).is_some_and(|node| node.has_run(&self.request)) {
-            return Some((Err(Error::Broken), self));
+            return Some(Err(Error::Broken));
         }
         let event = format!("id: {}\ndata: {}-{}\n\n", self.next, self.request, self.next);
         self.record_progress();
         self.next += 1;
-        Some((Ok(Bytes::from(event)), self))
+        Some(Ok(Bytes::from(event)))
     }
 
     fn record_progress(&mut self) {
