Follower: watches find out in time that the store was silent

Cause: a watch that the store receives while it is silent is never answered, and its limit was its wait of 20 s and 1 s. All entry VMs of a small site watch at the same times, so none had anything newer to tell the others. Evidence: store_lost at 31.1 s, 19 s after the end of a silence of 2 s; nothing is logged between. The keep-alive probes of the sockets don't show it, as the store's kernel answers them.

The watches of the configuration and of the quarantine keep their long waits, as every call is paid for, and begin anew when the store answers after a call for the upstreams was not answered (Error::Unanswered; a broken connection or a refusal swallows nothing, so it does not begin them anew). A VM that turns from a relayed one into a relay ends its long watch.

--- a/quetzaltiller/src/control.rs
+++ b/quetzaltiller/src/control.rs
@@ -6,6 +6,7 @@
 pub use version::Version;
 
 use crate::fleet::{Change, Listing};
+use crate::prelude::*;
 use crate::routes::Table;
 use async_trait::async_trait;
 use quick_error::quick_error;
@@ -24,10 +25,14 @@
         Unavailable(reason: String) {
             display("unavailable: {reason}")
         }
-        /// The store did not answer; a write may have taken effect or may do so later.
+        /// The connection ended without an answer; a write may have taken effect or may do so later.
         Lost {
             display("no answer")
         }
+        /// No answer came within the time limit; a write may have taken effect or may do so later.
+        Unanswered {
+            display("no answer in time")
+        }
         /// The object already exists or has another revision.
         Conflict {
             display("revision conflict")
@@ -112,16 +117,20 @@
     /// Reads the newest configuration.
     async fn configuration(&self) -> Result<Configuration, Error>;
 
-    /// Waits until the configuration has changed since `version`, up to a time limit of the
-    /// implementation. An answer of another era may lack earlier changes of that era.
-    async fn next_configuration(&self, version: Version) -> Result<Configuration, Error>;
+    /// Waits until the configuration has changed since `version`, for at most `wait`. An answer of
+    /// another era may lack earlier changes of that era.
+    async fn next_configuration(
+        &self,
+        version: Version,
+        wait: Duration,
+    ) -> Result<Configuration, Error>;
 
     /// Lists all upstreams.
     async fn upstreams(&self) -> Result<Listing, Error>;
 
-    /// Waits until an upstream has changed since `version`, up to a time limit of the
-    /// implementation. An answer of another era may lack earlier changes of that era.
-    async fn next_upstreams(&self, version: Version) -> Result<Changes, Error>;
+    /// Waits until an upstream has changed since `version`, for at most `wait`. An answer of another
+    /// era may lack earlier changes of that era.
+    async fn next_upstreams(&self, version: Version, wait: Duration) -> Result<Changes, Error>;
 
     /// Reads the changes of upstreams since `version` without waiting for one.
     async fn upstreams_since(&self, version: Version) -> Result<Changes, Error>;
@@ -135,9 +144,8 @@
     /// Lists all quarantine records.
     async fn quarantines(&self) -> Result<Quarantines, Error>;
 
-    /// Waits until a quarantine record has changed since the version `since`, up to a time limit of
-    /// the implementation.
-    async fn next_quarantines(&self, since: Version) -> Result<Quarantines, Error>;
+    /// Waits until a quarantine record has changed since the version `since`, for at most `wait`.
+    async fn next_quarantines(&self, since: Version, wait: Duration) -> Result<Quarantines, Error>;
 
     /// Replaces the quarantine record of `subject` if it has the revision `known`, or creates it if
     /// there is none and `known` is `None`.
--- a/quetzaltiller/src/entry/builder.rs
+++ b/quetzaltiller/src/entry/builder.rs
@@ -64,7 +64,8 @@
         let (clock, scope) = (Clock::default(), Scope::default());
         let metrics = Arc::new(Metrics::new(None));
         let local = Arc::new(LocalMember::new(heartbeat(config)));
-        let follower = Follower::start(&scope, clock, ports.store.clone(), metrics.clone());
+        let (store, recovery) = (ports.store.clone(), config.recovery);
+        let follower = Follower::start(&scope, clock, store, metrics.clone(), recovery);
         Self { config, ports, clock, scope, metrics, local, follower }
     }
 
@@ -146,6 +147,7 @@
             clock: self.clock,
             store: self.ports.store.clone(),
             metrics: self.metrics.clone(),
+            watches: self.follower.watches(),
         };
         Quarantine::start(&self.scope, dependencies)
     }
--- a/quetzaltiller/src/entry/config.rs
+++ b/quetzaltiller/src/entry/config.rs
@@ -21,6 +21,8 @@
     pub tunables: Tunables,
     /// Time after an upstream's end during which its address counts as its service's.
     pub reuse_after: Duration,
+    /// Time after an outage of the store in which this entry VM has to follow it again.
+    pub recovery: Duration,
     /// Maximum ratio of retries to requests, over all entry VMs.
     pub retry_ratio: f64,
     /// Number of retries allowed beyond the ratio, over all entry VMs.
--- a/quetzaltiller/src/follower/message.rs
+++ b/quetzaltiller/src/follower/message.rs
@@ -32,5 +32,5 @@
     /// The store can't be reached.
     StoreLost,
     /// The store can be reached again.
-    StoreRegained,
+    StoreRegained { was_silent: bool },
 }
--- a/quetzaltiller/src/follower/mod.rs
+++ b/quetzaltiller/src/follower/mod.rs
@@ -26,8 +26,10 @@
 mod store_status;
 mod task;
 mod watch_pause;
+mod watches;
 
 pub use watch_pause::Role;
+pub use watches::Watches;
 
 use crate::clock::Clock;
 use crate::control::{Changes, Store, Version};
@@ -54,15 +56,17 @@
     status: watch::Receiver<StoreStatus>,
     clock: Clock,
     watch_pause: Arc<watch::Sender<WatchPause>>,
+    watches: Watches,
 }
 
 impl Follower {
-    /// Starts following the store in `scope`.
+    /// Starts following the store in `scope`, again within `recovery` after an outage.
     pub fn start(
         scope: &Scope,
         clock: Clock,
         store: Arc<dyn Store>,
         metrics: Arc<Metrics>,
+        recovery: Duration,
     ) -> Self {
         let (mailbox, messages) = Mailbox::new();
         let (routes_sender, routes) = watch::channel(Arc::default());
@@ -73,6 +77,7 @@
         let task = Task::new(clock, published);
         scope.spawn(task.run(messages));
         let (watch_pause, watch_pauses) = watch::channel(WatchPause::default());
+        let watches = Watches::new(recovery, watch_pauses.clone(), status.clone());
         let source = Source {
             clock,
             store,
@@ -80,11 +85,13 @@
             mailbox: mailbox.clone(),
             status: status.clone(),
             watch_pause: watch_pauses,
+            watches: watches.clone(),
             end_pause: Arc::new(Notify::new()),
         };
         scope.spawn(source.clone().follow_routes());
         scope.spawn(source.follow_upstreams());
-        Self { mailbox, routes, directory, status, clock, watch_pause: Arc::new(watch_pause) }
+        let watch_pause = Arc::new(watch_pause);
+        Self { mailbox, routes, directory, status, clock, watch_pause, watches }
     }
 
     /// Configuration in force.
@@ -155,6 +162,11 @@
         self.routes().number() > 0 && !self.directory().is_empty()
     }
 
+    /// Watches of the store that begin anew when it has returned from an outage.
+    pub fn watches(&self) -> Watches {
+        self.watches.clone()
+    }
+
     /// Sets the role of this entry VM in watching the store's upstreams for its zone.
     pub fn set_role(&self, role: Role) {
         self.watch_pause.send_if_modified(|pause| std::mem::replace(&mut pause.role, role) != role);
--- a/quetzaltiller/src/follower/source.rs
+++ b/quetzaltiller/src/follower/source.rs
@@ -3,6 +3,7 @@
 use super::message::Message;
 use super::store_status::StoreStatus;
 use super::watch_pause::WatchPause;
+use super::watches::Watches;
 use crate::clock::Clock;
 use crate::control::{Changes, Error, Store, Version};
 use crate::mailbox::Mailbox;
@@ -32,6 +33,8 @@
     pub status: watch::Receiver<StoreStatus>,
     /// Conditions that end the pause between watches of the upstreams.
     pub watch_pause: watch::Receiver<WatchPause>,
+    /// Watches of the store.
+    pub watches: Watches,
     /// Notified when a read of the configuration fails: ends the pause between watches of the
     /// upstreams, as the store may be unreachable.
     pub end_pause: Arc<Notify>,
@@ -46,7 +49,10 @@
             self.metrics.count(Counter::StoreCall);
             let result = match version {
                 None => self.store.configuration().await,
-                Some(version) => self.store.next_configuration(version).await,
+                Some(version) => {
+                    let watch = |wait| self.store.next_configuration(version, wait);
+                    self.watches.watch(watch).await
+                }
             };
             match result {
                 Ok(configuration) => {
@@ -79,6 +85,7 @@
         let mut version = None;
         let mut retry_delay = MIN_RETRY_DELAY;
         let mut store_unreachable = false;
+        let mut was_silent = false;
         loop {
             self.metrics.count(Counter::StoreCall);
             let result = match version {
@@ -88,13 +95,17 @@
                 Some(version) if store_unreachable => {
                     self.store.upstreams_since(version).await.map(changes_message)
                 }
-                Some(version) => self.store.next_upstreams(version).await.map(changes_message),
+                Some(version) => {
+                    let watch = |wait| self.store.next_upstreams(version, wait);
+                    self.watches.watch_upstreams(watch).await.map(changes_message)
+                }
             };
             match result {
                 Ok((newest, message)) => {
                     if std::mem::take(&mut store_unreachable) {
                         info!("store_regained", kv: { era = newest.era, revision = newest.revision });
-                        self.mailbox.send(Message::StoreRegained);
+                        let was_silent = std::mem::take(&mut was_silent);
+                        self.mailbox.send(Message::StoreRegained { was_silent });
                     }
                     self.mailbox.send(message);
                     retry_delay = MIN_RETRY_DELAY;
@@ -115,6 +126,7 @@
                     };
                 }
                 Err(reason) => {
+                    was_silent |= reason == Error::Unanswered;
                     if !std::mem::replace(&mut store_unreachable, true) {
                         warn!("store_lost", kv: { reason:? = reason.to_string() });
                         self.metrics.count(Counter::StoreLost);
--- a/quetzaltiller/src/follower/store_status.rs
+++ b/quetzaltiller/src/follower/store_status.rs
@@ -16,4 +16,6 @@
     pub disputed: Vec<Arc<Upstream>>,
     /// Whether the store can't be reached.
     pub unreachable: bool,
+    /// Number of outages that ended and in which calls were not answered.
+    pub silences: u64,
 }
--- a/quetzaltiller/src/follower/task.rs
+++ b/quetzaltiller/src/follower/task.rs
@@ -42,6 +42,7 @@
     /// while the store can't be reached.
     successors: BTreeMap<String, (Successor, Option<Duration>)>,
     store_unreachable: bool,
+    silences: u64,
     /// End of the time after an outage of the store for which vanished upstreams are kept.
     grace_until: Duration,
     published: Published,
@@ -70,6 +71,7 @@
             disputed: BTreeMap::new(),
             successors: BTreeMap::new(),
             store_unreachable: false,
+            silences: 0,
             grace_until: Duration::ZERO,
             published,
         }
@@ -164,10 +166,15 @@
                 self.published.status.send_modify(|status| status.unreachable = true);
                 self.successors.values_mut().for_each(|(_, until)| *until = None);
             }
-            Message::StoreRegained => {
+            Message::StoreRegained { was_silent } => {
                 let now = self.clock.now();
                 self.store_unreachable = false;
-                self.published.status.send_modify(|status| status.unreachable = false);
+                self.silences += u64::from(was_silent);
+                let silences = self.silences;
+                self.published.status.send_modify(|status| {
+                    status.unreachable = false;
+                    status.silences = silences;
+                });
                 self.grace_until = now + LAPSE_GRACE;
                 let until = Some(now + SUCCESSOR_TTL);
                 self.successors.values_mut().for_each(|(_, used_until)| *used_until = until);
@@ -366,6 +373,7 @@
             successors,
             disputed: disputed.cloned().collect(),
             unreachable,
+            silences: self.silences,
         });
     }
 }
--- a/quetzaltiller/src/quarantine/mod.rs
+++ b/quetzaltiller/src/quarantine/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::clock::Clock;
 use crate::control::{Store, Subject};
+use crate::follower::Watches;
 use crate::mailbox::Mailbox;
 use crate::metrics::Metrics;
 use crate::prelude::*;
@@ -36,6 +37,8 @@
     pub store: Arc<dyn Store>,
     /// Counter of calls of the store.
     pub metrics: Arc<Metrics>,
+    /// Watches of the store.
+    pub watches: Watches,
 }
 
 /// Handle to the quarantine.
@@ -53,6 +56,7 @@
         let source = Source {
             store: dependencies.store.clone(),
             metrics: dependencies.metrics.clone(),
+            watches: dependencies.watches.clone(),
             mailbox: mailbox.clone(),
         };
         let task = Task::new(dependencies, scope.clone(), mailbox.clone(), published);
--- a/quetzaltiller/src/quarantine/source.rs
+++ b/quetzaltiller/src/quarantine/source.rs
@@ -2,6 +2,7 @@
 
 use super::message::Message;
 use crate::control::{Error, Store, Version};
+use crate::follower::Watches;
 use crate::mailbox::Mailbox;
 use crate::metrics::{Counter, Metrics};
 use crate::prelude::*;
@@ -20,6 +21,8 @@
     pub store: Arc<dyn Store>,
     /// Counter of calls of the store.
     pub metrics: Arc<Metrics>,
+    /// Watches of the store.
+    pub watches: Watches,
     /// Mailbox of the task that receives what is read.
     pub mailbox: Mailbox<Message>,
 }
@@ -33,7 +36,10 @@
             self.metrics.count(Counter::StoreCall);
             let result = match version {
                 None => self.store.quarantines().await,
-                Some(since) => self.store.next_quarantines(since).await,
+                Some(since) => {
+                    let watch = |wait| self.store.next_quarantines(since, wait);
+                    self.watches.watch(watch).await
+                }
             };
             match result {
                 // The changes may be of another history than what was listed.
--- a/quetzaltiller/tests/eras.rs
+++ b/quetzaltiller/tests/eras.rs
@@ -16,6 +16,8 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
+/// Time after an outage of the store in which it has to be followed again.
+const RECOVERY: Duration = Duration::from_secs(3);
 /// Time within which a change in the store reaches a follower.
 const MAX_LAG: Duration = Duration::from_millis(500);
 /// Age of the copy from which the store returns.
@@ -26,7 +28,7 @@
 fn follow(client: &ControlStore, scope: &Scope) -> Follower {
     quetzaltiller::logs::stop();
     let metrics = Arc::new(Metrics::new(None));
-    Follower::start(scope, Clock::default(), Arc::new(client.clone()), metrics)
+    Follower::start(scope, Clock::default(), Arc::new(client.clone()), metrics, RECOVERY)
 }
 
 /// Starts a follower of a store that lists engines 0 to 3, and waits until the store has a copy of
--- a/quetzaltiller/tests/follower.rs
+++ b/quetzaltiller/tests/follower.rs
@@ -16,6 +16,8 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
+/// Time after an outage of the store in which it has to be followed again.
+const RECOVERY: Duration = Duration::from_secs(3);
 /// Time within which a change in the store reaches the follower.
 const MAX_LAG: Duration = Duration::from_millis(500);
 
@@ -24,7 +26,8 @@
     let (store, scope) = (ControlStore::default(), Scope::default());
     listed.iter().for_each(|upstream| store.list(upstream.clone()));
     let metrics = Arc::new(Metrics::new(None));
-    let follower = Follower::start(&scope, Clock::default(), Arc::new(store.clone()), metrics);
+    let follower =
+        Follower::start(&scope, Clock::default(), Arc::new(store.clone()), metrics, RECOVERY);
     sleep(MAX_LAG).await;
     (follower, store, scope)
 }
@@ -127,7 +130,8 @@
     let (peer, store, scope) = start(&[first.clone(), engine("engine-b-0", "b", 2)]).await;
     let client = store.client();
     let metrics = Arc::new(Metrics::new(None));
-    let told = Follower::start(&scope, Clock::default(), Arc::new(client.clone()), metrics);
+    let told =
+        Follower::start(&scope, Clock::default(), Arc::new(client.clone()), metrics, RECOVERY);
     sleep(MAX_LAG).await;
     store.set_away(true);
     sleep(Duration::from_secs(3)).await;
--- a/quetzaltiller/tests/quarantine.rs
+++ b/quetzaltiller/tests/quarantine.rs
@@ -3,6 +3,7 @@
 use quetzaltiller::clock::Clock;
 use quetzaltiller::control::Subject;
 use quetzaltiller::entry::Entry;
+use quetzaltiller::follower::Watches;
 use quetzaltiller::metrics::{Counter, Metrics};
 use quetzaltiller::proxy::{Part, Prompt, Request};
 use quetzaltiller::quarantine::{self, Quarantine};
@@ -305,12 +306,10 @@
 fn start_scopes(store: &ControlStore, count: usize) -> Vec<(Scope, Quarantine)> {
     let start = |number: usize| {
         let scope = Scope::default();
-        let dependencies = quarantine::Dependencies {
-            name: format!("entry-{number}"),
-            clock: Clock::default(),
-            store: Arc::new(store.clone()),
-            metrics: Arc::new(Metrics::new(None)),
-        };
+        let (clock, metrics) = (Clock::default(), Arc::new(Metrics::new(None)));
+        let store = Arc::new(store.clone());
+        let (name, watches) = (format!("entry-{number}"), Watches::alone());
+        let dependencies = quarantine::Dependencies { name, clock, store, metrics, watches };
         let quarantine = Quarantine::start(&scope, dependencies);
         (scope, quarantine)
     };
--- a/standin/src/control.rs
+++ b/standin/src/control.rs
@@ -17,12 +17,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Time that each call takes.
 const CALL_TIME: Duration = Duration::from_millis(4);
-/// Longest wait of a watch without a change.
-const WATCH_LIMIT: Duration = Duration::from_secs(20);
+/// Time limit of a call of a client, not counting the wait of a watch.
+const CALL_LIMIT: Duration = Duration::from_secs(1);
 
 /// What the store holds at one revision.
 #[derive(Clone, Default)]
@@ -46,6 +46,8 @@
     quarantine_writes: u64,
     era: u64,
     away: bool,
+    /// Whether what is sent is never answered.
+    silent: bool,
     calls: u64,
     /// Entries of upstreams in all eras, in the order in which they were written.
     written: Vec<Upstream>,
@@ -68,6 +70,7 @@
 #[derive(Default)]
 struct Link {
     cut: AtomicBool,
+    silent: AtomicBool,
     calls: AtomicU64,
 }
 
@@ -119,6 +122,19 @@
         self.revision.send_modify(|_| {});
     }
 
+    /// Makes the store silent, or lets it answer again. Calls that it receives while it is silent, and
+    /// watches that wait then, are never answered; their clients' time limits end them.
+    pub fn set_silent(&self, silent: bool) {
+        self.lock().silent = silent;
+        self.revision.send_modify(|_| {});
+    }
+
+    /// Makes the store silent to this client alone, or lets it answer again.
+    pub fn set_link_silent(&self, silent: bool) {
+        self.link.silent.store(silent, Ordering::Relaxed);
+        self.revision.send_modify(|_| {});
+    }
+
     /// Returns a client of this store that can be cut off from it alone.
     pub fn client(&self) -> Self {
         Self { link: Arc::default(), ..self.clone() }
@@ -270,12 +286,26 @@
 
     /// Counts a call and waits for its time; fails if the store is unavailable.
     async fn begin_call(&self) -> Result<(), Error> {
+        self.begin_watch(Duration::ZERO).await
+    }
+
+    /// Counts a call and waits for its time; a silent store lets it wait for `wait` and the time
+    /// limit of calls. Fails if the store is unavailable.
+    async fn begin_watch(&self, wait: Duration) -> Result<(), Error> {
         self.lock().calls += 1;
         self.link.calls.fetch_add(1, Ordering::Relaxed);
+        if self.is_silent() {
+            sleep(wait + CALL_LIMIT).await;
+            return Err(Error::Unanswered);
+        }
         sleep(CALL_TIME).await;
         if self.is_away() { Err(Error::Unavailable("away".into())) } else { Ok(()) }
     }
 
+    fn is_silent(&self) -> bool {
+        self.lock().silent || self.link.silent.load(Ordering::Relaxed)
+    }
+
     fn is_away(&self) -> bool {
         self.lock().away || self.link.cut.load(Ordering::Relaxed)
     }
@@ -293,29 +323,41 @@
         since.map(|(_, change)| change.clone()).collect()
     }
 
-    /// Waits until `newer` holds or `WATCH_LIMIT` has passed; returns the current version. Fails
-    /// with `Expired` if the store has no changes after `revision` and with `Lost` if it becomes
-    /// unavailable or another era begins.
-    async fn wait(&self, revision: u64, newer: impl Fn(&State) -> bool) -> Result<Version, Error> {
-        self.begin_call().await?;
+    /// Waits until `newer` holds or `wait` has passed; returns the current version. Fails with
+    /// `Expired` if the store has no changes after `revision` and with `Lost` if it becomes
+    /// unavailable or silent or another era begins.
+    async fn wait(
+        &self,
+        revision: u64,
+        wait: Duration,
+        newer: impl Fn(&State) -> bool,
+    ) -> Result<Version, Error> {
+        let limit = Instant::now() + wait + CALL_LIMIT;
+        self.begin_watch(wait).await?;
         if revision < self.lock().compacted || revision > *self.revision.borrow() {
             return Err(Error::Expired);
         }
         let era = self.lock().era;
         let mut seen = self.revision.subscribe();
-        let changed = async {
-            loop {
-                let away = self.is_away();
-                let newer = {
-                    let state = self.lock();
-                    state.era != era || newer(&state)
-                };
-                if away || newer || seen.changed().await.is_err() {
-                    return;
-                }
+        let end = Instant::now() + wait;
+        loop {
+            if self.is_silent() {
+                sleep_until(limit).await;
+                return Err(Error::Unanswered);
             }
-        };
-        let _ = timeout(WATCH_LIMIT, changed).await;
+            let newer = {
+                let state = self.lock();
+                state.era != era || newer(&state)
+            };
+            if self.is_away() || newer || Instant::now() >= end {
+                break;
+            }
+            tokio::select! {
+                biased;
+                changed = seen.changed() => if changed.is_err() { break },
+                () = sleep_until(end) => {}
+            }
+        }
         if self.is_away() || self.lock().era != era {
             return Err(Error::Lost);
         }
@@ -339,9 +381,13 @@
         self.delay_answer(Configuration { version, table: Some(table) }).await
     }
 
-    async fn next_configuration(&self, since: Version) -> Result<Configuration, Error> {
+    async fn next_configuration(
+        &self,
+        since: Version,
+        wait: Duration,
+    ) -> Result<Configuration, Error> {
         let is_newer = |state: &State| state.contents.configured_at > since.revision;
-        let version = self.wait(since.revision, is_newer).await?;
+        let version = self.wait(since.revision, wait, is_newer).await?;
         let table = {
             let state = self.lock();
             is_newer(&state).then(|| Table::from(state.contents.configuration.clone()))
@@ -357,15 +403,15 @@
         self.delay_answer(listing).await
     }
 
-    async fn next_upstreams(&self, since: Version) -> Result<Changes, Error> {
+    async fn next_upstreams(&self, since: Version, wait: Duration) -> Result<Changes, Error> {
         let Version { revision, .. } = since;
         let newer = |state: &State| state.changes.last().is_some_and(|(at, _)| *at > revision);
-        let version = self.wait(revision, newer).await?;
+        let version = self.wait(revision, wait, newer).await?;
         self.delay_answer(Changes { version, changes: self.changes_since(revision) }).await
     }
 
     async fn upstreams_since(&self, since: Version) -> Result<Changes, Error> {
-        let version = self.wait(since.revision, |_| true).await?;
+        let version = self.wait(since.revision, Duration::ZERO, |_| true).await?;
         self.delay_answer(Changes { version, changes: self.changes_since(since.revision) }).await
     }
 
@@ -392,11 +438,11 @@
         Ok(Quarantines { version, changes })
     }
 
-    async fn next_quarantines(&self, since: Version) -> Result<Quarantines, Error> {
+    async fn next_quarantines(&self, since: Version, wait: Duration) -> Result<Quarantines, Error> {
         let revision = since.revision;
         let newer =
             |state: &State| state.quarantine_changes.last().is_some_and(|(at, _)| *at > revision);
-        let newest = self.wait(revision, newer).await?;
+        let newest = self.wait(revision, wait, newer).await?;
         let state = self.lock();
         let since = state.quarantine_changes.iter().filter(|(at, _)| *at > revision);
         Ok(Quarantines { version: newest, changes: since.map(|(_, c)| c.clone()).collect() })
--- a/standin/src/site.rs
+++ b/standin/src/site.rs
@@ -207,6 +207,7 @@
             entries_lifetime: Duration::from_secs(5),
         },
         reuse_after: Duration::from_secs(2),
+        recovery: Duration::from_secs(3),
         retry_ratio: 0.8,
         retry_slack: 150.0,
     }
