Heartbeats tell that the store was silent

They learn configurations and upstreams from others, but quarantine records from the store alone, so a watch of these that the store received during a silence hid records for up to 21 s.

Change: heartbeats carry the number of silences that their sender has noticed itself; a VM whose zone's watching VMs notice a new one begins its watches anew. These ask for the changes since a revision; nothing is listed.

Test: quetzaltiller/tests/silent_store.rs with quarantine records; without the report 12 cases fail, all with 27 entry VMs.

--- a/quetzaltiller/src/entry/delegate.rs
+++ b/quetzaltiller/src/entry/delegate.rs
@@ -14,6 +14,7 @@
 use crate::upstream::Limit;
 use crate::wire;
 use coordination::rendezvous::rank;
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -60,6 +61,17 @@
     names: Vec<String>,
     /// Detects that this entry VM lags behind other zones.
     lag: Lag,
+    /// Silences of the store that other entry VMs have noticed, by their names.
+    silences: BTreeMap<String, u32>,
+}
+
+impl Watchers {
+    /// Records the silences that another entry VM has noticed; returns whether it watches the store
+    /// for this one and has noticed a new one.
+    fn record_silences(&mut self, name: &str, silences: u32) -> bool {
+        let known = self.silences.insert(name.to_owned(), silences);
+        known.is_some_and(|known| known < silences) && self.names.iter().any(|n| n == name)
+    }
 }
 
 impl EntryDelegate {
@@ -124,6 +136,7 @@
         beat.number = self.follower.routes().number();
         beat.set_store_version(self.follower.version());
         beat.ready = self.follower.is_ready();
+        beat.silences = self.follower.silences();
         if near || self.follower.is_store_unreachable() {
             let encode = |successor: &Successor| wire::Successor {
                 lost: successor.lost.clone(),
@@ -185,6 +198,9 @@
         if self.watchers().names.contains(&beat.name) {
             self.follower.record_relay_contact();
         }
+        if self.watchers().record_silences(&beat.name, beat.silences) {
+            self.follower.record_reported_silence();
+        }
         let upstreams = self.has_newer_upstreams(beat);
         let is_newer = upstreams || beat.number > self.follower.routes().number();
         if !is_newer || self.is_pulling.swap(true, Ordering::Relaxed) {
--- a/quetzaltiller/src/entry/mod.rs
+++ b/quetzaltiller/src/entry/mod.rs
@@ -232,7 +232,7 @@
     async fn answer(&self, ask: wire::Ask) -> wire::Reply {
         match ask {
             wire::Ask::Heartbeat(beat) => {
-                wire::Reply::Heartbeat(self.members.handle_heartbeat(beat))
+                wire::Reply::Heartbeat(Box::new(self.members.handle_heartbeat(beat)))
             }
             wire::Ask::Pull(pull) => {
                 let table = self.follower.routes();
--- a/quetzaltiller/src/follower/message.rs
+++ b/quetzaltiller/src/follower/message.rs
@@ -31,6 +31,8 @@
     },
     /// The store can't be reached.
     StoreLost,
-    /// The store can be reached again.
+    /// The store can be reached again; it may have received calls that it did not answer.
     StoreRegained { was_silent: bool },
+    /// An entry VM that watches the store for this one has noticed that it was silent.
+    SilenceReported,
 }
--- a/quetzaltiller/src/follower/mod.rs
+++ b/quetzaltiller/src/follower/mod.rs
@@ -182,6 +182,16 @@
         self.status.borrow().successors.clone()
     }
 
+    /// Number of silences of the store that this entry VM itself has noticed.
+    pub fn silences(&self) -> u32 {
+        self.status.borrow().silences
+    }
+
+    /// Records that an entry VM which watches the store for this one has noticed a silence.
+    pub fn record_reported_silence(&self) {
+        self.mailbox.send(Message::SilenceReported);
+    }
+
     /// Whether the store can't be reached.
     pub fn is_store_unreachable(&self) -> bool {
         self.status.borrow().unreachable
--- a/quetzaltiller/src/follower/store_status.rs
+++ b/quetzaltiller/src/follower/store_status.rs
@@ -16,6 +16,8 @@
     pub disputed: Vec<Arc<Upstream>>,
     /// Whether the store can't be reached.
     pub unreachable: bool,
-    /// Number of outages that ended and in which calls were not answered.
-    pub silences: u64,
+    /// Number of outages that ended and in which calls of this entry VM were not answered.
+    pub silences: u32,
+    /// Number of such outages that entry VMs reported which watch the store for this one.
+    pub reported_silences: u32,
 }
--- a/quetzaltiller/src/follower/task.rs
+++ b/quetzaltiller/src/follower/task.rs
@@ -42,7 +42,8 @@
     /// while the store can't be reached.
     successors: BTreeMap<String, (Successor, Option<Duration>)>,
     store_unreachable: bool,
-    silences: u64,
+    silences: u32,
+    reported_silences: u32,
     /// End of the time after an outage of the store for which vanished upstreams are kept.
     grace_until: Duration,
     published: Published,
@@ -72,6 +73,7 @@
             successors: BTreeMap::new(),
             store_unreachable: false,
             silences: 0,
+            reported_silences: 0,
             grace_until: Duration::ZERO,
             published,
         }
@@ -166,10 +168,15 @@
                 self.published.status.send_modify(|status| status.unreachable = true);
                 self.successors.values_mut().for_each(|(_, until)| *until = None);
             }
+            Message::SilenceReported => {
+                self.reported_silences += 1;
+                let reported = self.reported_silences;
+                self.published.status.send_modify(|status| status.reported_silences = reported);
+            }
             Message::StoreRegained { was_silent } => {
                 let now = self.clock.now();
                 self.store_unreachable = false;
-                self.silences += u64::from(was_silent);
+                self.silences += u32::from(was_silent);
                 let silences = self.silences;
                 self.published.status.send_modify(|status| {
                     status.unreachable = false;
@@ -374,6 +381,7 @@
             disputed: disputed.cloned().collect(),
             unreachable,
             silences: self.silences,
+            reported_silences: self.reported_silences,
         });
     }
 }
--- a/quetzaltiller/src/follower/watches.rs
+++ b/quetzaltiller/src/follower/watches.rs
@@ -78,12 +78,16 @@
     ) -> Result<T, Error> {
         let mut status = self.status.clone();
         loop {
-            let known = status.borrow_and_update().silences;
+            let known = all_silences(&status.borrow_and_update());
             tokio::select! {
                 biased;
                 result = call(LONG_WAIT) => return result,
-                Ok(_) = status.wait_for(|status| status.silences > known) => {}
+                Ok(_) = status.wait_for(|status| all_silences(status) > known) => {}
             }
         }
     }
 }
+
+fn all_silences(status: &StoreStatus) -> u32 {
+    status.silences + status.reported_silences
+}
--- a/quetzaltiller/src/members/heartbeats.rs
+++ b/quetzaltiller/src/members/heartbeats.rs
@@ -65,7 +65,7 @@
         self.scope.spawn(async move {
             let ask = wire::Ask::Heartbeat(members.heartbeat(near));
             let message = match link.call(&address, ask).await {
-                Ok(wire::Reply::Heartbeat(beat)) => Message::Heartbeat(Box::new(beat)),
+                Ok(wire::Reply::Heartbeat(beat)) => Message::Heartbeat(beat),
                 _ => Message::Unanswered(address),
             };
             members.mailbox.send(message);
--- a/quetzaltiller/src/router/mod.rs
+++ b/quetzaltiller/src/router/mod.rs
@@ -337,7 +337,7 @@
     async fn answer(&self, ask: wire::Ask) -> wire::Reply {
         match ask {
             wire::Ask::Heartbeat(beat) => {
-                wire::Reply::Heartbeat(self.members.handle_heartbeat(beat))
+                wire::Reply::Heartbeat(Box::new(self.members.handle_heartbeat(beat)))
             }
             wire::Ask::Append(append) => wire::Reply::Appended(self.keeper.append(append).await),
             wire::Ask::Take(take) => wire::Reply::Taken(self.keeper.take_over(take).await),
--- a/quetzaltiller/src/wire.rs
+++ b/quetzaltiller/src/wire.rs
@@ -65,8 +65,8 @@
 #[derive(Clone, Oneof, PartialEq)]
 pub enum Reply {
     /// Heartbeat of the answering peer.
-    #[prost(message, tag = "2")]
-    Heartbeat(Heartbeat),
+    #[prost(message, boxed, tag = "2")]
+    Heartbeat(Box<Heartbeat>),
     /// Result of an append.
     #[prost(message, tag = "3")]
     Appended(Appended),
@@ -154,6 +154,9 @@
     /// Store's era of the upstreams that the member knows; 0 from members that don't send it.
     #[prost(uint64, tag = "22")]
     pub era: u64,
+    /// Number of silences of the store that the sender itself has noticed.
+    #[prost(uint32, tag = "23")]
+    pub silences: u32,
 }
 
 impl Heartbeat {
--- a/quetzaltiller/tests/members.rs
+++ b/quetzaltiller/tests/members.rs
@@ -70,7 +70,7 @@
             (Some(peer), wire::Ask::Heartbeat(beat))
                 if !is_unreachable(address) && !is_unreachable(&self.address) =>
             {
-                Ok(wire::Reply::Heartbeat(peer.handle_heartbeat(beat)))
+                Ok(wire::Reply::Heartbeat(Box::new(peer.handle_heartbeat(beat))))
             }
             _ => Err(peer::Error::Unreachable),
         }
--- a/quetzaltiller/tests/silent_store.rs
+++ b/quetzaltiller/tests/silent_store.rs
@@ -1,5 +1,6 @@
 //! Entry VMs after the store has been silent: what they sent to it is never answered.
 
+use quetzaltiller::control::{Record, Store as _, Subject};
 use quetzaltiller::fleet::Upstream;
 use rstest::rstest;
 use standin::site::{Site, ZONES, configuration};
@@ -11,6 +12,9 @@
 /// Time in which a change has to be followed (users' settings).
 const MAX_LAG: Duration = Duration::from_secs(2);
 
+/// Subject of a quarantine record.
+const PART: Subject = Subject::Part(0xbad);
+
 /// What changes in the store.
 #[derive(Clone, Copy, Debug)]
 enum Change {
@@ -20,15 +24,21 @@
     Departure,
     /// An upstream that is removed without having been listed as leaving.
     Removal,
+    /// A quarantine record.
+    Quarantine,
 }
 
 impl Change {
-    fn write(self, site: &Site) {
+    async fn write(self, site: &Site) {
         let desk = site.store.listed().into_iter().find(|known| known.id == "desk-b").unwrap();
         match self {
             Self::Configuration => site.store.configure(configuration(2)),
             Self::Departure => site.store.list(Upstream { leaving: true, ..desk }),
             Self::Removal => site.store.remove("desk-b"),
+            Self::Quarantine => {
+                let record = Record::default();
+                site.store.write_quarantine(PART, None, &record).await.unwrap();
+            }
         }
     }
 
@@ -42,6 +52,7 @@
                 Self::Configuration => dump.number == 2,
                 Self::Departure => desk.is_some_and(|state| state.is_leaving()),
                 Self::Removal => desk.is_none(),
+                Self::Quarantine => dump.quarantine.records.contains_key(&PART.to_string()),
             };
             if !followed {
                 missed.push(dump.name);
@@ -72,7 +83,8 @@
 #[rstest]
 #[tokio::test(start_paused = true)]
 async fn a_change_after_a_silence_of_the_store_is_followed_in_time(
-    #[values(Change::Configuration, Change::Departure, Change::Removal)] change: Change,
+    #[values(Change::Configuration, Change::Departure, Change::Removal, Change::Quarantine)]
+    change: Change,
     #[values(300, 1_000, 2_000, 4_500)] silence_ms: u64,
     #[values(None, Some(100), Some(1_000))] touched_ms_before: Option<u64>,
     #[values(3, 27)] vms: usize,
@@ -87,7 +99,7 @@
     sleep(Duration::from_millis(silence_ms)).await;
     site.store.set_silent(false);
     sleep(RECOVERY).await;
-    change.write(&site);
+    change.write(&site).await;
     sleep(MAX_LAG).await;
 
     let missed = change.missed_by(&site).await;
@@ -112,7 +124,7 @@
     sleep(Duration::from_millis(silence_ms)).await;
     client.set_link_silent(false);
     sleep(RECOVERY).await;
-    change.write(&site);
+    change.write(&site).await;
     sleep(MAX_LAG).await;
 
     let missed = change.missed_by(&site).await;
