Answers that are read whole share one memory budget

no_path_keeps_endless_bytes failed on x86-64 (158 MB in the chunked case on, the bound is 100 MB). Each path was measured alone: the bytes are the product's, not those of the test's peers. Four connections to the store held 16 MB each (53 to 59 MB measured together) and each answer of an upstream 1 MB, and nothing bounded the sum; the faster machine reaches all limits within the time limits of the calls.

coordination::memory counts what a process holds: a Budget, and Buffers that reserve before they allocate. A first version grew its buffers by reallocation and still took 42 to 95 MB for 16 MB of the store's answers: glibc keeps freed blocks of the earlier sizes. Buffers now keep segments of 64 KB, and pieces are copied, as a slice of one byte kept a whole read buffer alive.

The bound and the test are unchanged.

--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`journal`]: a keeper's copies of unfinished answers, fenced by term.
 //! - [`feed`]: a numbered value that is only replaced by a newer one.
 //! - [`membership`]: heartbeats, incarnations and liveness of peers.
+//! - [`memory`]: a limit on the bytes that a process holds for its peers.
 //! - [`detector`]: an adaptive threshold for the silence of a source.
 //! - [`wait_policy`]: how long to wait for a silent process before starting a replacement.
 //! - [`budget`]: a limit on retries as a fraction of successes.
@@ -22,6 +23,7 @@
 pub mod feed;
 pub mod journal;
 pub mod membership;
+pub mod memory;
 pub mod quarantine;
 pub mod quota;
 pub mod rendezvous;
--- a/quetzaltiller/src/upstream.rs
+++ b/quetzaltiller/src/upstream.rs
@@ -6,9 +6,10 @@
 use crate::fleet::Upstream;
 use crate::proxy::Request;
 use async_trait::async_trait;
-use bytes::{Bytes, BytesMut};
-use futures::StreamExt as _;
+use bytes::Bytes;
+use coordination::memory::{self, Budget, Buffer};
 use futures::stream::BoxStream;
+use futures::{Stream, StreamExt as _};
 use hyper::{HeaderMap, StatusCode};
 use quick_error::quick_error;
 use serde::Serialize;
@@ -17,9 +18,11 @@
 use std::time::Duration;
 
 /// Longest reply that is buffered whole before it is passed on, in bytes. More than a hundred times
-/// the longest reply on the users' sheets (5 kB), and 50 MB if fifty faulty upstreams reach the
-/// limit at once.
+/// the longest reply on the users' sheets (5 kB).
 pub const MAX_REPLY_BYTES: usize = 1 << 20;
+/// Bytes of all replies that are buffered at once. Leaves three quarters of the smallest VM's memory
+/// (120 MB) to the process, however many faulty upstreams send replies without end.
+pub const MAX_BUFFERED_BYTES: usize = 30 << 20;
 
 quick_error! {
     /// Reasons why an upstream gave no usable answer.
@@ -41,7 +44,8 @@
         Foreign {
             display("answer of another request")
         }
-        /// The request was sent and the answer exceeds the size limit; it may have run.
+        /// The request was sent and the answer exceeds a limit on its size or the memory for answers;
+        /// it may have run.
         Oversized {
             display("answer without end")
         }
@@ -132,21 +136,39 @@
     pub delimited: bool,
     /// Body as a stream; ends with an error if it was cut off.
     pub body: BoxStream<'static, Result<Bytes, Error>>,
+    /// Memory for replies that are buffered whole.
+    pub memory: Budget,
 }
 
 impl Response {
-    /// Reads the whole body; [`Error::Oversized`] if it exceeds [`MAX_REPLY_BYTES`].
-    pub async fn collect(mut self) -> Result<Bytes, Error> {
-        let mut collected = BytesMut::new();
-        while let Some(chunk) = self.body.next().await {
-            let chunk = chunk?;
-            if collected.len() + chunk.len() > MAX_REPLY_BYTES {
-                return Err(Error::Oversized);
-            }
-            collected.extend_from_slice(&chunk);
+    /// Reads the whole body; [`Error::Oversized`] if it exceeds [`MAX_REPLY_BYTES`] or the memory for
+    /// replies.
+    pub async fn collect(self) -> Result<Bytes, Error> {
+        read_whole(self.body, Buffer::new(&self.memory, MAX_REPLY_BYTES))
+            .await?
+            .map_err(Error::from)
+    }
+}
+
+impl From<memory::Error> for Error {
+    fn from(_: memory::Error) -> Self {
+        Self::Oversized
+    }
+}
+
+/// Reads a body into `buffer`, whose memory is released when the last copy of the result is dropped.
+/// The inner error tells that the buffer has no room.
+pub async fn read_whole<E>(
+    body: impl Stream<Item = Result<Bytes, E>>,
+    mut buffer: Buffer,
+) -> Result<Result<Bytes, memory::Error>, E> {
+    let mut body = std::pin::pin!(body);
+    while let Some(chunk) = body.next().await {
+        if let Err(error) = buffer.append(&chunk?) {
+            return Ok(Err(error));
         }
-        Ok(collected.freeze())
     }
+    Ok(buffer.finish().map(Bytes::from_owner))
 }
 
 /// Load report of an engine, some hundred milliseconds old.
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -14,6 +14,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use coordination::memory::Budget;
 use futures::StreamExt as _;
 use hyper::{HeaderMap, StatusCode};
 use poison::{CALL_CRASH_DELAY, Poison};
@@ -301,7 +302,8 @@
             let body =
                 futures::stream::iter([Ok(Bytes::from(format!("done {}", call.request.id)))])
                     .boxed();
-            Response { status, headers: HeaderMap::new(), not_run, delimited: true, body }
+            let (headers, memory) = (HeaderMap::new(), Budget::default());
+            Response { status, headers, not_run, delimited: true, body, memory }
         };
         match fault {
             Some(Fault::Shed | Fault::Close(_)) => {
--- a/standin/src/fleet/stream.rs
+++ b/standin/src/fleet/stream.rs
@@ -4,6 +4,7 @@
 use super::poison::CRASH_DELAY;
 use super::{Fault, Fleet};
 use bytes::Bytes;
+use coordination::memory::Budget;
 use futures::StreamExt as _;
 use hyper::{HeaderMap, StatusCode};
 use quetzaltiller::upstream::{Call, Error, Response};
@@ -106,6 +107,7 @@
             not_run: false,
             delimited: true,
             body,
+            memory: Budget::default(),
         })
     }
 
@@ -202,7 +204,8 @@
     fleet.count().turned_away += 1;
     let body = futures::stream::empty().boxed();
     let status = StatusCode::SERVICE_UNAVAILABLE;
-    Response { status, headers: HeaderMap::new(), not_run: true, delimited: true, body }
+    let (headers, memory) = (HeaderMap::new(), Budget::default());
+    Response { status, headers, not_run: true, delimited: true, body, memory }
 }
 
 /// Completes when the process ends and its connections break; never if they go silent.
