Crashes before the head of an answer are evidence for the quarantine

A process that aborts as it begins to write sends none: the culprit left no run_broke_early line, while sound runs that had begun beside it did. And the one attempt to connect that tells a crash from a cut path finds the address open where the process closes its connections before its listener (seen: upstream_ended=false 61 ms after the head of a process that had aborted) or where the next process has started.

Now a run is evidence from when it is sent, also where the engine is given up before the break is noticed; a rejection is none. Sound runs that waited at the engine are suspected too; settled answers and explanations by another part clear them, as before.

--- a/quetzaltiller/src/proxy/break_off.rs
+++ b/quetzaltiller/src/proxy/break_off.rs
@@ -3,7 +3,8 @@
 //! Such an upstream is checked: only one whose process has ended may have been crashed by the
 //! request. A path that is cut is no evidence.
 
-use super::{CHECK_LIMIT, Context, Request};
+use super::exit_check::ExitCheck;
+use super::{Context, Request};
 use crate::control::Subject;
 use crate::fleet::Upstream;
 use crate::prelude::*;
@@ -19,7 +20,10 @@
     pub subjects: Vec<Subject>,
     /// Upstream that answered.
     pub upstream: Arc<Upstream>,
-    /// Time since the answer's head, or since the request was sent where the answer is read whole.
+    /// Whether the answer's head had come.
+    pub has_head: bool,
+    /// Time since the answer's head, or since the request was sent where none had come or the answer
+    /// is read whole.
     pub age: Duration,
     /// Number of events that came.
     pub events: u32,
@@ -30,7 +34,9 @@
     pub fn investigate(self, context: &Context) {
         let context = context.clone();
         context.scope.clone().spawn(async move {
-            let upstream_ended = context.client.has_ended(self.upstream.address, CHECK_LIMIT).await;
+            let is_engine = self.request.prompt.is_some();
+            let check = ExitCheck { context: &context, upstream: &self.upstream, is_engine };
+            let upstream_ended = check.has_ended().await;
             self.log(upstream_ended);
             if upstream_ended {
                 let start = format!("{}/{}", self.upstream.id, self.upstream.incarnation);
@@ -45,7 +51,8 @@
         let subjects: Vec<_> = logged.map(Subject::to_string).collect();
         info!("run_broke_early", kv: {
             request = self.request.id, upstream = self.upstream.id,
-            age_ms = self.age.as_millis() as u64, events = self.events, upstream_ended,
+            has_head = self.has_head, age_ms = self.age.as_millis() as u64, events = self.events,
+            upstream_ended,
             subjects = subjects.join(",")
         });
     }
--- a/quetzaltiller/src/proxy/call.rs
+++ b/quetzaltiller/src/proxy/call.rs
@@ -345,6 +345,7 @@
         request: request.clone(),
         subjects: plan.subjects(request),
         upstream: placement.upstream.clone(),
+        has_head: false,
         age: context.clock.now().saturating_sub(sent_at),
         events: 0,
     }
--- a/quetzaltiller/src/proxy/mod.rs
+++ b/quetzaltiller/src/proxy/mod.rs
@@ -11,6 +11,7 @@
 mod caller;
 mod copies;
 mod event;
+mod exit_check;
 mod pauses;
 mod placing;
 mod plan;
--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -208,7 +208,10 @@
                 Some(result) = inbox.copy_results.recv() => self.handle_copy(result),
                 Ok(()) = withdrawn.changed() => {
                     let withdrawn = withdrawn.borrow_and_update().clone();
-                    withdrawn.iter().for_each(|id| self.advance(Input::EngineLost(id.clone())));
+                    for id in withdrawn.iter() {
+                        self.beginning.record_loss(id);
+                        self.advance(Input::EngineLost(id.clone()));
+                    }
                 }
                 Ok(()) = verdicts.changed() => self.handle_verdicts(),
                 () = self.caller.disconnected() => self.handle_disconnect(),
@@ -445,6 +448,7 @@
             self.sent += 1;
             self.tried.push(upstream.to_owned());
             self.run_conn = Some(conn);
+            self.beginning.record_send(conn, placement.upstream.clone());
             self.pauses.record_send(self.context.clock.now());
         }
         let task = async move {
@@ -479,9 +483,7 @@
                 if self.events == 0 {
                     self.caller.set_head(head);
                 }
-                if let Some(upstream) = self.primary() {
-                    self.beginning.record_head(conn, upstream);
-                }
+                self.beginning.record_head(conn);
                 self.advance(Input::Opened(conn));
             }
             Notice::Alive(conn) => self.advance(Input::Opened(conn)),
@@ -494,6 +496,7 @@
                 self.advance(Input::Chunk(conn, Piece::End));
             }
             Notice::Answered(conn, answer) => {
+                self.beginning.record_rejection(conn);
                 // An engine that rejects the rest of a stream that another began is at fault itself.
                 let is_final = answer.status.is_client_error() && self.events == 0;
                 self.error_answer = Some(answer);
@@ -528,7 +531,11 @@
             request = self.request.id, upstream, conn, reason:? = error.to_string(),
             silent_ms = self.machine.silence(self.context.clock.now()).as_millis() as u64
         });
-        self.beginning.record_break(conn);
+        if matches!(error, engine::Error::Busy | engine::Error::Refused) {
+            self.beginning.record_rejection(conn);
+        } else {
+            self.beginning.record_break(conn);
+        }
         match error {
             // The engine has no such copy or no free slot; it did not fail.
             engine::Error::Busy => self.tried.retain(|tried| *tried != upstream),
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -185,6 +185,7 @@
             key: &key,
             patience,
             prompt: prompt_id.map(|id| (PROMPT_TOKENS, id)),
+            shared_part: None,
             last_event: (last_event > 0).then_some(last_event),
         };
         let method = if kind == Kind::Order { Method::POST } else { Method::GET };
--- a/soak/src/deployment.rs
+++ b/soak/src/deployment.rs
@@ -128,6 +128,15 @@
     settings: PathBuf,
 }
 
+/// Options of all upstreams of a run.
+#[derive(Clone, Debug, Default)]
+pub struct Options {
+    /// Whether entry VMs reach the upstreams without the proxies.
+    pub direct: bool,
+    /// Further arguments of each upstream, as `--name=value`.
+    pub upstream_arguments: Vec<String>,
+}
+
 /// All processes and proxies of a run.
 pub struct Deployment {
     /// Addresses of the run.
@@ -140,13 +149,20 @@
     pub upstreams: Vec<Upstream>,
     /// Entry VMs by number.
     pub entries: Vec<Entry>,
+    options: Options,
     /// Keeps other runs from the addresses.
     _reservation: TcpListener,
 }
 
 impl Deployment {
     /// Starts the store, all upstreams and all entry VMs; logs and settings go to `folder`.
-    pub fn start(programs: &Programs, folder: &Path, size: Size, seed: u64) -> io::Result<Self> {
+    pub fn start(
+        programs: &Programs,
+        folder: &Path,
+        size: Size,
+        seed: u64,
+        options: Options,
+    ) -> io::Result<Self> {
         let reservation = Reservation::new(size)?;
         let layout = reservation.layout;
         let arguments = ["store", "--listen", &layout.store().to_string(), "--seed"];
@@ -159,6 +175,7 @@
             store,
             upstreams: Vec::new(),
             entries: Vec::new(),
+            options,
             _reservation: reservation.listener,
         };
         for (number, listener) in reservation.upstream_proxies.into_iter().enumerate() {
@@ -207,7 +224,6 @@
         let arguments = [
             "upstream".to_owned(),
             format!("--listen={}", self.layout.upstream(number)),
-            format!("--advertise={}", self.layout.upstream_proxy(number)),
             format!("--id=u{number}-{}", upstream.starts),
             format!("--service={service}"),
             format!("--zone={}", Self::zone(number)),
@@ -215,7 +231,10 @@
             format!("--events={events}"),
             format!("--store={}", self.layout.store()),
         ];
-        let arguments = arguments.iter().flat_map(|text| match text.split_once('=') {
+        let proxy = (!self.options.direct)
+            .then(|| format!("--advertise={}", self.layout.upstream_proxy(number)));
+        let arguments = arguments.iter().chain(&proxy).chain(&self.options.upstream_arguments);
+        let arguments = arguments.flat_map(|text| match text.split_once('=') {
             Some((name, value)) => vec![name.to_owned(), value.to_owned()],
             None => vec![text.clone()],
         });
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -95,7 +95,8 @@
 /// Runs a plan and returns what was recorded.
 async fn run_plan(plan: &Plan, folder: &Path) -> io::Result<Evidence> {
     let programs = Programs::find()?;
-    let deployment = Deployment::start(&programs, folder, plan.size, plan.seed)?;
+    let deployment =
+        Deployment::start(&programs, folder, plan.size, plan.seed, Default::default())?;
     let layout = deployment.layout;
     let configure = async {
         while operator::configure(layout.store(), 1, &[&account_key(1)]).await.is_err() {
