Requests that differ in their prompts alone are different requests for the quarantine

The digest of a request now covers the parts of its prompt. Before the change the new test fails, the part is not condemned; after it passes.

--- a/quetzaltiller/src/proxy/plan.rs
+++ b/quetzaltiller/src/proxy/plan.rs
@@ -76,14 +76,16 @@
         parts.into_iter().map(Subject::Part).collect()
     }
 
-    /// The request as it may come again: with another id, at any entry VM. Its method, path, account
-    /// and body are the same.
+    /// The request as it may come again: with another id, at any entry VM. Its method, path, account,
+    /// body and prompt are the same. The prompt counts, as callers may state it beside an empty body.
     pub fn repeatable(&self, request: &Request) -> Subject {
         let account = self.account.as_deref().unwrap_or_default();
         let method = request.method.as_str();
         let texts = [method, &request.path, account].map(str::as_bytes);
         let [method, path, account] = texts;
-        let digest = || sha256_prefix(&[method, path, account, &request.body]);
+        let parts = request.prompt.iter().flat_map(|prompt| &prompt.parts);
+        let prompt = || parts.flat_map(|part| part.id.to_be_bytes()).collect::<Vec<_>>();
+        let digest = || sha256_prefix(&[method, path, account, &request.body, &prompt()]);
         Subject::Request(*self.digest.get_or_init(digest))
     }
 }
--- a/quetzaltiller/tests/quarantine.rs
+++ b/quetzaltiller/tests/quarantine.rs
@@ -1,5 +1,6 @@
 //! Complete entry VMs over stand-ins whose engines crash on one part of prompts.
 
+use bytes::Bytes;
 use quetzaltiller::clock::Clock;
 use quetzaltiller::control::Subject;
 use quetzaltiller::entry::Entry;
@@ -53,6 +54,11 @@
     Request { prompt: Some(prompt), ..draft(id) }
 }
 
+/// The same request with the path and the body of all others.
+fn without_body(request: Request) -> Request {
+    Request { path: "/draft/1".to_owned(), body: Bytes::new(), ..request }
+}
+
 fn bad_request(number: usize) -> Request {
     let first = if number.is_multiple_of(2) { SHARED } else { OTHER };
     request(&format!("bad-{number}"), &[first, BAD])
@@ -141,6 +147,25 @@
     assert_eq!(condemned(&site.entries[0]).await, [format!("{OTHER:x}")]);
 }
 
+/// Guards against requests that differ in their prompts alone being taken for one that comes again.
+#[tokio::test(start_paused = true)]
+async fn a_part_is_found_where_only_the_prompts_differ() {
+    let site = Site::start(6).await;
+    site.poison(BAD);
+
+    for number in 0..24 {
+        let entry = site.entries[number % site.entries.len()].clone();
+        tokio::spawn(generate(entry, without_body(bad_request(number))));
+        sleep(GAP * 4).await;
+    }
+    let sound = without_body(request("sound", &[SHARED]));
+    let seen = generate(site.entries[0].clone(), sound).await;
+
+    let part = Subject::Part(BAD).to_string();
+    assert!(condemned(&site.entries[0]).await.contains(&part));
+    assert!(seen.is_whole());
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_quarantined_request_is_refused_as_not_run() {
     let site = Site::start(6).await;
