--- a/soak/tests/deadly_parts.rs
+++ b/soak/tests/deadly_parts.rs
@@ -108,17 +108,19 @@
 
 /// Guards against requests with a part that ends engines reaching engine after engine.
 #[rstest]
-#[case::after_the_head("answered", RESTART_DELAY)]
-#[case::after_the_head_and_back_at_once("answered", Duration::ZERO)]
-#[case::before_the_head("unanswered", RESTART_DELAY)]
-#[case::before_the_head_and_back_at_once("unanswered", Duration::ZERO)]
+#[case::after_the_head("answered", RESTART_DELAY, true)]
+#[case::after_the_head_and_back_at_once("answered", Duration::ZERO, true)]
+#[case::before_the_head("unanswered", RESTART_DELAY, true)]
+#[case::before_the_head_and_back_at_once("unanswered", Duration::ZERO, true)]
+#[case::after_the_head_behind_a_proxy("answered", RESTART_DELAY, false)]
 #[tokio::test]
 async fn a_part_that_ended_five_processes_ends_few_more(
     #[case] moment: &str,
     #[case] restart_delay: Duration,
+    #[case] direct: bool,
 ) {
     let upstream_arguments = vec![format!("--deadly={DEADLY:x}"), format!("--crash={moment}")];
-    let options = Options { direct: true, upstream_arguments };
+    let options = Options { direct, upstream_arguments };
     let name = format!("qt-deadly-{moment}-{}-{}", restart_delay.as_millis(), std::process::id());
     let folder = std::env::temp_dir().join(name);
     let mut deployment = start(&folder, options).await;
