--- a/quetzaltiller/src/proxy/beginning.rs
+++ b/quetzaltiller/src/proxy/beginning.rs
@@ -9,6 +9,7 @@
 
 use super::break_off::BreakOff;
 use super::{Context, Plan, Request};
+use crate::engine;
 use crate::fleet::Upstream;
 use crate::prelude::*;
 
@@ -75,6 +76,14 @@
         }
     }
 
+    /// Records that the connection `conn` failed.
+    pub fn record_failure(&mut self, conn: u32, error: &engine::Error) {
+        match error {
+            engine::Error::Busy | engine::Error::Refused => self.record_rejection(conn),
+            _ => self.record_break(conn),
+        }
+    }
+
     /// Records that the run on the connection `conn` was not begun or was answered with an error.
     pub fn record_rejection(&mut self, conn: u32) {
         self.unsettled.take_if(|run| run.conn == conn);
@@ -88,8 +97,8 @@
         }
     }
 
-    /// Records that the connection `conn` broke; checks the engine of a run that had not settled.
-    pub fn record_break(&mut self, conn: u32) {
+    /// Checks the engine of a run that had not settled when its connection `conn` broke.
+    fn record_break(&mut self, conn: u32) {
         let Some(run) = self.unsettled.take_if(|run| run.conn == conn) else {
             return;
         };
--- a/quetzaltiller/src/proxy/mod.rs
+++ b/quetzaltiller/src/proxy/mod.rs
@@ -12,6 +12,7 @@
 mod copies;
 mod event;
 mod exit_check;
+mod machine_settings;
 mod pauses;
 mod placing;
 mod plan;
--- a/quetzaltiller/src/proxy/stream.rs
+++ b/quetzaltiller/src/proxy/stream.rs
@@ -9,6 +9,7 @@
 use super::caller::Caller;
 use super::copies::{Copies, CopyResult};
 use super::event::Event;
+use super::machine_settings::machine_settings;
 use super::pauses::Pauses;
 use super::placing::{Attempts, Failure, Need, PlacementResult, Placing};
 use super::reader::{Notice, Reader};
@@ -19,31 +20,18 @@
 use crate::engine;
 use crate::fleet::Upstream;
 use crate::generation::{
-    Answer as _, Effect, Input, Machine, Opening, Outcome, Piece, Place, Probe, Sequence, Settings,
-    Start,
+    Answer as _, Effect, Input, Machine, Opening, Outcome, Piece, Place, Sequence, Start,
 };
 use crate::local_member::OpenRequest;
 use crate::metrics::{Counter, Latency};
 use crate::placement::{Placement, Speed};
 use crate::prelude::*;
-use crate::routes::Kind;
-use coordination::detector::Bounds;
-use coordination::wait_policy::WaitPolicy;
 use std::collections::{BTreeMap, BTreeSet};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
 
 /// Maximum number of notices queued for the task; readers wait when the queue is full.
 const NOTICE_QUEUE: usize = 32;
-/// Bounds of the silence after which an engine is probed. An event takes 30 ms on an idle engine
-/// and 180 ms beside one prefill (users' sheet of engines).
-const SILENCE: Bounds = Bounds { min: Duration::from_millis(120), max: Duration::from_millis(300) };
-/// Weight of waiting in the wait policy. A run that can't resume from a copy may wait four times
-/// its prefill, as the engine may run other prefills first.
-const WAIT_WEIGHT: f64 = 0.25;
-/// Maximum wait for an engine that accepts connections and sends nothing. Twice the prefill time
-/// applies instead where that is longer.
-const MAX_WAIT: Duration = Duration::from_millis(2_500);
 /// Default retry delay in refusals, where placement gives no estimate: about half the prefill of
 /// a prompt.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -79,24 +67,6 @@
     copy_results: mpsc::UnboundedReceiver<CopyResult>,
 }
 
-/// Settings of a generation's machine for engines of the given prefill speed; `deadline` is the
-/// time left.
-fn settings(request: &Request, plan: &Plan, deadline: Duration, speed: Speed) -> Settings {
-    let prompt_tokens = request.prompt.as_ref().map_or(0, |prompt| prompt.tokens);
-    let max_wait = MAX_WAIT.max(speed.prefill(prompt_tokens) * 2);
-    Settings {
-        wait_policy: WaitPolicy { weight: WAIT_WEIGHT, max: max_wait },
-        prefill_tokens_per_s: speed.tokens_per_s(),
-        prompt_tokens,
-        open_timeout: MAX_WAIT,
-        deadline,
-        silence: SILENCE,
-        probe: Probe::Connect,
-        pause: plan.route.pause_ms.map(Duration::from_millis),
-        resumable: plan.route.kind == Kind::Generation { resumable: true },
-    }
-}
-
 /// An open connection to an engine.
 struct OpenReader {
     task: AbortHandle,
@@ -151,7 +121,7 @@
     ) -> (Self, Vec<Effect>, Inbox) {
         let now = context.clock.now();
         let time_limit = plan.deadline.saturating_sub(now);
-        let settings = settings(&request, &plan, time_limit, Speed::default());
+        let settings = machine_settings(&request, &plan, time_limit, Speed::default());
         let next = request.last_event.map(|last| last as u32 + 1);
         let (machine, effects) = Machine::new(now, Sequence::new(next), settings, Start::Fresh);
         let plan = Arc::new(plan);
@@ -400,7 +370,7 @@
                 });
                 let backup = placement.backup.clone();
                 let settings =
-                    settings(&self.request, &self.plan, self.time_limit, placement.speed);
+                    machine_settings(&self.request, &self.plan, self.time_limit, placement.speed);
                 self.machine.configure(settings);
                 self.placements.insert(id.clone(), placement);
                 self.advance(Input::Placed(place));
@@ -531,11 +501,7 @@
             request = self.request.id, upstream, conn, reason:? = error.to_string(),
             silent_ms = self.machine.silence(self.context.clock.now()).as_millis() as u64
         });
-        if matches!(error, engine::Error::Busy | engine::Error::Refused) {
-            self.beginning.record_rejection(conn);
-        } else {
-            self.beginning.record_break(conn);
-        }
+        self.beginning.record_failure(conn, &error);
         match error {
             // The engine has no such copy or no free slot; it did not fail.
             engine::Error::Busy => self.tried.retain(|tried| *tried != upstream),
