Crashes under requests that may only have waited are written later

Such a crash is written 10 s later if it is the subject's first, 2 s later if it is the second, and at once from the third on; records of runs that settle or are answered before are forgotten.

--- a/quetzaltiller/src/proxy/break_off.rs
+++ b/quetzaltiller/src/proxy/break_off.rs
@@ -40,7 +40,9 @@
             self.log(upstream_ended);
             if upstream_ended {
                 let start = format!("{}/{}", self.upstream.id, self.upstream.incarnation);
-                context.quarantine.record_crash(self.subjects, start);
+                // An answer that is read whole has no other sign of its beginning.
+                let begun = self.has_head || !is_engine;
+                context.quarantine.record_crash(self.subjects, start, begun);
             }
         });
     }
--- a/quetzaltiller/src/quarantine/message.rs
+++ b/quetzaltiller/src/quarantine/message.rs
@@ -15,6 +15,8 @@
         subjects: Vec<Subject>,
         /// Name of the upstream's start.
         upstream: String,
+        /// Whether the upstream is known to have begun the request.
+        begun: bool,
     },
     /// List of all records from the store.
     Listed(Quarantines),
--- a/quetzaltiller/src/quarantine/mod.rs
+++ b/quetzaltiller/src/quarantine/mod.rs
@@ -97,9 +97,9 @@
     }
 
     /// Records that `upstream`, the name of one start of a process, ended while it served a request
-    /// with these subjects.
-    pub fn record_crash(&self, subjects: Vec<Subject>, upstream: String) {
-        self.mailbox.send(Message::Crashed { subjects, upstream });
+    /// with these subjects. It may not have `begun` the request, which then only waited.
+    pub fn record_crash(&self, subjects: Vec<Subject>, upstream: String, begun: bool) {
+        self.mailbox.send(Message::Crashed { subjects, upstream, begun });
     }
 
     /// Records and verdicts, for operators.
--- a/quetzaltiller/src/quarantine/task.rs
+++ b/quetzaltiller/src/quarantine/task.rs
@@ -24,6 +24,14 @@
 /// Delay before the first crash of a request is written: a lookup that only lost its replica is
 /// answered by another meanwhile, and its record forgotten.
 const FIRST_CRASH_DELAY: Duration = Duration::from_millis(150);
+/// Delay before the crash of an upstream that may not have begun the request is written, unless the
+/// subject has crashed [`MIN_URGENT`] upstreams: runs with a sound part mostly settle meanwhile, and the
+/// record is forgotten. Each write wakes the watches of all entry VMs.
+const WAITING_CRASH_DELAY: Duration = Duration::from_secs(2);
+/// The same for the first such crash: most generations are whole by then.
+const FIRST_WAITING_CRASH_DELAY: Duration = Duration::from_secs(10);
+/// Crashes from which a record is written at once: those that condemn a request.
+const MIN_URGENT: usize = 3;
 /// Time over which entry VMs spread writes of what the store was found to lack; the first write
 /// spares most of the others theirs.
 const REWRITE_SPREAD: Duration = Duration::from_millis(2_000);
@@ -119,13 +127,13 @@
             Message::Settled(subjects) => {
                 let before = self.copy_records(&subjects);
                 let changed = self.ledger.record_settled(now, &subjects);
-                self.record_own_changes(&changed, &before);
+                self.record_own_changes(&changed, &before, true);
                 self.forget_unwritten(&subjects);
             }
-            Message::Crashed { subjects, upstream } => {
+            Message::Crashed { subjects, upstream, begun } => {
                 let before = self.copy_records(&subjects);
                 let changed = self.ledger.record_crash(now, &subjects, &upstream);
-                self.record_own_changes(&changed, &before);
+                self.record_own_changes(&changed, &before, begun);
             }
             Message::Listed(listed) => self.handle_listing(listed),
             Message::Changed(changed) => {
@@ -142,19 +150,22 @@
         }
     }
 
-    fn record_own_changes(&mut self, changed: &[Subject], before: &BTreeMap<Subject, Record>) {
+    fn record_own_changes(
+        &mut self,
+        changed: &[Subject],
+        before: &BTreeMap<Subject, Record>,
+        begun: bool,
+    ) {
         for subject in changed {
             let before = before.get(subject);
             self.log_change(*subject, before, Origin::Own);
             // All entry VMs soon acquit a subject that sound requests share.
             let was_condemned = before.is_some_and(|record| record.is_condemned(*subject));
             let is_urgent = was_condemned || !self.is_acquitted(*subject, before);
-            let delay = if !is_urgent {
-                self.jitter(*subject, REWRITE_SPREAD)
-            } else if subject.is_request() && before.is_none() {
-                FIRST_CRASH_DELAY
+            let delay = if is_urgent {
+                self.write_delay(*subject, begun)
             } else {
-                Duration::ZERO
+                self.jitter(*subject, REWRITE_SPREAD)
             };
             self.schedule(*subject, delay);
         }
@@ -163,11 +174,23 @@
         }
     }
 
-    /// Removes records of requests that have settled before another VM could learn of them.
+    /// Delay before the record of a subject is written after a crash.
+    fn write_delay(&self, subject: Subject, begun: bool) -> Duration {
+        let crashes = self.ledger.record(subject).map_or(0, |record| record.crashes().len());
+        match (begun, subject.is_request(), crashes) {
+            (true, true, 1) => FIRST_CRASH_DELAY,
+            (false, _, 1) => FIRST_WAITING_CRASH_DELAY,
+            (false, _, crashes) if crashes < MIN_URGENT => WAITING_CRASH_DELAY,
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// Removes records of requests, and those of parts that are not condemned, that have settled before
+    /// another VM could learn of them.
     fn forget_unwritten(&mut self, subjects: &[Subject]) {
         let is_unwritten = |subject: &&Subject| {
-            subject.is_request()
-                && self.ledger.record(**subject).is_some()
+            let record = self.ledger.record(**subject);
+            record.is_some_and(|record| subject.is_request() || !record.is_condemned(**subject))
                 && !self.revisions.contains_key(subject)
         };
         let unwritten: Vec<Subject> = subjects.iter().filter(is_unwritten).copied().collect();
--- a/quetzaltiller/tests/quarantine.rs
+++ b/quetzaltiller/tests/quarantine.rs
@@ -345,7 +345,7 @@
 async fn crash_engines(quarantines: &[Quarantine]) {
     for number in 0..2 * CRASHES {
         let quarantine = &quarantines[number % quarantines.len()];
-        quarantine.record_crash(vec![Subject::Part(BAD)], format!("engine-{number}/1"));
+        quarantine.record_crash(vec![Subject::Part(BAD)], format!("engine-{number}/1"), true);
         sleep(TOUCH).await;
     }
 }
@@ -387,7 +387,7 @@
 
     for number in 0..CRASHES {
         for quarantine in &quarantines {
-            quarantine.record_crash(vec![Subject::Part(BAD)], format!("engine-{number}/1"));
+            quarantine.record_crash(vec![Subject::Part(BAD)], format!("engine-{number}/1"), true);
         }
         sleep(TOUCH).await;
     }
