--- a/soak/tests/deadly_parts.rs
+++ b/soak/tests/deadly_parts.rs
@@ -121,7 +121,8 @@
 ) {
     let upstream_arguments = vec![format!("--deadly={DEADLY:x}"), format!("--crash={moment}")];
     let options = Options { direct, upstream_arguments };
-    let name = format!("qt-deadly-{moment}-{}-{}", restart_delay.as_millis(), std::process::id());
+    let (delay_ms, process) = (restart_delay.as_millis(), std::process::id());
+    let name = format!("qt-deadly-{moment}-{delay_ms}-{direct}-{process}");
     let folder = std::env::temp_dir().join(name);
     let mut deployment = start(&folder, options).await;
     let entries: Vec<_> = (0..SIZE.entries).map(|n| deployment.layout.entry(n)).collect();
