Soak: the first configuration is written by one function

The crash test had written again how a run waits for the store and writes the first configuration. Assertions are unchanged.

--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::io;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
@@ -92,18 +93,23 @@
     })
 }
 
+/// Writes the first configuration once the store accepts it; fails if it takes too long to start.
+pub async fn configure(store: SocketAddr) -> io::Result<()> {
+    let configure = async {
+        while operator::configure(store, 1, &[&account_key(1)]).await.is_err() {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    Ok(timeout(START_LIMIT, configure).await?)
+}
+
 /// Runs a plan and returns what was recorded.
 async fn run_plan(plan: &Plan, folder: &Path) -> io::Result<Evidence> {
     let programs = Programs::find()?;
     let deployment =
         Deployment::start(&programs, folder, plan.size, plan.seed, Default::default())?;
     let layout = deployment.layout;
-    let configure = async {
-        while operator::configure(layout.store(), 1, &[&account_key(1)]).await.is_err() {
-            sleep(Duration::from_millis(50)).await;
-        }
-    };
-    timeout(START_LIMIT, configure).await?;
+    configure(layout.store()).await?;
     sleep(Duration::from_secs(1)).await;
     let injector = Injector::new(deployment);
     let (stop, stopped) = watch::channel(false);
--- a/soak/tests/deadly_parts.rs
+++ b/soak/tests/deadly_parts.rs
@@ -4,11 +4,12 @@
 use futures::StreamExt as _;
 use hyper::Method;
 use platform_standin::caller::{Attempt, Connection};
-use platform_standin::operator::{self, HOST};
+use platform_standin::operator::HOST;
 use rstest::rstest;
 use soak::deployment::{Deployment, Options, Programs};
 use soak::injector::account_key;
 use soak::plan::Size;
+use soak::run;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -31,19 +32,12 @@
 /// Further crashes from then on.
 const ALLOWED: usize = 3;
 const PATIENCE: Duration = Duration::from_secs(15);
-const START_LIMIT: Duration = Duration::from_secs(30);
 
 async fn start(folder: &Path, options: Options) -> Deployment {
     std::fs::create_dir_all(folder).unwrap();
     let programs = Programs::find().unwrap();
     let deployment = Deployment::start(&programs, folder, SIZE, 1, options).unwrap();
-    let store = deployment.layout.store();
-    let configure = async {
-        while operator::configure(store, 1, &[&account_key(1)]).await.is_err() {
-            sleep(Duration::from_millis(50)).await;
-        }
-    };
-    timeout(START_LIMIT, configure).await.expect("the store starts");
+    run::configure(deployment.layout.store()).await.expect("the store starts");
     sleep(Duration::from_secs(2)).await;
     deployment
 }
