--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -120,6 +120,11 @@
         let Some(id) = header(head, "x-attempt-id") else {
             return respond(writer, "400 Bad Request", "X-Not-Executed: 1\r\n", b"");
         };
+        // A model that this replica doesn't serve.
+        if self.events > 0 && header(head, "x-model").is_some_and(|model| model != "m") {
+            let headers = format!("X-Attempt-Id: {id}\r\nX-Replica-Seal: seal.{}.{id}\r\n", self.id);
+            return respond(writer, "404 Not Found", &headers, b"no such model");
+        }
         // No copies of memory are kept, so a handle leads to none.
         if header(head, "kv-from").is_some() {
             let headers = format!("X-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\n");
