--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -303,6 +303,14 @@
 
 /// Clients open connections and send nothing.
 fn connections(site: &mut Site) -> bool {
+    // The silent clients need as many descriptors as they hold connections.
+    let limits = std::fs::read_to_string("/proc/self/limits").unwrap_or_default();
+    let own = limits.lines().find_map(|line| line.strip_prefix("Max open files"));
+    let own = own.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+    if own.is_some_and(|own| own < 6_800) {
+        site.note(&format!("too few descriptors for the clients: {own:?}"));
+        site.end(2);
+    }
     configure(site);
     start_servers(site, "order-desk", 3, (0, 30, "framed"));
     let entry = site.entry("edge-a-1", ZONES[0], 6_150);
