Intake: messages while they arrive, within one memory budget

A limit on each message bounds neither their sum nor how long they stay: senders that stop short of the end hold the memory of all others. A budget can now be divided into shares and keep a part for small messages, and an intake drops the message that has used most memory for the longest time when there is no room.

--- a/coordination/src/lib.rs
+++ b/coordination/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`claim`]: a non-idempotent action runs at most once.
 //! - [`journal`]: a keeper's copies of unfinished answers, fenced by term.
 //! - [`feed`]: a numbered value that is only replaced by a newer one.
+//! - [`intake`]: messages of many senders while they arrive; under pressure the costliest is dropped.
 //! - [`membership`]: heartbeats, incarnations and liveness of peers.
 //! - [`memory`]: a limit on the bytes that a process holds for its peers.
 //! - [`detector`]: an adaptive threshold for the silence of a source.
@@ -21,6 +22,7 @@
 pub mod claim;
 pub mod detector;
 pub mod feed;
+pub mod intake;
 pub mod journal;
 pub mod membership;
 pub mod memory;
--- a/coordination/src/memory.rs
+++ b/coordination/src/memory.rs
@@ -3,7 +3,8 @@
 //! A limit on each message does not bound their sum: enough peers that each send one message of the
 //! maximum size exhaust the process. A [`Budget`] bounds the sum. Each message is collected in a
 //! [`Buffer`], which reserves its capacity before it allocates, and becomes a [`Message`]. Dropping
-//! either returns the bytes.
+//! either returns the bytes. A budget is divided by [`Budget::share`], so that one use can't take what
+//! another needs.
 //!
 //! ```
 //! use coordination::memory::{Budget, Buffer, Error};
@@ -22,6 +23,7 @@
 mod message;
 mod reservation;
 
-pub use budget::Budget;
+pub use budget::{Budget, SMALL_MESSAGE};
 pub use buffer::{Buffer, Error};
 pub use message::Message;
+pub use reservation::Reservation;
--- a/coordination/src/memory/buffer.rs
+++ b/coordination/src/memory/buffer.rs
@@ -73,16 +73,27 @@
         Ok(())
     }
 
+    /// Number of bytes reserved.
+    pub fn reserved(&self) -> usize {
+        self.reservation.bytes()
+    }
+
+    /// Reserves the room to join the segments, so that [`Self::finish`] succeeds; fails with
+    /// [`Error::BudgetUsedUp`].
+    pub fn prepare_finish(&mut self) -> Result<(), Error> {
+        let joined = if self.segments.len() <= 1 { 0 } else { self.length };
+        let segments: usize = self.segments.iter().map(Vec::capacity).sum();
+        if self.reservation.grow_to(segments + joined) { Ok(()) } else { Err(Error::BudgetUsedUp) }
+    }
+
     /// Returns the whole message; fails with [`Error::BudgetUsedUp`] if there is no room to join its
     /// segments.
     pub fn finish(mut self) -> Result<Message, Error> {
+        self.prepare_finish()?;
         if self.segments.len() <= 1 {
             let bytes = self.segments.pop().unwrap_or_default();
             return Ok(Message::new(self.reservation, bytes));
         }
-        if !self.reservation.grow_to(self.reservation.bytes() + self.length) {
-            return Err(Error::BudgetUsedUp);
-        }
         let mut bytes = Vec::with_capacity(self.length);
         for segment in self.segments {
             bytes.extend_from_slice(&segment);
--- a/coordination/src/memory/reservation.rs
+++ b/coordination/src/memory/reservation.rs
@@ -4,7 +4,7 @@
 
 /// Bytes of a budget that one owner holds; dropping it returns them.
 #[derive(Debug)]
-pub(super) struct Reservation {
+pub struct Reservation {
     budget: Budget,
     bytes: usize,
 }
@@ -22,7 +22,7 @@
 
     /// Raises the reservation to `bytes`; returns false without a change if the budget has no room.
     pub(super) fn grow_to(&mut self, bytes: usize) -> bool {
-        let grown = bytes <= self.bytes || self.budget.reserve(bytes - self.bytes);
+        let grown = bytes <= self.bytes || self.budget.reserve(bytes - self.bytes, bytes);
         if grown {
             self.bytes = self.bytes.max(bytes);
         }
