Bodies of callers take bounded memory

What callers saw: an entry VM ended, out of memory, while clients sent many bodies of legal size that stopped just short of their end, or bodies in tiny chunks, or bodies far over the limit.

Cause: each body was collected whole, up to the limit of one body, without a bound on their sum; a chunk of one byte took a handle of its own; the head was not looked at before the body was kept.

Change: one memory budget for the process, from the memory of its VM, with shares for bodies, replies of upstreams and answers of the store. A length over the limit gets 413 before a byte is read; a request that its head rules out gets its refusal before its body is kept; a body that stalls for the idle timeout or exceeds the request's time gets 408.

Bodies are kept whole rather than streamed through: the upstream is chosen after the body, so a slow caller holds no place there, and a refusal can promise that nothing has run.

--- a/quetzaltiller/src/entry/builder.rs
+++ b/quetzaltiller/src/entry/builder.rs
@@ -4,6 +4,7 @@
 use super::neighbours::PeerNeighbours;
 use super::registrar::PeerRegistrar;
 use super::{Config, Ports, startup};
+use crate::admission::Admission;
 use crate::clock::Clock;
 use crate::control::Member;
 use crate::drain::{self, Drain};
@@ -152,6 +153,12 @@
         Quarantine::start(&self.scope, dependencies)
     }
 
+    /// Creates the admission of clients.
+    pub fn admission(&self) -> Admission {
+        let Config { resources, memory, .. } = self.config;
+        Admission::new(self.clock, *resources, memory, self.metrics.clone())
+    }
+
     /// Creates the drain, which runs the phases of the shutdown.
     pub fn drain(&self) -> Drain {
         let grace = self.config.tunables.grace;
--- a/quetzaltiller/src/entry/config.rs
+++ b/quetzaltiller/src/entry/config.rs
@@ -1,5 +1,7 @@
 //! Settings of an entry VM.
 
+use crate::admission::Resources;
+use coordination::memory::Budget;
 use std::time::Duration;
 
 /// Settings of an entry VM.
@@ -17,6 +19,10 @@
     pub peer_seeds: Vec<String>,
     /// Number of this start of the process; has to be higher than at every earlier start.
     pub incarnation: u64,
+    /// Memory and descriptors of the VM.
+    pub resources: Resources,
+    /// Budget of the process, of which the store and upstreams have shares.
+    pub memory: Budget,
     /// Settings that may change while the process runs.
     pub tunables: Tunables,
     /// Time after an upstream's end during which its address counts as its service's.
--- a/quetzaltiller/src/entry/dump.rs
+++ b/quetzaltiller/src/entry/dump.rs
@@ -1,5 +1,6 @@
 //! State of the process, for operators.
 
+use crate::admission;
 use crate::control::Version;
 use crate::drain::Phase;
 use crate::members::View;
@@ -25,6 +26,8 @@
     pub store: Version,
     /// Number of open requests.
     pub open: u64,
+    /// Memory that clients hold, and their connections.
+    pub admission: admission::State,
     /// Other entry VMs.
     pub members: View,
     /// State of each upstream, by its identifier.
--- a/quetzaltiller/src/entry/mod.rs
+++ b/quetzaltiller/src/entry/mod.rs
@@ -17,6 +17,7 @@
 pub use dump::Dump;
 pub use lag::Lag;
 
+use crate::admission::Admission;
 use crate::control::Store;
 use crate::drain::{Drain, Phase};
 use crate::follower::Follower;
@@ -75,6 +76,7 @@
     placer: Placer,
     members: Members,
     drain: Drain,
+    admission: Admission,
     finder: Finder,
     quarantine: Quarantine,
     proxy: Proxy,
@@ -91,6 +93,7 @@
         let finder = builder.start_finder(&placer, &members);
         let drain = builder.drain();
         let quarantine = builder.start_quarantine();
+        let admission = builder.admission();
         let proxy = Proxy::new(Context {
             clock: builder.clock,
             follower: builder.follower.clone(),
@@ -117,6 +120,7 @@
             placer,
             members,
             drain,
+            admission,
             finder,
             quarantine,
             proxy,
@@ -130,6 +134,11 @@
         &self.proxy
     }
 
+    /// Admission of clients on all ports.
+    pub fn admission(&self) -> &Admission {
+        &self.admission
+    }
+
     /// Address of this entry VM for callers.
     pub fn caller_address(&self) -> &str {
         &self.config.caller_address
@@ -220,6 +229,7 @@
             number: self.follower.routes().number(),
             store: self.follower.directory().version(),
             open: self.local.open(),
+            admission: self.admission.state(),
             members: self.members.view().as_ref().clone(),
             upstreams: self.placer.dump().await,
             quarantine: self.quarantine.dump().await,
--- a/quetzaltiller/src/lib.rs
+++ b/quetzaltiller/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub mod actions;
 pub mod adapters;
+pub mod admission;
 pub mod apply;
 pub mod caller;
 pub mod catalog;
--- a/quetzaltiller/src/proxy/mod.rs
+++ b/quetzaltiller/src/proxy/mod.rs
@@ -22,10 +22,11 @@
 mod stream;
 
 pub use event::Codec;
-pub use plan::Plan;
+pub use plan::{DEFAULT_PATIENCE, Plan};
 pub use reply::{Answer, Chunk, Reply, Stream};
 pub use request::{Part, Prompt, Request};
 
+use crate::admission::upload::Terms;
 use crate::clock::Clock;
 use crate::drain::{Drain, Phase};
 use crate::follower::Follower;
@@ -160,11 +161,7 @@
         let plan = match self.plan(&request, began) {
             Ok(plan) => plan,
             Err(refusal) => {
-                self.context.metrics.count(Counter::Refused);
-                info!("request_refused", kv: {
-                    request = request.id, host = request.host, path = request.path,
-                    code:? = refusal.code, number = self.context.follower.routes().number(),
-                });
+                self.record_refusal(&request, &refusal);
                 return Reply::Refused(refusal);
             }
         };
@@ -177,6 +174,27 @@
         }
     }
 
+    /// Decides by the head of a request that arrived at `arrived_at` whether its body is to be read,
+    /// and until when. Without a configuration or a listing it is, as [`Self::handle`] waits for them.
+    pub fn admit(&self, head: &Request, arrived_at: Duration) -> Result<Terms, Refusal> {
+        if !self.context.follower.is_ready() {
+            let deadline = arrived_at + head.patience.unwrap_or(DEFAULT_PATIENCE);
+            return Ok(Terms { account: String::new(), deadline });
+        }
+        let plan = Plan::new(&self.context.follower.routes(), arrived_at, head)
+            .and_then(|plan| self.check_drain(plan))
+            .inspect_err(|refusal| self.record_refusal(head, refusal))?;
+        Ok(Terms { account: plan.account.unwrap_or_default(), deadline: plan.deadline })
+    }
+
+    fn record_refusal(&self, request: &Request, refusal: &Refusal) {
+        self.context.metrics.count(Counter::Refused);
+        info!("request_refused", kv: {
+            request = request.id, host = request.host, path = request.path, code:? = refusal.code,
+            number = self.context.follower.routes().number(),
+        });
+    }
+
     fn plan(&self, request: &Request, arrived_at: Duration) -> Result<Plan, Refusal> {
         let plan = Plan::new(&self.context.follower.routes(), arrived_at, request)?;
         if plan.deadline <= self.context.clock.now() {
@@ -185,6 +203,11 @@
         if self.context.is_quarantined(request, &plan) {
             return Err(Refusal::not_run(Code::Quarantined, "the request crashes upstreams"));
         }
+        self.check_drain(plan)
+    }
+
+    /// Refuses a request that can't end before this process does.
+    fn check_drain(&self, plan: Plan) -> Result<Plan, Refusal> {
         let expected = match plan.route.kind {
             Kind::Generation { .. } => EXPECTED_GENERATION,
             Kind::Lookup => EXPECTED_LOOKUP,
--- a/quetzaltiller/src/proxy/plan.rs
+++ b/quetzaltiller/src/proxy/plan.rs
@@ -9,7 +9,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Patience of callers whose request names none; the route's timeout may be shorter.
-const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
+pub const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
 
 /// How a request is to be served.
 #[derive(Clone, Debug)]
--- a/quetzaltiller/src/refusal.rs
+++ b/quetzaltiller/src/refusal.rs
@@ -12,6 +12,8 @@
     BadRequest,
     /// `Last-Event-ID` was not issued by this system.
     BadEventId,
+    /// The body did not arrive in time.
+    BodyTimeout,
     /// The body exceeds the configured limit.
     BodyTooLarge,
     /// The request was cancelled by its caller or under the same account.
@@ -62,6 +64,7 @@
             Self::Unauthorized => 401,
             Self::NotAllowed => 403,
             Self::GenerationUnknown | Self::NotFound => 404,
+            Self::BodyTimeout => 408,
             Self::Cancelled | Self::KeyReused | Self::Superseded | Self::TokensNeeded => 409,
             Self::BodyTooLarge => 413,
             Self::EngineRejected => 422,
--- a/standin/src/site.rs
+++ b/standin/src/site.rs
@@ -6,6 +6,7 @@
 use crate::hub::Hub;
 use bytes::Bytes;
 use hyper::{HeaderMap, Method};
+use quetzaltiller::admission::Resources;
 use quetzaltiller::digest::sha256_hex;
 use quetzaltiller::entry::{Config, Entry, Ports, Tunables};
 use quetzaltiller::fleet::Upstream;
@@ -202,6 +203,8 @@
         peer_address: format!("entry-{zone}"),
         peer_seeds: ZONES.iter().map(|zone| format!("entry-{zone}")).collect(),
         incarnation,
+        resources: Resources::default(),
+        memory: Resources::default().memory(),
         tunables: Tunables {
             grace: Duration::from_secs(8),
             entries_lifetime: Duration::from_secs(5),
