Open connections leave room for ordinary callers

What callers saw: while some thousand clients kept connections open and sent nothing, or not all of a head, no ordinary caller was answered, on whichever port they were.

Cause: connections were accepted until the process had no descriptor left; then nobody could connect, and the entry VM could not reach the store, its peers and upstreams either. Operators' connections were limited to 16, and silent ones kept them.

When a port has used its number up, a new connection takes the place of the one that has been without a request for longest, then of the one whose body has been arriving for longest. Connections that serve a request keep their place.

Why it works: whoever sends a request at once gets a place, and descriptors never run out by connections that others open.

--- a/quetzaltiller/src/admission/connections.rs
+++ b/quetzaltiller/src/admission/connections.rs
@@ -88,6 +88,11 @@
     /// requests.
     pub fn open(&self) -> Option<Connection> {
         let mut slots = self.lock();
+        if slots.open.len() >= self.limit && !self.close_one(&mut slots) {
+            drop(slots);
+            self.rejections.record(Cause::ConnectionRefused, self.port);
+            return None;
+        }
         slots.next += 1;
         let number = slots.next;
         let signals = Signals::default();
@@ -109,6 +114,24 @@
         self.lock().open.remove(&number);
     }
 
+    /// Takes the place of the connection that is without a request for longest; returns false if all
+    /// serve requests.
+    fn close_one(&self, slots: &mut Slots) -> bool {
+        let waiting = slots.open.iter().filter(|(_, slot)| slot.phase < Phase::Serving);
+        let first = waiting.min_by_key(|(_, slot)| (slot.phase, slot.since));
+        let Some(number) = first.map(|(number, _)| *number) else {
+            return false;
+        };
+        if let Some(slot) = slots.open.remove(&number) {
+            match slot.phase {
+                Phase::Idle => slot.signals.close.cancel(),
+                _ => slot.signals.refuse.cancel(),
+            }
+            self.rejections.record(Cause::ConnectionClosed, self.port);
+        }
+        true
+    }
+
     fn lock(&self) -> MutexGuard<'_, Slots> {
         self.slots.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/quetzaltiller/tests/admission.rs
+++ b/quetzaltiller/tests/admission.rs
@@ -46,6 +46,51 @@
     vec![Ok(Bytes::from(vec![0; length])); count]
 }
 
+/// Guards against silent connections that keep callers out.
+#[tokio::test]
+async fn a_new_connection_takes_the_place_of_the_longest_idle_one() {
+    let Fixture { admission, metrics } = fixture();
+    let limit = admission.callers.limit();
+    let mut open: Vec<_> = (0..limit).filter_map(|_| admission.callers.open()).collect();
+
+    let new = admission.callers.open();
+
+    assert!(new.is_some() && admission.callers.len() == limit);
+    open.remove(0).closed().await;
+    assert_eq!(metrics.value(Counter::ConnectionClosed), 1);
+}
+
+/// Guards against a connection that is closed while its request is served.
+#[tokio::test]
+async fn connections_that_serve_requests_keep_their_place() {
+    let Fixture { admission, metrics } = fixture();
+    let open: Vec<_> = (0..admission.callers.limit())
+        .filter_map(|_| admission.callers.open().map(Arc::new))
+        .collect();
+    let requests: Vec<_> = open.iter().map(Connection::begin_request).collect();
+    requests.iter().for_each(|request| request.record_arrival());
+
+    let refused = admission.callers.open().is_none();
+    drop(requests);
+    let accepted = admission.callers.open().is_some();
+
+    assert_eq!((refused, accepted, metrics.value(Counter::ConnectionRefused)), (true, true, 1));
+}
+
+/// Guards against slow bodies that occupy all connections.
+#[tokio::test]
+async fn a_body_that_has_been_arriving_for_longest_makes_room_if_no_connection_is_idle() {
+    let Fixture { admission, .. } = fixture();
+    let open: Vec<_> = (0..admission.callers.limit())
+        .filter_map(|_| admission.callers.open().map(Arc::new))
+        .collect();
+    let _requests: Vec<_> = open.iter().map(Connection::begin_request).collect();
+
+    let new = admission.callers.open();
+
+    assert!(new.is_some() && open[0].refusal().is_cancelled());
+}
+
 #[rstest]
 #[case::announced(Some(100_000_000_000), 1, Code::BodyTooLarge)]
 #[case::sent(None, 5, Code::BodyTooLarge)]
