Messages of peers take bounded memory

What callers saw: the entry VM ran out of memory while strangers sent long messages to its port for peers and stopped short of their end.

Cause: a frame of up to 16 MiB was buffered for each connection, answers waited without a bound on their bytes, and connections had none on their number.

Change: the server of the port is a module of its own.

Why it works: a message can't take memory that its share doesn't have, and a stalled one makes room.

--- a/quetzaltiller/src/adapters/mod.rs
+++ b/quetzaltiller/src/adapters/mod.rs
@@ -5,14 +5,16 @@
 mod http_engine;
 mod http_service;
 mod http_store;
+mod peer_server;
 mod tcp_peer;
 
 pub use http::{Method, Outgoing, body_stream, fetch, send};
 pub use http_engine::HttpEngine;
 pub use http_service::HttpService;
 pub use http_store::{HttpStore, Version};
+pub use peer_server::{PeerPort, serve_peers, serve_peers_on};
 use quick_error::quick_error;
-pub use tcp_peer::{TcpPeer, serve_peers};
+pub use tcp_peer::TcpPeer;
 
 quick_error! {
     /// Why an HTTP request got no response.
--- a/quetzaltiller/src/adapters/tcp_peer.rs
+++ b/quetzaltiller/src/adapters/tcp_peer.rs
@@ -1,30 +1,29 @@
-//! Calls between peers over framed TCP.
+//! Calls to peers over framed TCP.
 //!
 //! Each peer opens its own connection for its requests; answers are matched to requests by their
 //! sequence number.
 
-use crate::peer::{Error, Handler, Link};
+use crate::peer::{Error, Link};
 use crate::prelude::*;
-use crate::scope::Scope;
 use crate::wire::{Ask, Reply, Request, Response};
 use async_trait::async_trait;
 use bytes::Bytes;
 use futures::{SinkExt as _, StreamExt as _};
 use prost::Message as _;
 use std::collections::BTreeMap;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::{Mutex, mpsc, oneshot};
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-/// Time limit to open a connection, and the pause after a failed accept.
+/// Time limit to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time limit for a peer's answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
-/// Maximum number of requests or answers that wait on one connection.
+/// Maximum number of requests that wait on one connection.
 const QUEUE_LENGTH: usize = 1_024;
 /// Maximum size of a frame in bytes: four times a directory of 11,000 upstreams of 0.33 kB each.
-const MAX_FRAME_BYTES: usize = 16 << 20;
+pub const MAX_FRAME_BYTES: usize = 16 << 20;
 
 type Socket = Framed<TcpStream, LengthDelimitedCodec>;
 
@@ -119,54 +118,6 @@
     }
 }
 
-/// Answers the requests of peers that connect to `listener`, with tasks in `scope`.
-pub fn serve_peers(scope: &Scope, listener: TcpListener, handler: Arc<dyn Handler>) {
-    scope.clone().spawn(accept_connections(scope.clone(), listener, handler));
-}
-
-async fn accept_connections(scope: Scope, listener: TcpListener, handler: Arc<dyn Handler>) {
-    loop {
-        match listener.accept().await {
-            Ok((socket, _)) => {
-                let _ = socket.set_nodelay(true);
-                let socket = Framed::new(socket, codec());
-                scope.spawn(serve_connection(scope.clone(), socket, handler.clone()));
-            }
-            Err(reason) => {
-                warn!("peer_accept_failed", kv: { reason:? = reason.to_string() });
-                tokio::time::sleep(CONNECT_TIMEOUT).await;
-            }
-        }
-    }
-}
-
-async fn serve_connection(scope: Scope, mut socket: Socket, handler: Arc<dyn Handler>) {
-    let (answer_sender, mut answers) = mpsc::channel::<Response>(QUEUE_LENGTH);
-    loop {
-        tokio::select! {
-            biased;
-            frame = socket.next() => {
-                let Some(Ok(frame)) = frame else {
-                    return;
-                };
-                let Ok(Request { sequence, ask: Some(ask) }) = Request::decode(frame) else {
-                    return;
-                };
-                let (handler, answers) = (handler.clone(), answer_sender.clone());
-                scope.spawn(async move {
-                    let reply = Some(handler.answer(ask).await);
-                    let _ = answers.send(Response { sequence, reply }).await;
-                });
-            }
-            Some(answer) = answers.recv() => {
-                if socket.send(Bytes::from(answer.encode_to_vec())).await.is_err() {
-                    return;
-                }
-            }
-        }
-    }
-}
-
 fn codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
 }
