Rounds of queries for made-up models end, and are limited

Cause: the finder of cached prompts kept the last round of each service and model for good, under the name that the caller gave.

Change: rounds that have ended are removed before the next begins, and at most 64 are current; beyond that a search finds no engine, as if none had the prompt cached.

--- a/quetzaltiller/src/prompts/mod.rs
+++ b/quetzaltiller/src/prompts/mod.rs
@@ -9,6 +9,7 @@
 //! it owns, which together are all, and the entry VMs query each other for the prompt.
 
 mod round;
+pub mod rounds;
 mod task;
 
 use crate::clock::Clock;
--- a/quetzaltiller/src/prompts/task.rs
+++ b/quetzaltiller/src/prompts/task.rs
@@ -1,6 +1,6 @@
 //! Task that queries engines for cached prompts.
 
-use super::round::Round;
+use super::rounds::{RoundKey, Rounds};
 use super::{MAX_QUERIED_ENGINES, MAX_UNSHARED_ENGINES, PromptQuery};
 use crate::clock::Clock;
 use crate::fleet::Upstream;
@@ -9,22 +9,11 @@
 use crate::prelude::*;
 use crate::scope::Scope;
 use crate::upstream::Client;
-use std::collections::BTreeMap;
 use tokio::sync::{mpsc, oneshot};
 
 /// Maximum time for an engine's answer; engines answer within a round trip, and the query hardly
 /// delays their other work.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(60);
-/// Time for which a round's answers are reused; callers of a lost entry VM return within a fraction
-/// of a second.
-const ANSWER_LIFETIME: Duration = Duration::from_millis(300);
-
-/// Key of a round: the engines of a service that serve one model.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct RoundKey {
-    service: String,
-    model: String,
-}
 
 /// Message to the task.
 #[derive(Debug)]
@@ -54,7 +43,7 @@
     clock: Clock,
     placer: Placer,
     client: Arc<dyn Client>,
-    rounds: BTreeMap<RoundKey, Round>,
+    rounds: Rounds,
     scope: Scope,
     mailbox: Mailbox<Message>,
 }
@@ -68,7 +57,7 @@
         scope: Scope,
         mailbox: Mailbox<Message>,
     ) -> Self {
-        Self { clock, placer, client, rounds: BTreeMap::new(), scope, mailbox }
+        Self { clock, placer, client, rounds: Rounds::default(), scope, mailbox }
     }
 
     /// Handles messages until the channel is closed.
@@ -78,6 +67,7 @@
                 Message::Find { query: PromptQuery { service, model, part }, reply } => {
                     let key = RoundKey { service, model };
                     self.ensure_round(&key).await;
+                    // Without a round the reply is dropped, and the caller learns of no engine.
                     if let Some(round) = self.rounds.get_mut(&key) {
                         round.answer(part, reply);
                     }
@@ -93,17 +83,15 @@
         }
     }
 
-    /// Starts a round of queries unless the last one started less than [`ANSWER_LIFETIME`] ago.
+    /// Starts a round of queries unless the last one is reused or there are too many.
     async fn ensure_round(&mut self, key: &RoundKey) {
         let now = self.clock.now();
-        let last = self.rounds.get(key);
-        if last.is_some_and(|round| now < round.started_at + ANSWER_LIFETIME) {
+        if self.rounds.has_current(key, now) || !self.rounds.has_room() {
             return;
         }
-        let number = last.map_or(0, |round| round.number) + 1;
         let engines = self.engines(&key.service).await;
         info!("kept_prompts_asked", kv: { service = key.service, engines = engines.len() });
-        self.rounds.insert(key.clone(), Round::new(number, now, engines.len()));
+        let number = self.rounds.begin(key.clone(), now, engines.len());
         for engine in engines {
             let (client, mailbox, key) = (self.client.clone(), self.mailbox.clone(), key.clone());
             self.scope.spawn(async move {
--- a/quetzaltiller/tests/prompts.rs
+++ b/quetzaltiller/tests/prompts.rs
@@ -5,6 +5,7 @@
 use quetzaltiller::control::Version;
 use quetzaltiller::fleet::{Change, Directory, Upstream};
 use quetzaltiller::placement::{self, Booked, Booking, Peer, Placer, Registrar, Table};
+use quetzaltiller::prompts::rounds::{RoundKey, Rounds};
 use quetzaltiller::prompts::{Finder, Neighbours, PromptQuery};
 use quetzaltiller::routes;
 use quetzaltiller::scope::Scope;
@@ -250,3 +251,26 @@
         assert_eq!(search.await.unwrap(), Some(format!("engine-{number}")));
     }
 }
+
+/// Guards against names of models that callers make up and that stay in memory.
+#[test]
+fn rounds_of_made_up_models_end_and_are_limited() {
+    let mut rounds = Rounds::default();
+    let mut most = 0;
+
+    for second in 0..100 {
+        for number in 0..100 {
+            let model = format!("made-up-{second}-{number}");
+            let key = RoundKey { service: "drafts".to_owned(), model };
+            let now = Duration::from_secs(second);
+            if !rounds.has_current(&key, now) && rounds.has_room() {
+                rounds.begin(key, now, 3);
+            }
+            most = most.max(rounds.len());
+        }
+    }
+
+    assert_eq!((most, rounds.len()), (64, 64));
+    let key = RoundKey { service: "drafts".to_owned(), model: "m".to_owned() };
+    assert!(!rounds.has_current(&key, Duration::from_secs(100)) && rounds.is_empty());
+}
