--- a/quetzaltiller/src/admission/upload.rs
+++ b/quetzaltiller/src/admission/upload.rs
@@ -10,6 +10,7 @@
 use coordination::intake::{Arrival, Error};
 use coordination::memory::SMALL_MESSAGE;
 use futures::{Stream, StreamExt as _};
+use tokio::time::timeout;
 
 /// Time in which the rest of a small body that was refused has to arrive.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
@@ -32,23 +33,14 @@
     pub deadline: Duration,
 }
 
-/// Terms on which a body is read that does not come at once.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Terms {
-    /// Account of the caller; empty without one.
-    pub account: String,
-    /// Time at which the request ends without an answer.
-    pub deadline: Duration,
-}
-
 impl Upload<'_> {
     /// Reads the body. `admit` decides by the head of the request, before memory is used for a body
-    /// that does not come in one piece. Fails with a refusal, after which the rest of the body must
-    /// not be read.
+    /// that does not come in one piece, and returns the account of the caller, empty without one.
+    /// Fails with a refusal, after which the rest of the body must not be read.
     pub async fn receive<E>(
         self,
         mut body: impl Stream<Item = Result<Bytes, E>> + Unpin,
-        admit: impl FnOnce() -> Result<Terms, Refusal>,
+        admit: impl FnOnce() -> Result<String, Refusal>,
     ) -> Result<Bytes, Refusal> {
         if self.length.is_some_and(|length| length > self.limit as u64) {
             return Err(self.reject(Cause::BodyTooLong));
@@ -56,14 +48,14 @@
         if self.length == Some(0) {
             return Ok(Bytes::new());
         }
-        let Some(first) = self.next(&mut body, self.deadline).await? else {
+        let Some(first) = self.next(&mut body).await? else {
             return Ok(Bytes::new());
         };
         if self.length == Some(first.len() as u64) {
             return Ok(first);
         }
-        let terms = match admit() {
-            Ok(terms) => terms,
+        let account = match admit() {
+            Ok(account) => account,
             Err(refusal) => {
                 self.discard(&mut body, first.len()).await;
                 return Err(refusal);
@@ -71,9 +63,9 @@
         };
         let refuse = self.connection.refusal().clone();
         let on_drop = move || refuse.cancel();
-        let mut arrival = self.admission.bodies.begin(&terms.account, self.limit, on_drop);
+        let mut arrival = self.admission.bodies.begin(&account, self.limit, on_drop);
         self.append(&mut arrival, first)?;
-        while let Some(piece) = self.next(&mut body, terms.deadline).await? {
+        while let Some(piece) = self.next(&mut body).await? {
             self.append(&mut arrival, piece)?;
         }
         let whole = arrival.finish(self.admission.clock.now());
@@ -87,24 +79,27 @@
         body: &mut (impl Stream<Item = Result<Bytes, E>> + Unpin),
         mut read: usize,
     ) {
-        let until = self.admission.clock.now() + DISCARD_TIME;
-        while let Ok(Some(piece)) = self.next(body, until).await {
-            read += piece.len();
-            if read > SMALL_MESSAGE {
-                self.connection.refusal().cancel();
-                return;
+        let rest = async {
+            while let Some(Ok(piece)) = body.next().await {
+                read += piece.len();
+                if read > SMALL_MESSAGE {
+                    return false;
+                }
             }
+            true
+        };
+        if !timeout(DISCARD_TIME, rest).await.unwrap_or(false) {
+            self.connection.refusal().cancel();
         }
     }
 
-    /// Waits for the next piece until `deadline`; none at the end of the body.
+    /// Waits for the next piece; none at the end of the body.
     async fn next<E>(
         &self,
         body: &mut (impl Stream<Item = Result<Bytes, E>> + Unpin),
-        deadline: Duration,
     ) -> Result<Option<Bytes>, Refusal> {
         let clock = self.admission.clock;
-        let until = deadline.min(clock.now() + self.idle_timeout);
+        let until = self.deadline.min(clock.now() + self.idle_timeout);
         tokio::select! {
             biased;
             () = self.connection.refusal().cancelled() => Err(self.reject(Cause::MemoryUsedUp)),
--- a/quetzaltiller/src/proxy/mod.rs
+++ b/quetzaltiller/src/proxy/mod.rs
@@ -26,7 +26,6 @@
 pub use reply::{Answer, Chunk, Reply, Stream};
 pub use request::{Part, Prompt, Request};
 
-use crate::admission::upload::Terms;
 use crate::clock::Clock;
 use crate::drain::{Drain, Phase};
 use crate::follower::Follower;
@@ -174,17 +173,16 @@
         }
     }
 
-    /// Decides by the head of a request that arrived at `arrived_at` whether its body is to be read,
-    /// and until when. Without a configuration or a listing it is, as [`Self::handle`] waits for them.
-    pub fn admit(&self, head: &Request, arrived_at: Duration) -> Result<Terms, Refusal> {
+    /// Decides by the head of a request whether its body is to be read; returns the account, empty
+    /// without one. Without a configuration or a listing it is, as [`Self::handle`] waits for them.
+    pub fn admit(&self, head: &Request) -> Result<String, Refusal> {
         if !self.context.follower.is_ready() {
-            let deadline = arrived_at + head.patience.unwrap_or(DEFAULT_PATIENCE);
-            return Ok(Terms { account: String::new(), deadline });
+            return Ok(String::new());
         }
-        let plan = Plan::new(&self.context.follower.routes(), arrived_at, head)
+        let plan = Plan::new(&self.context.follower.routes(), self.context.clock.now(), head)
             .and_then(|plan| self.check_drain(plan))
             .inspect_err(|refusal| self.record_refusal(head, refusal))?;
-        Ok(Terms { account: plan.account.unwrap_or_default(), deadline: plan.deadline })
+        Ok(plan.account.unwrap_or_default())
     }
 
     fn record_refusal(&self, request: &Request, refusal: &Refusal) {
