Answers to peers with a configuration or a directory wait for their turn

By reading: 73 entry VMs that start together and ask one of 120 MB for its directory could exceed the 4 MB for answers, and their connections would be closed. At most eight such answers are made and sent at a time; the others wait, as they fit one after the other. An answer has 2 s to be taken, as peers wait one.

--- a/quetzaltiller/src/adapters/peer_server.rs
+++ b/quetzaltiller/src/adapters/peer_server.rs
@@ -2,7 +2,7 @@
 //!
 //! Anybody who reaches the port can send frames. So a request is read within the memory for messages,
 //! an answer is held within the memory for answers until it was sent, and a connection that doesn't take
-//! its answers is closed.
+//! its answers is closed. Answers with a whole configuration or directory wait for their turn.
 
 use super::tcp_peer::MAX_FRAME_BYTES;
 use crate::admission::{Admission, Cause, Connection, Resources};
@@ -11,14 +11,14 @@
 use crate::peer::Handler;
 use crate::prelude::*;
 use crate::scope::Scope;
-use crate::wire::{Request, Response};
+use crate::wire::{Ask, Request, Response};
 use bytes::{BufMut as _, Bytes, BytesMut};
 use coordination::memory::{Message, Reservation};
 use prost::Message as _;
 use tokio::io::{AsyncBufReadExt as _, AsyncReadExt as _, AsyncWriteExt as _, BufReader};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::time::{sleep, timeout};
 
 /// Pause after a connection could not be accepted.
@@ -26,7 +26,10 @@
 /// Maximum number of requests on one connection that are answered at a time.
 const MAX_PENDING: usize = 64;
 /// Time limit to send an answer; peers wait a second for it.
-const SEND_TIMEOUT: Duration = Duration::from_secs(5);
+const SEND_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum number of answers with a configuration or a directory that are made and sent at a time; at
+/// 0.5 MB each they fit in the smallest VM's share.
+const MAX_BULK_ANSWERS: usize = 8;
 /// Size of the length before each frame in bytes.
 const LENGTH_BYTES: usize = 4;
 /// Longest request in bytes that is decoded beside others: decoded, a request may take many times its
@@ -42,19 +45,43 @@
     max_request_bytes: usize,
     /// Permit to decode and answer a long request.
     long_requests: Arc<Semaphore>,
+    /// Permits to make and send a bulk answer.
+    bulk_answers: Arc<Semaphore>,
 }
 
-/// An encoded answer with its length, and its memory.
+/// An encoded answer with its length, and what it holds until it was sent.
 struct Answer {
     bytes: Bytes,
     _memory: Reservation,
+    _bulk_permit: Option<OwnedSemaphorePermit>,
 }
 
 impl PeerPort {
     /// Creates a port that takes requests of at most `max_request_bytes`.
     pub fn new(admission: &Admission, max_request_bytes: usize) -> Self {
-        let long_requests = Arc::new(Semaphore::new(1));
-        Self { admission: admission.clone(), max_request_bytes, long_requests }
+        Self {
+            admission: admission.clone(),
+            max_request_bytes,
+            long_requests: Arc::new(Semaphore::new(1)),
+            bulk_answers: Arc::new(Semaphore::new(MAX_BULK_ANSWERS)),
+        }
+    }
+}
+
+impl PeerPort {
+    /// Answers a request; none if there is no memory for the answer.
+    async fn answer(&self, sequence: u64, ask: Ask, handler: &dyn Handler) -> Option<Answer> {
+        let bulk_permit = match ask {
+            Ask::Pull(_) | Ask::Upstreams(_) => {
+                self.bulk_answers.clone().acquire_owned().await.ok()
+            }
+            _ => None,
+        };
+        let reply = Some(handler.answer(ask).await);
+        let response = Response { sequence, reply };
+        let memory = self.admission.answers.hold(response.encoded_len())?;
+        let bytes = encode_frame(&response);
+        Some(Answer { bytes, _memory: memory, _bulk_permit: bulk_permit })
     }
 }
 
@@ -148,15 +175,12 @@
             let (handler, sender) = (self.handler.clone(), sender.clone());
             let (place, port) = (self.place.clone(), self.port.clone());
             self.scope.spawn(async move {
-                let reply = Some(handler.answer(ask).await);
-                let response = Response { sequence, reply };
-                let Some(memory) = port.admission.answers.hold(response.encoded_len()) else {
+                if let Some(answer) = port.answer(sequence, ask, &*handler).await {
+                    let _ = sender.send(answer).await;
+                } else {
                     port.admission.rejections.record(Cause::MessageRefused, place.port());
                     place.refusal().cancel();
-                    return;
-                };
-                let bytes = encode_frame(&response);
-                let _ = sender.send(Answer { bytes, _memory: memory }).await;
+                }
                 drop((permit, long_permit));
             });
         }
