--- a/quetzaltiller/src/adapters/peer_server.rs
+++ b/quetzaltiller/src/adapters/peer_server.rs
@@ -66,9 +66,7 @@
             bulk_answers: Arc::new(Semaphore::new(MAX_BULK_ANSWERS)),
         }
     }
-}
 
-impl PeerPort {
     /// Answers a request; none if there is no memory for the answer.
     async fn answer(&self, sequence: u64, ask: Ask, handler: &dyn Handler) -> Option<Answer> {
         let bulk_permit = match ask {
--- a/quetzaltiller/src/admission/cause.rs
+++ b/quetzaltiller/src/admission/cause.rs
@@ -13,7 +13,7 @@
     BodyTooLong,
     /// The body did not arrive in time.
     BodyLate,
-    /// The body's memory is used up or was needed for others.
+    /// The body found no memory, or others needed its memory or the place of its connection.
     MemoryUsedUp,
     /// A peer's message is too long, late, or found no memory.
     MessageRefused,
--- a/quetzaltiller/src/admission/upload.rs
+++ b/quetzaltiller/src/admission/upload.rs
@@ -14,8 +14,8 @@
 
 /// Time in which the rest of a small body that was refused has to arrive.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
-/// Wait that a caller is told whose body found no memory.
-const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Wait that a caller is told whose body found no room.
+const ROOM_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// What is known of a request when its body begins.
 pub struct Upload<'a> {
@@ -132,8 +132,8 @@
             }
             Cause::BodyLate => Refusal::not_run(Code::BodyTimeout, "the body did not come in time"),
             _ => {
-                let message = "memory for bodies is used up; send the request again later";
-                let retry_after_ms = MEMORY_RETRY_AFTER.as_millis() as u64;
+                let message = "no room for the body now; send the request again later";
+                let retry_after_ms = ROOM_RETRY_AFTER.as_millis() as u64;
                 Refusal { retry_after_ms, ..Refusal::not_run(Code::Overloaded, message) }
             }
         }
