Follower: refusals say how old the configuration is and what the store last said

No decision changes. The status is modified in place where it was replaced, so that it keeps the new fields.

Test: age_of_the_configuration_and_of_the_store_s_last_word_on_it_are_known; follower, silent_store and evidence pass (110).

--- a/quetzaltiller/src/entry/dump.rs
+++ b/quetzaltiller/src/entry/dump.rs
@@ -3,6 +3,7 @@
 use crate::admission;
 use crate::control::Version;
 use crate::drain::Phase;
+use crate::follower::ConfigurationAge;
 use crate::members::View;
 use crate::placement::State;
 use crate::quarantine;
@@ -21,6 +22,8 @@
     pub phase: Phase,
     /// Number of the configuration in force.
     pub number: u64,
+    /// Age of that configuration and of what the store last said of it.
+    pub configuration: ConfigurationAge,
     /// Version of the store that lists the known upstreams.
     #[serde(flatten)]
     pub store: Version,
--- a/quetzaltiller/src/entry/mod.rs
+++ b/quetzaltiller/src/entry/mod.rs
@@ -227,6 +227,7 @@
             incarnation: self.config.incarnation,
             phase: self.drain.phase(),
             number: self.follower.routes().number(),
+            configuration: self.follower.configuration_age(),
             store: self.follower.directory().version(),
             open: self.local.open(),
             admission: self.admission.state(),
--- a/quetzaltiller/src/follower/mod.rs
+++ b/quetzaltiller/src/follower/mod.rs
@@ -20,6 +20,7 @@
 //! store can't be reached. A successor is used until the store lists it, or for at most
 //! `SUCCESSOR_TTL` while the store can be reached.
 
+mod configuration_age;
 mod dispute;
 mod message;
 mod source;
@@ -28,6 +29,7 @@
 mod watch_pause;
 mod watches;
 
+pub use configuration_age::ConfigurationAge;
 pub use watch_pause::Role;
 pub use watches::Watches;
 
@@ -99,6 +101,11 @@
         self.routes.borrow().clone()
     }
 
+    /// Age of the configuration in force and of what the store last said of it.
+    pub fn configuration_age(&self) -> ConfigurationAge {
+        self.status.borrow().configuration.age(self.clock.now())
+    }
+
     /// Waits for the first configuration.
     pub async fn configured(&self) {
         let _ = self.routes.clone().wait_for(|table| table.number() > 0).await;
--- a/quetzaltiller/src/follower/store_status.rs
+++ b/quetzaltiller/src/follower/store_status.rs
@@ -1,5 +1,6 @@
 //! State of the store as it is reported to peers.
 
+use super::configuration_age::ConfigurationTimes;
 use crate::control::Version;
 use crate::fleet::Upstream;
 use crate::placement::Successor;
@@ -10,6 +11,8 @@
 pub struct StoreStatus {
     /// Version of the listed upstreams; its revision is 0 before any listing.
     pub version: Version,
+    /// When the configuration came into force, and what the store last said of it.
+    pub configuration: ConfigurationTimes,
     /// Successors of lost upstreams that the store does not list yet.
     pub successors: Vec<Successor>,
     /// Upstreams that a newer era lists although they had left.
--- a/quetzaltiller/src/follower/task.rs
+++ b/quetzaltiller/src/follower/task.rs
@@ -101,10 +101,16 @@
 
     fn handle_message(&mut self, message: Message) {
         match message {
-            Message::StoreConfiguration(Configuration { table: Some(table), .. }) => {
-                self.update_configuration(table, "store");
+            Message::StoreConfiguration(Configuration { version, table }) => {
+                let now = self.clock.now();
+                self.published.status.send_modify(|status| {
+                    status.configuration.store = version;
+                    status.configuration.answered_at = now;
+                });
+                if let Some(table) = table {
+                    self.update_configuration(table, "store");
+                }
             }
-            Message::StoreConfiguration(_) => {}
             Message::PeerConfiguration(table) => self.update_configuration(table, "peer"),
             Message::Listed(listing) => {
                 let before = self.directory.clone();
@@ -193,7 +199,12 @@
         let (number, routes) = (table.number(), table.routes().len());
         let table = Arc::new(table);
         if self.configuration.update_if_newer(number, table.clone()) {
-            info!("configuration_in_force", kv: { number, routes, source });
+            let now = self.clock.now();
+            self.published.status.send_modify(|status| status.configuration.in_force_at = now);
+            let store = self.published.status.borrow().configuration.store;
+            info!("configuration_in_force", kv: {
+                number, routes, source, era = store.era, revision = store.revision
+            });
             self.published.routes.send_replace(table);
         }
     }
@@ -373,15 +384,11 @@
         }
         self.published.directory.send_replace(Arc::new(directory));
         let successors = self.successors.values().map(|(successor, _)| successor.clone());
-        let (successors, unreachable) = (successors.collect(), self.store_unreachable);
         let disputed = self.disputed.keys().filter_map(|id| self.directory.upstream(id));
-        self.published.status.send_replace(StoreStatus {
-            version: self.directory.version(),
-            successors,
-            disputed: disputed.cloned().collect(),
-            unreachable,
-            silences: self.silences,
-            reported_silences: self.reported_silences,
+        self.published.status.send_modify(|status| {
+            status.version = self.directory.version();
+            status.successors = successors.collect();
+            status.disputed = disputed.cloned().collect();
         });
     }
 }
--- a/quetzaltiller/src/proxy/mod.rs
+++ b/quetzaltiller/src/proxy/mod.rs
@@ -187,9 +187,12 @@
 
     fn record_refusal(&self, request: &Request, refusal: &Refusal) {
         self.context.metrics.count(Counter::Refused);
+        let follower = &self.context.follower;
+        let age = follower.configuration_age();
         info!("request_refused", kv: {
             request = request.id, host = request.host, path = request.path, code:? = refusal.code,
-            number = self.context.follower.routes().number(),
+            number = follower.routes().number(), age_ms = age.age_ms,
+            era = age.store.era, revision = age.store.revision, store_age_ms = age.store_age_ms,
         });
     }
 
--- a/quetzaltiller/tests/follower.rs
+++ b/quetzaltiller/tests/follower.rs
@@ -397,3 +397,23 @@
 
     assert!(max_delay <= MAX_LAG, "{max_delay:?}");
 }
+
+/// Guards against logs that can't tell a stale configuration from a request that none allows.
+#[tokio::test(start_paused = true)]
+async fn age_of_the_configuration_and_of_the_store_s_last_word_on_it_are_known() {
+    let (follower, store, _scope) = start(&[]).await;
+    store.configure(configuration(1));
+    sleep(MAX_LAG).await;
+    let written = store.version();
+
+    store.list(engine("engine-a-0", "a", 1));
+    sleep(Duration::from_secs(5)).await;
+    let waiting = follower.configuration_age();
+    sleep(Duration::from_secs(20)).await;
+    let answered = follower.configuration_age();
+
+    assert_eq!(waiting.store, written);
+    assert!(waiting.store_age_ms >= 5_000 && waiting.age_ms == waiting.store_age_ms, "{waiting:?}");
+    assert_eq!(answered.store, store.version());
+    assert!(answered.store_age_ms < 20_000 && answered.age_ms > 25_000, "{answered:?}");
+}
