Soak: a configuration whose watch alone is silent is not in force in time

Four and one qt-entry behind proxies: the connections with the watches of the configuration fall silent, beside a reset of the upstreams' watches or not, or are reset and the next half second's connections are silent. The store answers all else. 3 s later a configuration is acknowledged.

Proxies can now silence or reset the connections whose last request contains a text.

--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -1,8 +1,10 @@
 //! TCP proxy on loopback that can delay, cut, silence, reset or garble the connections through it.
 
 use socket2::SockRef;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -14,7 +16,7 @@
 const CHUNK: usize = 16 << 10;
 
 /// Faults of the connections through a proxy.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Impairment {
     /// Delay of each piece of data, in milliseconds.
     pub delay_ms: u64,
@@ -28,12 +30,32 @@
     pub silent_before: u64,
     /// Connections with a lower number are reset.
     pub reset_before: u64,
+    /// Further connections that carry no more data, for good.
+    pub silent: BTreeSet<u64>,
+    /// Further connections that are reset.
+    pub reset: BTreeSet<u64>,
+    /// Whether connections that open now are silent from their start.
+    pub silences_new: bool,
 }
 
+impl Impairment {
+    fn is_silent(&self, number: u64) -> bool {
+        number < self.silent_before || self.silent.contains(&number)
+    }
+
+    fn is_reset(&self, number: u64) -> bool {
+        number < self.reset_before || self.reset.contains(&number)
+    }
+}
+
+/// Last request on each connection, by the connection's number.
+type Requests = Arc<Mutex<BTreeMap<u64, Vec<u8>>>>;
+
 /// Running proxy, which numbers its connections from 1; dropping it stops accepting.
 pub struct Proxy {
     impairment: watch::Sender<Impairment>,
     opened: watch::Sender<u64>,
+    requests: Requests,
     accepting: JoinHandle<()>,
 }
 
@@ -50,21 +72,32 @@
         let listener = TcpListener::from_std(listener)?;
         let (impairment, impairments) = watch::channel(Impairment::default());
         let (opened, _) = watch::channel(0);
-        let counter = opened.clone();
+        let requests = Requests::default();
+        let (counter, setter, seen) = (opened.clone(), impairment.clone(), requests.clone());
         let accepting = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 counter.send_modify(|count| *count += 1);
                 let number = *counter.borrow();
-                tokio::spawn(relay(stream, target, number, impairments.clone()));
+                if setter.borrow().silences_new {
+                    setter.send_modify(|impairment| {
+                        impairment.silent.insert(number);
+                    });
+                }
+                let (impairments, seen) = (impairments.clone(), seen.clone());
+                tokio::spawn(async move {
+                    relay(stream, target, number, impairments, &seen).await;
+                    seen.lock().unwrap_or_else(PoisonError::into_inner).remove(&number);
+                });
             }
         });
-        Ok(Self { impairment, opened, accepting })
+        Ok(Self { impairment, opened, requests, accepting })
     }
 
     /// Sets the delay and the cuts of all connections.
     pub fn set(&self, delay_ms: u64, cut_forward: bool, cut_back: bool) {
         self.impairment.send_modify(|impairment| {
-            *impairment = Impairment { delay_ms, cut_forward, cut_back, ..*impairment };
+            (impairment.delay_ms, impairment.cut_forward, impairment.cut_back) =
+                (delay_ms, cut_forward, cut_back);
         });
     }
 
@@ -79,6 +112,33 @@
         self.impairment.send_modify(|impairment| impairment.silent_before = next);
     }
 
+    /// Stops all data on the connections whose last request contains `text`, for good.
+    pub fn silence_carriers(&self, text: &str) {
+        let carriers = self.carriers(text);
+        self.impairment.send_modify(|impairment| impairment.silent.extend(carriers));
+    }
+
+    /// Resets the connections whose last request contains `text`.
+    pub fn reset_carriers(&self, text: &str) {
+        let carriers = self.carriers(text);
+        self.impairment.send_modify(|impairment| impairment.reset.extend(carriers));
+    }
+
+    /// Starts or stops silencing connections that open.
+    pub fn set_silencing_new(&self, silences_new: bool) {
+        self.impairment.send_modify(|impairment| impairment.silences_new = silences_new);
+    }
+
+    fn carriers(&self, text: &str) -> Vec<u64> {
+        let requests = self.requests.lock().unwrap_or_else(PoisonError::into_inner);
+        let contains = |request: &[u8]| String::from_utf8_lossy(request).contains(text);
+        requests
+            .iter()
+            .filter(|(_, request)| contains(request))
+            .map(|(number, _)| *number)
+            .collect()
+    }
+
     /// Resets the connections that are open now.
     pub fn reset_open(&self) {
         let next = *self.opened.borrow() + 1;
@@ -92,6 +152,7 @@
     target: SocketAddr,
     number: u64,
     impairment: watch::Receiver<Impairment>,
+    requests: &Requests,
 ) {
     let Ok(server) = TcpStream::connect(target).await else {
         // The connection is accepted already, so a refusing target shows as a reset.
@@ -104,17 +165,19 @@
     let (server_read, server_write) = server.into_split();
     let forward = async {
         let mut to = server_write;
-        forward_bytes(client_read, &mut to, impairment.clone(), number, |impairment| {
-            impairment.cut_forward
-        })
-        .await;
+        let record = |request: &[u8]| {
+            let mut requests = requests.lock().unwrap_or_else(PoisonError::into_inner);
+            requests.insert(number, request.to_vec());
+        };
+        let is_cut = |impairment: &Impairment| impairment.cut_forward;
+        forward_bytes(client_read, &mut to, (impairment.clone(), number), is_cut, record).await;
         // The peer may have closed first.
         let _ = to.shutdown().await;
     };
     let back = relay_answers(server_read, client_write, impairment.clone(), number);
     tokio::select! {
         _ = async { tokio::join!(forward, back) } => {}
-        _ = resets.wait_for(|impairment| number < impairment.reset_before) => {
+        _ = resets.wait_for(|impairment| impairment.is_reset(number)) => {
             for socket in sockets.into_iter().flatten() {
                 let _ = socket.set_linger(Some(Duration::ZERO));
             }
@@ -132,7 +195,7 @@
 ) {
     let (mut babble_start, babble_state) = (impairment.clone(), impairment.clone());
     tokio::select! {
-        () = forward_bytes(from, &mut to, impairment, number, |impairment| impairment.cut_back) => {}
+        () = forward_bytes(from, &mut to, (impairment, number), |i| i.cut_back, |_| {}) => {}
         true = async { babble_start.wait_for(|impairment| impairment.babbles).await.is_ok() } => {
             while babble_state.borrow().babbles && to.write_all(&[b'x'; CHUNK]).await.is_ok() {}
         }
@@ -141,19 +204,19 @@
     let _ = to.shutdown().await;
 }
 
-/// Forwards data in one direction until an end closes; holds it while the direction is cut or the
-/// connection is silenced.
+/// Forwards data in one direction until an end closes, and gives each piece to `record`; holds it
+/// while the direction is cut or the connection is silenced.
 async fn forward_bytes(
     mut from: OwnedReadHalf,
     to: &mut OwnedWriteHalf,
-    mut impairment: watch::Receiver<Impairment>,
-    number: u64,
+    (mut impairment, number): (watch::Receiver<Impairment>, u64),
     is_cut: impl Fn(&Impairment) -> bool,
+    record: impl Fn(&[u8]),
 ) {
     let mut buffer = vec![0; CHUNK];
     while let Ok(count) = from.read(&mut buffer).await {
-        let passes =
-            |impairment: &Impairment| !is_cut(impairment) && number >= impairment.silent_before;
+        record(&buffer[..count]);
+        let passes = |impairment: &Impairment| !is_cut(impairment) && !impairment.is_silent(number);
         if impairment.wait_for(|impairment| passes(impairment)).await.is_err() {
             break;
         }
