Follower: a change that a silent watch misses is read anew

What callers saw: 404 or 401 by a configuration that was older than the acknowledged one, for up to 21 s.

Cause: a watch of the configuration waits 20 s and began anew only after a watch of the upstreams went unanswered. Where its own connection alone is silent, or one made after a reset is, nothing goes unanswered that has a short limit. The watch of the quarantine records is the same. Class: a wait whose end depends on evidence from another connection, which fails on its own.

Change: what counts is no longer whether a connection answers but whether the store has moved on. Its revision counts the changes of all objects, and each answer to a short watch of the upstreams states it. A revision that none of the upstreams' changes has, and that no other watch tells of within 0.1 s, makes the configuration and the quarantine records be read anew, by a call that lists them. The reading can't loop: a revision causes one at most. After the upstreams' history is lost both are read too. Bound, by construction: half of recovery_ms, 0.2 s of pause and 0.1 s, so 1.8 s on the small sites.

--- a/quetzaltiller/src/control.rs
+++ b/quetzaltiller/src/control.rs
@@ -45,21 +45,25 @@
 }
 
 /// Newest configuration as of a version of the store.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Configuration {
     /// Version of the store up to which the configuration is the newest.
     pub version: Version,
     /// Configuration; `None` if there is none, or none since the requested version.
     pub table: Option<Table>,
+    /// Revisions at which it has changed, as far as the store states them.
+    pub revisions: Vec<u64>,
 }
 
 /// Changes of upstreams up to a version of the store.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Changes {
     /// Version of the store that the changes lead up to. They apply only to a state of its era.
     pub version: Version,
     /// Changes, in the order of their revisions.
     pub changes: Vec<Change>,
+    /// Revisions of the changes, as far as the store states them.
+    pub revisions: Vec<u64>,
 }
 
 /// Entry VM as announced in the store.
@@ -102,6 +106,16 @@
     pub changes: Vec<QuarantineChange>,
 }
 
+impl Quarantines {
+    /// Revisions of the changes, as far as the store states them.
+    pub fn revisions(&self) -> impl Iterator<Item = u64> {
+        self.changes.iter().filter_map(|change| match change {
+            QuarantineChange::Set(quarantine) => Some(quarantine.revision),
+            QuarantineChange::Removed(_) => None,
+        })
+    }
+}
+
 /// Outcome of a conditional write of a quarantine record.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum QuarantineWrite {
--- a/quetzaltiller/src/follower/mod.rs
+++ b/quetzaltiller/src/follower/mod.rs
@@ -22,6 +22,7 @@
 
 mod configuration_age;
 mod dispute;
+mod gaps;
 mod message;
 mod source;
 mod store_status;
@@ -31,7 +32,7 @@
 
 pub use configuration_age::ConfigurationAge;
 pub use watch_pause::Role;
-pub use watches::Watches;
+pub use watches::{Watched, Watches};
 
 use crate::clock::Clock;
 use crate::control::{Changes, Store, Version};
@@ -208,7 +209,9 @@
     pub fn update_upstreams(&self, update: Update) {
         self.mailbox.send(match update {
             Update::Listed(listing) => Message::Listed(listing),
-            Update::Changed { version, changes } => Message::Changed(Changes { version, changes }),
+            Update::Changed { version, changes } => {
+                Message::Changed(Changes { version, changes, ..Changes::default() })
+            }
         });
     }
 
--- a/quetzaltiller/src/follower/source.rs
+++ b/quetzaltiller/src/follower/source.rs
@@ -3,7 +3,7 @@
 use super::message::Message;
 use super::store_status::StoreStatus;
 use super::watch_pause::WatchPause;
-use super::watches::Watches;
+use super::watches::{Watched, Watches};
 use crate::clock::Clock;
 use crate::control::{Changes, Error, Store, Version};
 use crate::mailbox::Mailbox;
@@ -44,19 +44,26 @@
     /// Follows the configuration until the process ends.
     pub async fn follow_routes(self) {
         let mut version = None;
+        let mut checked = Version::default();
         let mut retry_delay = MIN_RETRY_DELAY;
         loop {
             self.metrics.count(Counter::StoreCall);
             let result = match version {
-                None => self.store.configuration().await,
+                None => self.store.configuration().await.map(Watched::Answered),
                 Some(version) => {
                     let watch = |wait| self.store.next_configuration(version, wait);
-                    self.watches.watch(watch).await
+                    self.watches.watch("configuration", version.max(checked), watch).await
                 }
             };
             match result {
-                Ok(configuration) => {
+                Ok(Watched::Behind(gap)) => {
+                    self.metrics.count(Counter::WatchBehind);
+                    checked = gap;
+                    version = None;
+                }
+                Ok(Watched::Answered(configuration)) => {
                     let newest = configuration.version;
+                    self.watches.account_for(newest.era, configuration.revisions.iter().copied());
                     retry_delay = MIN_RETRY_DELAY;
                     self.mailbox.send(Message::StoreConfiguration(configuration));
                     if is_other_era(version, newest) {
@@ -83,6 +90,7 @@
     /// Follows the upstreams until the process ends.
     pub async fn follow_upstreams(mut self) {
         let mut version = None;
+        let mut has_listed = false;
         let mut retry_delay = MIN_RETRY_DELAY;
         let mut store_unreachable = false;
         let mut was_silent = false;
@@ -93,15 +101,20 @@
                 // A watch returns only at the next change, a read as soon as the store can be
                 // reached.
                 Some(version) if store_unreachable => {
-                    self.store.upstreams_since(version).await.map(changes_message)
+                    let changes = self.store.upstreams_since(version).await;
+                    changes.map(|changes| self.changes_message(version, changes))
                 }
                 Some(version) => {
                     let watch = |wait| self.store.next_upstreams(version, wait);
-                    self.watches.watch_upstreams(watch).await.map(changes_message)
+                    let changes = self.watches.watch_upstreams(watch).await;
+                    changes.map(|changes| self.changes_message(version, changes))
                 }
             };
             match result {
                 Ok((newest, message)) => {
+                    if version.is_none() && std::mem::replace(&mut has_listed, true) {
+                        self.watches.record_lost_history(newest);
+                    }
                     if std::mem::take(&mut store_unreachable) {
                         info!("store_regained", kv: { era = newest.era, revision = newest.revision });
                         let was_silent = std::mem::take(&mut was_silent);
@@ -165,10 +178,12 @@
         let listing = self.store.upstreams().await?;
         Ok((listing.version, Message::Listed(listing)))
     }
-}
 
-fn changes_message(changes: Changes) -> (Version, Message) {
-    (changes.version, Message::Changed(changes))
+    /// Message with the changes since a version; records the gaps between their revisions.
+    fn changes_message(&self, since: Version, changes: Changes) -> (Version, Message) {
+        self.watches.record_gaps(since, &changes);
+        (changes.version, Message::Changed(changes))
+    }
 }
 
 /// Whether an answer belongs to another era than the version that was watched, so that earlier
--- a/quetzaltiller/src/follower/task.rs
+++ b/quetzaltiller/src/follower/task.rs
@@ -101,7 +101,7 @@
 
     fn handle_message(&mut self, message: Message) {
         match message {
-            Message::StoreConfiguration(Configuration { version, table }) => {
+            Message::StoreConfiguration(Configuration { version, table, .. }) => {
                 let now = self.clock.now();
                 self.published.status.send_modify(|status| {
                     status.configuration.store = version;
@@ -127,7 +127,7 @@
                     }
                 }
             }
-            Message::Changed(Changes { version, changes }) => {
+            Message::Changed(Changes { version, changes, .. }) => {
                 let before = self.directory.clone();
                 if version.era != before.version().era {
                     return;
--- a/quetzaltiller/src/metrics.rs
+++ b/quetzaltiller/src/metrics.rs
@@ -57,6 +57,7 @@
     StoreLost "store.lost" "Times the store became unreachable.",
     Tokens "generation.tokens" "Tokens emitted to callers.",
     UpstreamLost "upstream.lost" "Upstreams found gone.",
+    WatchBehind "store.watch_behind" "Watches given up, as the store had changed and they had not told.",
 }
 
 macro_rules! latencies {
--- a/quetzaltiller/src/quarantine/source.rs
+++ b/quetzaltiller/src/quarantine/source.rs
@@ -2,7 +2,7 @@
 
 use super::message::Message;
 use crate::control::{Error, Store, Version};
-use crate::follower::Watches;
+use crate::follower::{Watched, Watches};
 use crate::mailbox::Mailbox;
 use crate::metrics::{Counter, Metrics};
 use crate::prelude::*;
@@ -31,23 +31,32 @@
     /// Follows the records until the process ends.
     pub async fn run(self) {
         let mut version: Option<Version> = None;
+        let mut checked = Version::default();
         let mut retry_delay = MIN_RETRY_DELAY;
         loop {
             self.metrics.count(Counter::StoreCall);
             let result = match version {
-                None => self.store.quarantines().await,
+                None => self.store.quarantines().await.map(Watched::Answered),
                 Some(since) => {
                     let watch = |wait| self.store.next_quarantines(since, wait);
-                    self.watches.watch(watch).await
+                    self.watches.watch("quarantine", since.max(checked), watch).await
                 }
             };
             match result {
+                Ok(Watched::Behind(gap)) => {
+                    self.metrics.count(Counter::WatchBehind);
+                    checked = gap;
+                    version = None;
+                }
                 // The changes may be of another history than what was listed.
-                Ok(changed) if version.is_some_and(|known| known.era != changed.version.era) => {
+                Ok(Watched::Answered(changed))
+                    if version.is_some_and(|known| known.era != changed.version.era) =>
+                {
                     version = None;
                 }
-                Ok(quarantines) => {
+                Ok(Watched::Answered(quarantines)) => {
                     retry_delay = MIN_RETRY_DELAY;
+                    self.watches.account_for(quarantines.version.era, quarantines.revisions());
                     let is_listing = version.replace(quarantines.version).is_none();
                     if is_listing {
                         self.mailbox.send(Message::Listed(quarantines));
--- a/standin/src/control.rs
+++ b/standin/src/control.rs
@@ -24,6 +24,28 @@
 /// Time limit of a call of a client, not counting the wait of a watch.
 const CALL_LIMIT: Duration = Duration::from_secs(1);
 
+/// Kind of objects that a watch follows.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Kind {
+    /// The configuration.
+    Configuration,
+    /// The upstreams.
+    Upstreams,
+    /// The quarantine records.
+    Quarantine,
+}
+
+/// Trouble of the connections that carry the watches of one kind.
+#[derive(Clone, Copy, Debug)]
+struct Trouble {
+    /// Time until which watches that begin are never answered, as are those that wait.
+    silent_until: Instant,
+    /// Whether the watches that wait fail instead.
+    resets: bool,
+    /// Number of troubles of the kind so far.
+    number: u64,
+}
+
 /// What the store holds at one revision.
 #[derive(Clone, Default)]
 struct Contents {
@@ -48,6 +70,7 @@
     away: bool,
     /// Whether what is sent is never answered.
     silent: bool,
+    troubles: BTreeMap<Kind, Trouble>,
     calls: u64,
     /// Entries of upstreams in all eras, in the order in which they were written.
     written: Vec<Upstream>,
@@ -135,6 +158,31 @@
         self.revision.send_modify(|_| {});
     }
 
+    /// Lets all watches of a kind that wait now go unanswered, although the store answers all other
+    /// calls: their connections have fallen silent for good.
+    pub fn silence_watches(&self, kind: Kind) {
+        self.trouble(kind, Duration::ZERO, false);
+    }
+
+    /// Resets the connections of all watches of a kind that wait now. Watches of the kind that begin
+    /// within `lasts` are never answered.
+    pub fn reset_watches(&self, kind: Kind, lasts: Duration) {
+        self.trouble(kind, lasts, true);
+    }
+
+    fn trouble(&self, kind: Kind, lasts: Duration, resets: bool) {
+        let silent_until = Instant::now() + lasts;
+        let mut state = self.lock();
+        let number = state.troubles.get(&kind).map_or(0, |trouble| trouble.number) + 1;
+        state.troubles.insert(kind, Trouble { silent_until, resets, number });
+        drop(state);
+        self.revision.send_modify(|_| {});
+    }
+
+    fn trouble_of(&self, kind: Kind) -> Option<Trouble> {
+        self.lock().troubles.get(&kind).copied()
+    }
+
     /// Returns a client of this store that can be cut off from it alone.
     pub fn client(&self) -> Self {
         Self { link: Arc::default(), ..self.clone() }
@@ -317,10 +365,11 @@
         if self.link.cut.load(Ordering::Relaxed) { Err(Error::Lost) } else { Ok(answer) }
     }
 
-    fn changes_since(&self, revision: u64) -> Vec<Change> {
+    fn changes_since(&self, revision: u64, version: Version) -> Changes {
         let state = self.lock();
         let since = state.changes.iter().filter(|(at, _)| *at > revision);
-        since.map(|(_, change)| change.clone()).collect()
+        let (revisions, changes) = since.cloned().unzip();
+        Changes { version, changes, revisions }
     }
 
     /// Waits until `newer` holds or `wait` has passed; returns the current version. Fails with
@@ -328,11 +377,12 @@
     /// unavailable or silent or another era begins.
     async fn wait(
         &self,
-        revision: u64,
-        wait: Duration,
+        kind: Kind,
+        (revision, wait): (u64, Duration),
         newer: impl Fn(&State) -> bool,
     ) -> Result<Version, Error> {
-        let limit = Instant::now() + wait + CALL_LIMIT;
+        let (began, limit) = (Instant::now(), Instant::now() + wait + CALL_LIMIT);
+        let known_trouble = self.trouble_of(kind);
         self.begin_watch(wait).await?;
         if revision < self.lock().compacted || revision > *self.revision.borrow() {
             return Err(Error::Expired);
@@ -341,7 +391,13 @@
         let mut seen = self.revision.subscribe();
         let end = Instant::now() + wait;
         loop {
-            if self.is_silent() {
+            let trouble = self.trouble_of(kind);
+            let is_new = trouble.map(|t| t.number) > known_trouble.map(|t| t.number);
+            if is_new && trouble.is_some_and(|trouble| trouble.resets) {
+                return Err(Error::Lost);
+            }
+            let began_silent = known_trouble.is_some_and(|trouble| began < trouble.silent_until);
+            if self.is_silent() || is_new || began_silent {
                 sleep_until(limit).await;
                 return Err(Error::Unanswered);
             }
@@ -378,7 +434,8 @@
         self.begin_call().await?;
         let table = Table::from(self.lock().contents.configuration.clone());
         let version = self.version();
-        self.delay_answer(Configuration { version, table: Some(table) }).await
+        let revisions = vec![self.lock().contents.configured_at];
+        self.delay_answer(Configuration { version, table: Some(table), revisions }).await
     }
 
     async fn next_configuration(
@@ -387,12 +444,16 @@
         wait: Duration,
     ) -> Result<Configuration, Error> {
         let is_newer = |state: &State| state.contents.configured_at > since.revision;
-        let version = self.wait(since.revision, wait, is_newer).await?;
-        let table = {
+        let asked = (since.revision, wait);
+        let version = self.wait(Kind::Configuration, asked, is_newer).await?;
+        let (table, revisions) = {
             let state = self.lock();
-            is_newer(&state).then(|| Table::from(state.contents.configuration.clone()))
+            let table = Table::from(state.contents.configuration.clone());
+            let newer = is_newer(&state);
+            (newer.then_some(table), newer.then_some(state.contents.configured_at))
         };
-        self.delay_answer(Configuration { version, table }).await
+        let revisions = revisions.into_iter().collect();
+        self.delay_answer(Configuration { version, table, revisions }).await
     }
 
     async fn upstreams(&self) -> Result<Listing, Error> {
@@ -406,13 +467,14 @@
     async fn next_upstreams(&self, since: Version, wait: Duration) -> Result<Changes, Error> {
         let Version { revision, .. } = since;
         let newer = |state: &State| state.changes.last().is_some_and(|(at, _)| *at > revision);
-        let version = self.wait(revision, wait, newer).await?;
-        self.delay_answer(Changes { version, changes: self.changes_since(revision) }).await
+        let version = self.wait(Kind::Upstreams, (revision, wait), newer).await?;
+        self.delay_answer(self.changes_since(revision, version)).await
     }
 
     async fn upstreams_since(&self, since: Version) -> Result<Changes, Error> {
-        let version = self.wait(since.revision, Duration::ZERO, |_| true).await?;
-        self.delay_answer(Changes { version, changes: self.changes_since(since.revision) }).await
+        let asked = (since.revision, Duration::ZERO);
+        let version = self.wait(Kind::Upstreams, asked, |_| true).await?;
+        self.delay_answer(self.changes_since(since.revision, version)).await
     }
 
     async fn members(&self) -> Result<Vec<Member>, Error> {
@@ -442,7 +504,7 @@
         let revision = since.revision;
         let newer =
             |state: &State| state.quarantine_changes.last().is_some_and(|(at, _)| *at > revision);
-        let newest = self.wait(revision, wait, newer).await?;
+        let newest = self.wait(Kind::Quarantine, (revision, wait), newer).await?;
         let state = self.lock();
         let since = state.quarantine_changes.iter().filter(|(at, _)| *at > revision);
         Ok(Quarantines { version: newest, changes: since.map(|(_, c)| c.clone()).collect() })
--- a/standin/src/site.rs
+++ b/standin/src/site.rs
@@ -66,13 +66,21 @@
     pub entries: Vec<Arc<Entry>>,
     /// Clients with which the entry VMs reach the store, by name.
     pub clients: BTreeMap<String, ControlStore>,
+    /// Time after an outage of the store in which the entry VMs have to follow it again.
+    recovery: Duration,
 }
 
 impl Site {
     /// Starts three zones, each with `engines` engines, one replica and one entry VM.
     pub async fn start(engines: usize) -> Self {
+        Self::start_with(engines, config(ZONES[0], 1).recovery).await
+    }
+
+    /// Starts the same with entry VMs that have to follow the store again within `recovery`.
+    pub async fn start_with(engines: usize, recovery: Duration) -> Self {
         quetzaltiller::logs::stop();
         let site = Self {
+            recovery,
             fleet: Fleet::default(),
             store: ControlStore::default(),
             hub: Hub::default(),
@@ -116,6 +124,7 @@
     }
 
     fn join_with(&mut self, config: Config) -> Arc<Entry> {
+        let config = Config { recovery: self.recovery, ..config };
         let (name, client) = (config.name.clone(), self.store.client());
         let ports = Ports {
             store: Arc::new(client.clone()),
