Quarantine: entry VMs that rest learn from peers what their silent watch misses

What callers saw: requests with a condemned part or digest reach upstreams from entry VMs that do not know the record yet, for up to 21 s.

In fleets of more than nine, most entry VMs learn the upstreams from two of their zone and get no answers of the store that would show a gap; configurations come by number from peers, records did not.

Change: heartbeats within a zone carry the version of the newest change of a record that the sender has read.

--- a/quetzaltiller/src/entry/builder.rs
+++ b/quetzaltiller/src/entry/builder.rs
@@ -91,12 +91,11 @@
     }
 
     /// Starts heartbeats with the other entry VMs and announces this one in the store.
-    pub fn start_members(&self, placer: &Placer) -> Members {
+    pub fn start_members(&self, placer: &Placer, quarantine: &Quarantine) -> Members {
         let Config { name, zone, peer_address, peer_seeds, .. } = self.config;
         let delegate = EntryDelegate::new(
             (name, zone),
-            self.follower.clone(),
-            placer.clone(),
+            (self.follower.clone(), placer.clone(), quarantine.clone()),
             self.ports.link.clone(),
             (self.scope.clone(), self.clock),
         );
--- a/quetzaltiller/src/entry/delegate.rs
+++ b/quetzaltiller/src/entry/delegate.rs
@@ -10,6 +10,7 @@
 use crate::peer::Link;
 use crate::placement::{Load, Peer, Placer, Reported, Statement, Successor};
 use crate::prelude::*;
+use crate::quarantine::Quarantine;
 use crate::scope::Scope;
 use crate::upstream::Limit;
 use crate::wire;
@@ -42,6 +43,7 @@
     zone: String,
     follower: Follower,
     placer: Placer,
+    quarantine: Quarantine,
     link: Arc<dyn Link>,
     scope: Scope,
     /// Whether a pull from a peer is running.
@@ -78,8 +80,7 @@
     /// Creates the delegate of the entry VM `name` in `zone`.
     pub fn new(
         (name, zone): (&str, &str),
-        follower: Follower,
-        placer: Placer,
+        (follower, placer, quarantine): (Follower, Placer, Quarantine),
         link: Arc<dyn Link>,
         (scope, clock): (Scope, Clock),
     ) -> Self {
@@ -88,6 +89,7 @@
             zone: zone.to_owned(),
             follower,
             placer,
+            quarantine,
             link,
             scope,
             is_pulling: Arc::default(),
@@ -166,6 +168,7 @@
         beat.departures = self.placer.departing().iter().map(departure).collect();
         beat.limits = self.limits(near);
         if near {
+            beat.set_quarantine_version(self.quarantine.version());
             beat.lost_upstreams = self.placer.lost().borrow().as_ref().clone();
         }
     }
@@ -178,6 +181,7 @@
         for limit in &beat.limits {
             self.placer.record_peer_statement(&limit.upstream, decode_statement(limit));
         }
+        self.quarantine.record_reported_version(beat.quarantine_version());
         let load = |load: &wire::Load| {
             let backlog = Duration::from_millis(u64::from(load.backlog_ms));
             let (requests, unread) = (load.reported_requests, load.reported_unread);
--- a/quetzaltiller/src/entry/mod.rs
+++ b/quetzaltiller/src/entry/mod.rs
@@ -89,10 +89,10 @@
     pub fn start(config: Config, ports: Ports) -> Arc<Self> {
         let builder = Builder::new(&config, &ports);
         let placer = builder.start_placer();
-        let members = builder.start_members(&placer);
+        let quarantine = builder.start_quarantine();
+        let members = builder.start_members(&placer, &quarantine);
         let finder = builder.start_finder(&placer, &members);
         let drain = builder.drain();
-        let quarantine = builder.start_quarantine();
         let admission = builder.admission();
         let proxy = Proxy::new(Context {
             clock: builder.clock,
--- a/quetzaltiller/src/quarantine/mod.rs
+++ b/quetzaltiller/src/quarantine/mod.rs
@@ -15,7 +15,7 @@
 pub use state::State;
 
 use crate::clock::Clock;
-use crate::control::{Store, Subject};
+use crate::control::{Store, Subject, Version};
 use crate::follower::Watches;
 use crate::mailbox::Mailbox;
 use crate::metrics::Metrics;
@@ -46,6 +46,8 @@
 pub struct Quarantine {
     mailbox: Mailbox<Message>,
     verdicts: watch::Receiver<Verdicts>,
+    newest: watch::Receiver<Version>,
+    reported: Arc<watch::Sender<Version>>,
 }
 
 impl Quarantine {
@@ -53,16 +55,31 @@
     pub fn start(scope: &Scope, dependencies: Dependencies) -> Self {
         let (mailbox, messages) = Mailbox::new();
         let (published, verdicts) = watch::channel(Verdicts::default());
+        let (newest_sender, newest) = watch::channel(Version::default());
+        let (reported, reports) = watch::channel(Version::default());
         let source = Source {
             store: dependencies.store.clone(),
             metrics: dependencies.metrics.clone(),
             watches: dependencies.watches.clone(),
             mailbox: mailbox.clone(),
+            newest: newest_sender,
+            reported: reports,
         };
         let task = Task::new(dependencies, scope.clone(), mailbox.clone(), published);
         scope.spawn(task.run(messages));
         scope.spawn(source.run());
-        Self { mailbox, verdicts }
+        Self { mailbox, verdicts, newest, reported: Arc::new(reported) }
+    }
+
+    /// Version of the newest change of a record that was read from the store.
+    pub fn version(&self) -> Version {
+        *self.newest.borrow()
+    }
+
+    /// Records the version of the newest change of a record that a peer knows.
+    pub fn record_reported_version(&self, version: Version) {
+        self.reported
+            .send_if_modified(|known| std::mem::replace(known, version.max(*known)) < version);
     }
 
     /// The subject for which a request with these subjects is to be refused.
--- a/quetzaltiller/src/wire.rs
+++ b/quetzaltiller/src/wire.rs
@@ -157,6 +157,11 @@
     /// Number of silences of the store that the sender itself has noticed.
     #[prost(uint32, tag = "23")]
     pub silences: u32,
+    /// Store's era and revision of the newest change of a quarantine record that the sender knows.
+    #[prost(uint64, tag = "24")]
+    pub quarantine_era: u64,
+    #[prost(uint64, tag = "25")]
+    pub quarantine_revision: u64,
 }
 
 impl Heartbeat {
@@ -169,6 +174,16 @@
     pub fn set_store_version(&mut self, Version { era, revision }: Version) {
         (self.era, self.revision) = (era, revision);
     }
+
+    /// Version of the newest change of a quarantine record that the member knows.
+    pub fn quarantine_version(&self) -> Version {
+        Version { era: self.quarantine_era, revision: self.quarantine_revision }
+    }
+
+    /// Sets the version of the newest change of a quarantine record that the member knows.
+    pub fn set_quarantine_version(&mut self, Version { era, revision }: Version) {
+        (self.quarantine_era, self.quarantine_revision) = (era, revision);
+    }
 }
 
 /// Limit that an upstream stated for all members together.
--- a/quetzaltiller/tests/silent_watch.rs
+++ b/quetzaltiller/tests/silent_watch.rs
@@ -15,7 +15,7 @@
 const VANISHING: Duration = Duration::from_millis(500);
 
 /// What the users state for a fleet: its size, the time after a trouble until all bounds hold again,
-/// and the time in which a change is in force.
+/// in which a record has to be known too, and the time in which a configuration is in force.
 #[derive(Clone, Copy, Debug)]
 struct Fleet {
     vms: usize,
@@ -90,7 +90,7 @@
 #[rstest]
 #[tokio::test(start_paused = true)]
 async fn a_change_is_followed_in_time_although_only_its_watch_is_silent(
-    #[values(Kind::Configuration, Kind::Upstreams)] kind: Kind,
+    #[values(Kind::Configuration, Kind::Upstreams, Kind::Quarantine)] kind: Kind,
     #[values(Trouble::Silence, Trouble::Reset)] trouble: Trouble,
     #[values(SMALL, LARGE)] fleet: Fleet,
     #[values(0, 700, 1_300, 9_000)] later_ms: u64,
@@ -100,7 +100,7 @@
     trouble.strike(&site, kind);
     sleep(fleet.recovery + Duration::from_millis(later_ms)).await;
     change(kind, &site).await;
-    sleep(fleet.max_lag).await;
+    sleep(if kind == Kind::Quarantine { fleet.recovery } else { fleet.max_lag }).await;
 
     let missed = missed_by(kind, &site).await;
     assert!(missed.is_empty(), "{missed:?}");
