Soak: faults of single watches, and of a store that forgets what its watches have not heard

A fourth stream of random numbers draws silent and reset watches of the configuration, the upstreams and the quarantine records, at one entry VM or at all, and compactions; most are followed by a change. The other faults of a seed stay as they were. Configurations are written one after the other: two at once could get the same number.

--- a/soak/src/injector.rs
+++ b/soak/src/injector.rs
@@ -1,7 +1,8 @@
 //! Injects the faults of a plan into a deployment at their times and ends them.
 
 use crate::deployment::Deployment;
-use crate::plan::{Event, Fault, Plan, StoreFault};
+use crate::plan::{Event, Fault, Plan, StoreFault, Watch};
+use crate::proxy::Proxy;
 use hyper::Method;
 use nix::sys::signal::Signal;
 use platform_standin::calls::call;
@@ -39,6 +40,8 @@
     deployment: Arc<Mutex<Deployment>>,
     store: SocketAddr,
     configured: Arc<watch::Sender<Configured>>,
+    /// Held while a configuration is written, so that no other has the same number.
+    writing: Arc<Mutex<()>>,
     began: Instant,
     restarts: Arc<std::sync::Mutex<Vec<(usize, Duration)>>>,
 }
@@ -52,6 +55,7 @@
             deployment: Arc::new(Mutex::new(deployment)),
             store,
             configured: Arc::new(watch::Sender::new(configured)),
+            writing: Arc::default(),
             began: Instant::now(),
             restarts: Arc::default(),
         }
@@ -80,6 +84,7 @@
     /// Writes the next configuration, with a new account key if `revoke`; retries until the store
     /// accepts it.
     pub async fn configure(&self, revoke: bool) {
+        let _writing = self.writing.lock().await;
         let Configured { version, key: current_key } = self.configured.borrow().clone();
         let version = version + 1;
         let key = if revoke { account_key(version) } else { current_key };
@@ -161,6 +166,15 @@
                 sleep(lasts).await;
                 self.deployment().await.entries[entry].store.set(0, false, false);
             }
+            Fault::SilenceWatch(watch, entry) => {
+                let deployment = self.deployment().await;
+                stores(&deployment, entry).for_each(|store| store.silence_carriers(request(watch)));
+            }
+            Fault::ResetWatch(watch, entry) => self.reset_watch(watch, entry, lasts).await,
+            Fault::Compact(deaf_ms) => {
+                let faults = Faults { compact_ms: Some(deaf_ms), ..Faults::default() };
+                self.set_store_faults(faults).await;
+            }
             Fault::Store(fault) => self.inject_store_fault(fault, lasts).await,
             Fault::Drill(drill) => self.drill_store(drill, lasts).await,
             Fault::Configure => self.configure(false).await,
@@ -227,6 +241,18 @@
         self.deployment().await.upstreams[upstream].proxy.set(0, false, false);
     }
 
+    async fn reset_watch(&self, watch: Watch, entry: Option<usize>, lasts: Duration) {
+        let deployment = self.deployment().await;
+        stores(&deployment, entry).for_each(|store| {
+            store.set_silencing_new(true);
+            store.reset_carriers(request(watch));
+        });
+        drop(deployment);
+        sleep(lasts).await;
+        let deployment = self.deployment().await;
+        stores(&deployment, entry).for_each(|store| store.set_silencing_new(false));
+    }
+
     async fn inject_store_fault(&self, fault: StoreFault, lasts: Duration) {
         let faults = match fault {
             StoreFault::Busy => Faults { mode: Mode::Busy, ..Faults::default() },
@@ -276,6 +302,7 @@
         for entry in &mut deployment.entries {
             entry.process.signal(Signal::SIGCONT);
             entry.store.set(0, false, false);
+            entry.store.set_silencing_new(false);
             let _ = entry.process.start();
         }
         drop(deployment);
@@ -283,6 +310,22 @@
     }
 }
 
+/// Proxies to the store of one entry VM, or of all.
+fn stores(deployment: &Deployment, entry: Option<usize>) -> impl Iterator<Item = &Proxy> {
+    let entries = deployment.entries.iter().enumerate();
+    let selected = entries.filter(move |(number, _)| entry.is_none_or(|entry| entry == *number));
+    selected.map(|(_, entry)| &entry.store)
+}
+
+/// Part of the requests of a watch that no others have.
+fn request(watch: Watch) -> &'static str {
+    match watch {
+        Watch::Configuration => "/config?watch=",
+        Watch::Upstreams => "/servers?watch=",
+        Watch::Quarantine => "-quarantine?watch=",
+    }
+}
+
 /// Account key that a configuration introduces.
 pub fn account_key(version: u64) -> String {
     format!("soak-key-{version}")
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -32,6 +32,13 @@
 /// Random number stream for drills and the faults beside them.
 const DRILL_STREAM: u64 = 2;
 
+/// Range of the pause between the starts of two faults of watches, in milliseconds.
+const WATCH_PAUSE_MS: std::ops::Range<u64> = 500..4_000;
+/// Range of the time for which a compacting store's watches are deaf, in milliseconds.
+const DEAF_MS: std::ops::Range<u64> = 300..1_200;
+/// Random number stream for faults of watches.
+const WATCH_STREAM: u64 = 3;
+
 /// Number of entry VMs, upstreams and callers in a run.
 #[derive(Clone, Copy, Debug, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -68,6 +75,18 @@
     Stopped,
 }
 
+/// A watch of the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Watch {
+    /// Watch of the configuration.
+    Configuration,
+    /// Watch of the upstreams.
+    Upstreams,
+    /// Watch of the quarantine records.
+    Quarantine,
+}
+
 /// A fault. Upstream numbers count the engines first, then the replicas.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -102,6 +121,14 @@
     Settings(usize),
     /// One entry VM loses its connection to the store.
     CutStore(usize),
+    /// The connections that carry a watch of the store fall silent, at one entry VM or, without its
+    /// number, at all.
+    SilenceWatch(Watch, Option<usize>),
+    /// They are reset, and connections to the store that open during the fault are silent.
+    ResetWatch(Watch, Option<usize>),
+    /// The store's watches hear of no change for so many milliseconds; then its history is dropped and
+    /// they are cut.
+    Compact(u64),
     /// The store fails for all of its clients.
     Store(StoreFault),
     /// The store is away for the fault's duration and returns from an older copy.
@@ -151,6 +178,7 @@
         }
         events.extend(draw_babble(seed, size, length));
         events.extend(draw_drills(seed, size, length));
+        events.extend(draw_watch_faults(seed, size, length));
         events.sort_by_key(|event| event.at);
         Self { seed, size, events }
     }
@@ -207,6 +235,33 @@
     events
 }
 
+/// Draws the faults of watches from their own random number stream. A change of the configuration
+/// follows most of them.
+fn draw_watch_faults(seed: u64, size: Size, length: Duration) -> Vec<Event> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(WATCH_STREAM);
+    let mut events = Vec::new();
+    let mut at = Duration::from_millis(random.random_range(WATCH_PAUSE_MS));
+    while at < length {
+        let watches = [Watch::Configuration, Watch::Upstreams, Watch::Quarantine];
+        let watch = watches[random.random_range(0..watches.len())];
+        let entry = random.random_bool(0.5).then(|| random.random_range(0..size.entries));
+        let fault = match random.random_range(0..4) {
+            0..=1 => Fault::SilenceWatch(watch, entry),
+            2 => Fault::ResetWatch(watch, entry),
+            _ => Fault::Compact(random.random_range(DEAF_MS)),
+        };
+        let lasts = Duration::from_millis(random.random_range(100..800));
+        events.push(Event { at, lasts, fault });
+        if random.random_bool(0.7) {
+            let offset = Duration::from_millis(random.random_range(0..3_000));
+            events.push(Event { at: at + offset, lasts, fault: Fault::Configure });
+        }
+        at += Duration::from_millis(random.random_range(WATCH_PAUSE_MS));
+    }
+    events
+}
+
 /// Draws a fault and what it applies to. Each call takes the same draws in the same order,
 /// whichever fault is chosen.
 fn draw_fault(random: &mut ChaCha8Rng, size: Size) -> Fault {
