Follower: a watch gets a second before it is given up

Reading the change again: on a store whose revision also counts objects that no entry VM follows, each answer to a watch of the upstreams shows a gap.

--- a/quetzaltiller/src/follower/watches.rs
+++ b/quetzaltiller/src/follower/watches.rs
@@ -26,6 +26,9 @@
 /// comes by another connection. Together with a wait for the upstreams and the pause after it (1.7 s) it
 /// is less than the 2 s in which a configuration has to be in force (users' settings).
 const DELIVERY_TIME: Duration = Duration::from_millis(100);
+/// Minimum time that a watch is given, so that a store with many changes of objects that no watch
+/// follows does not cost a call for each. Well below the same 2 s.
+const MIN_WATCH_TIME: Duration = Duration::from_secs(1);
 /// Part of the time in which an entry VM has to follow the store again after an outage that a watch
 /// of the upstreams waits. The rest is for its time limit and the next call.
 const WAIT_SHARE: u32 = 2;
@@ -107,7 +110,7 @@
             let cause = tokio::select! {
                 biased;
                 result = call(LONG_WAIT) => return result.map(Watched::Answered),
-                gap = self.fall_behind(known) => {
+                gap = self.fall_behind(known, began) => {
                     log_renewal(kind, "behind", began, gap);
                     return Ok(Watched::Behind(gap));
                 }
@@ -117,14 +120,15 @@
         }
     }
 
-    /// Waits until the store has changed after `known` and a watch has had the time to tell so;
-    /// returns the version of the change.
-    async fn fall_behind(&self, known: Version) -> Version {
+    /// Waits until the store has changed after `known` and a watch that began at `began` has had the
+    /// time to tell so; returns the version of the change.
+    async fn fall_behind(&self, known: Version, began: Instant) -> Version {
         let mut gaps = self.gaps.subscribe();
         loop {
             // The sender lives as long as these watches, so waiting can't fail.
             let _ = gaps.wait_for(|gaps| gaps.newest_after(known).is_some()).await;
-            tokio::time::sleep(DELIVERY_TIME).await;
+            let told_by = (began + MIN_WATCH_TIME).max(Instant::now() + DELIVERY_TIME);
+            tokio::time::sleep_until(told_by).await;
             if let Some(gap) = gaps.borrow_and_update().newest_after(known) {
                 return gap;
             }
--- a/quetzaltiller/tests/silent_watch.rs
+++ b/quetzaltiller/tests/silent_watch.rs
@@ -128,3 +128,22 @@
     let allowed = without_change + fleet.vms as u64 + 1;
     assert!(with_change <= allowed, "{with_change} calls, {allowed} allowed");
 }
+
+/// Guards against a call for each change of an object that no entry VM follows.
+#[tokio::test(start_paused = true)]
+async fn changes_of_other_objects_cost_a_bounded_number_of_calls() {
+    let site = start(SMALL).await;
+    let engine = site.store.listed().into_iter().find(|known| known.id == "engine-c-1").unwrap();
+    let before = site.store.calls();
+
+    for number in 0..600 {
+        site.store.write_other();
+        site.store.list(Upstream { slots: 60 + number % 2, ..engine.clone() });
+        sleep(Duration::from_millis(100)).await;
+    }
+
+    // Five watches of the upstreams a second, and one reading and one watch of two further kinds.
+    let allowed = 60 * (5 + 2 * 2) * SMALL.vms as u64;
+    let calls = site.store.calls() - before;
+    assert!(calls <= allowed, "{calls} calls, {allowed} allowed");
+}
--- a/standin/src/control.rs
+++ b/standin/src/control.rs
@@ -133,6 +133,11 @@
         state.copy(revision);
     }
 
+    /// Changes an object of a kind that no entry VM follows.
+    pub fn write_other(&self) {
+        self.next_revision();
+    }
+
     /// Compacts the history of changes up to the current revision.
     pub fn compact(&self) {
         let revision = *self.revision.borrow();
