--- a/standin/src/control.rs
+++ b/standin/src/control.rs
@@ -5,6 +5,11 @@
 //! are given out again, and what the operator and the upstreams wrote since is written again after
 //! a while. What entry VMs wrote is lost; quarantine records all are.
 
+mod drill;
+mod trouble;
+
+pub use trouble::Kind;
+
 use async_trait::async_trait;
 use quetzaltiller::control::{
     Changes, Configuration, Error, Member, Quarantine, QuarantineChange, QuarantineWrite,
@@ -18,34 +23,13 @@
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
+use trouble::Trouble;
 
 /// Time that each call takes.
 const CALL_TIME: Duration = Duration::from_millis(4);
 /// Time limit of a call of a client, not counting the wait of a watch.
 const CALL_LIMIT: Duration = Duration::from_secs(1);
 
-/// Kind of objects that a watch follows.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Kind {
-    /// The configuration.
-    Configuration,
-    /// The upstreams.
-    Upstreams,
-    /// The quarantine records.
-    Quarantine,
-}
-
-/// Trouble of the connections that carry the watches of one kind.
-#[derive(Clone, Copy, Debug)]
-struct Trouble {
-    /// Time until which watches that begin are never answered, as are those that wait.
-    silent_until: Instant,
-    /// Whether the watches that wait fail instead.
-    resets: bool,
-    /// Number of troubles of the kind so far.
-    number: u64,
-}
-
 /// What the store holds at one revision.
 #[derive(Clone, Default)]
 struct Contents {
@@ -163,31 +147,6 @@
         self.revision.send_modify(|_| {});
     }
 
-    /// Lets all watches of a kind that wait now go unanswered, although the store answers all other
-    /// calls: their connections have fallen silent for good.
-    pub fn silence_watches(&self, kind: Kind) {
-        self.trouble(kind, Duration::ZERO, false);
-    }
-
-    /// Resets the connections of all watches of a kind that wait now. Watches of the kind that begin
-    /// within `lasts` are never answered.
-    pub fn reset_watches(&self, kind: Kind, lasts: Duration) {
-        self.trouble(kind, lasts, true);
-    }
-
-    fn trouble(&self, kind: Kind, lasts: Duration, resets: bool) {
-        let silent_until = Instant::now() + lasts;
-        let mut state = self.lock();
-        let number = state.troubles.get(&kind).map_or(0, |trouble| trouble.number) + 1;
-        state.troubles.insert(kind, Trouble { silent_until, resets, number });
-        drop(state);
-        self.revision.send_modify(|_| {});
-    }
-
-    fn trouble_of(&self, kind: Kind) -> Option<Trouble> {
-        self.lock().troubles.get(&kind).copied()
-    }
-
     /// Returns a client of this store that can be cut off from it alone.
     pub fn client(&self) -> Self {
         Self { link: Arc::default(), ..self.clone() }
@@ -239,58 +198,6 @@
         self.lock().announcements.clone()
     }
 
-    /// Continues from the copy of the time `age` ago, in the next era. What the operator and the
-    /// upstreams wrote since is written again after `rewrite`, unless it was changed meanwhile.
-    pub fn drill(&self, age: Duration, rewrite: Option<Duration>) {
-        let (lost, copy) = {
-            let mut state = self.lock();
-            let kept = match Instant::now().checked_sub(age) {
-                Some(cut) => state.copies.partition_point(|(at, ..)| *at <= cut),
-                None => 0,
-            };
-            state.copies.truncate(kept);
-            let (revision, copy) = match state.copies.last() {
-                Some((_, revision, contents)) => (*revision, contents.clone()),
-                None => (1, Contents::default()),
-            };
-            let lost = std::mem::replace(&mut state.contents, copy.clone());
-            state.changes.retain(|(at, _)| *at <= revision);
-            state.compacted = state.compacted.min(revision);
-            state.quarantines.clear();
-            state.quarantine_changes.clear();
-            state.era += 1;
-            self.revision.send_replace(revision);
-            (lost, copy)
-        };
-        if let Some(delay) = rewrite {
-            let store = self.clone();
-            tokio::spawn(async move {
-                sleep(delay).await;
-                store.rewrite(&lost, &copy);
-            });
-        }
-    }
-
-    /// Writes what is in `lost` and not in `copy`, unless it was changed since.
-    fn rewrite(&self, lost: &Contents, copy: &Contents) {
-        let current = self.lock().contents.clone();
-        let number = lost.configuration.number;
-        if number != copy.configuration.number && current.configuration == copy.configuration {
-            self.configure(lost.configuration.clone());
-        }
-        let is_unchanged = |id: &String| current.upstreams.get(id) == copy.upstreams.get(id);
-        for (id, upstream) in &lost.upstreams {
-            if copy.upstreams.get(id) != Some(upstream) && is_unchanged(id) {
-                self.list(upstream.clone());
-            }
-        }
-        for id in copy.upstreams.keys() {
-            if !lost.upstreams.contains_key(id) && is_unchanged(id) {
-                self.remove(id);
-            }
-        }
-    }
-
     /// Sets the time that a listing of all upstreams takes in addition to that of a call.
     pub fn set_listing_time(&self, time: Duration) {
         self.lock().listing_time = time;
